--- a/src/bin/hazelturn-drill.rs
+++ b/src/bin/nickeljunction-simhost.rs
@@ -1,8 +1,8 @@
 //! The adapter: hosts limiter instances on the simulator's wire. It translates and decides nothing.
 
-use hazelturn::api::{Action, Event, ServerEntry};
-use hazelturn::decide::Limiter;
-use hazelturn::wire::{one_line, print_action, Line, WireError};
+use nickeljunction::api::{Action, Event, ServerEntry};
+use nickeljunction::decide::Limiter;
+use nickeljunction::wire::{one_line, print_action, Line, WireError};
 use std::any::Any;
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
@@ -130,7 +130,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            eprintln!("hazelturn-drill: {why}");
+            eprintln!("nickeljunction-simhost: {why}");
             ExitCode::FAILURE
         }
     }
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1,7 +1,7 @@
 //! The decision module alone, driven by events: one small test for each guard or failure found.
 
-use hazelturn::api::*;
-use hazelturn::decide::Limiter;
+use nickeljunction::api::*;
+use nickeljunction::decide::Limiter;
 use std::collections::BTreeMap;
 
 fn class(name: &str, repeat: Repeat) -> Class {
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,7 +1,7 @@
 //! The wire: round trips, malformed lines and the adapter as a process.
 
-use hazelturn::api::*;
-use hazelturn::wire::{print_action, Line};
+use nickeljunction::api::*;
+use nickeljunction::wire::{print_action, Line};
 use std::io::Write;
 use std::process::{Command, Stdio};
 
@@ -11,7 +11,7 @@
 }
 
 fn drill(input: &str) -> (bool, String, String) {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_hazelturn-drill"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_nickeljunction-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
