Add the OpenAPI front and scenario tests of the gateway over real sockets

Found while writing them: the class's method and key were not checked by the platform's front. A keyed request without a key could have been repeated on the strength of its class; it now gets 400.

--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -1,21 +1,21 @@
 //! The platform's protocol: the class is the first part of the path, the rest stands in header lines.
 
 use super::Front;
-use crate::facade::{Intake, Settings};
+use crate::api::Repeat;
+use crate::facade::{Class, Intake, Settings};
 use crate::net::http::{TerminalReply, TerminalRequest};
 
-/// Class name and its clients' longest wait, ms.
+/// The platform's front.
 #[derive(Debug, Clone)]
 pub struct Platform {
-    classes: Vec<(String, f64)>,
+    classes: Vec<Class>,
     siblings: usize,
 }
 
 impl Platform {
     /// A front for the classes of these settings.
     pub fn new(settings: &Settings) -> Platform {
-        let classes = settings.classes.iter().map(|class| (class.name.clone(), class.give_up_ms)).collect();
-        Platform { classes, siblings: settings.siblings }
+        Platform { classes: settings.classes.clone(), siblings: settings.siblings }
     }
 }
 
@@ -69,17 +69,29 @@
 impl Front for Platform {
     fn take_in(&self, request: &TerminalRequest) -> Result<Intake, TerminalReply> {
         let name = request.path().trim_start_matches('/').split('/').next().unwrap_or_default();
-        let class = self.classes.iter().find(|(class, _)| class == name);
-        let Some((class, give_up_ms)) = class else {
+        let Some(class) = self.classes.iter().find(|class| class.name == name) else {
             return Err(TerminalReply::text(404, "no such class\n"));
         };
+        // The class promises what a repeat may do; a request that does not fit it must not be repeated on
+        // the strength of that.
+        let (method, key) = match class.repeat {
+            Repeat::Repeatable => ("GET", false),
+            Repeat::ByKey => ("POST", true),
+            Repeat::Once => ("POST", false),
+        };
+        if request.method != method {
+            return Err(TerminalReply::text(405, "the class goes with another method\n"));
+        }
+        if key && request.headers.get("idempotency-key").is_none_or(str::is_empty) {
+            return Err(TerminalReply::text(400, "missing: Idempotency-Key\n"));
+        }
         let caller = Caller::read(request)?;
         Ok(Intake {
-            class: class.clone(),
+            class: class.name.clone(),
             never_twice: false,
             plan: caller.plan,
             customer: caller.customer,
-            patience_ms: caller.patience_ms.unwrap_or(*give_up_ms),
+            patience_ms: caller.patience_ms.unwrap_or(class.give_up_ms),
             units: caller.units.unwrap_or(1.0),
             doors: caller.doors.unwrap_or(self.siblings),
             retry: caller.retry,
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,7 +4,9 @@
 use nickeljunction::config::{Config, ConfigError};
 use nickeljunction::core::Core;
 use nickeljunction::facade::Facade;
+use nickeljunction::front::openapi::OpenApi;
 use nickeljunction::front::platform::Platform;
+use nickeljunction::front::Front;
 use nickeljunction::net::budget::Budget;
 use nickeljunction::net::counter::Counter;
 use nickeljunction::net::hub::{self, Inbox, Input, World};
@@ -14,6 +16,7 @@
 use nickeljunction::net::wheel::Wheel;
 use std::cell::Cell;
 use std::collections::HashMap;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpSocket};
@@ -42,6 +45,15 @@
     Ok(config)
 }
 
+/// The operator's file that puts the second front before the core, if there is one.
+fn front_file() -> Option<PathBuf> {
+    match std::env::var_os("NICKELJUNCTION_FRONT") {
+        Some(path) if path.is_empty() => None,
+        Some(path) => Some(PathBuf::from(path)),
+        None => Some(PathBuf::from("deploy/front.json")).filter(|path| path.exists()),
+    }
+}
+
 fn main() -> ExitCode {
     let config = match read_config() {
         Ok(config) => config,
@@ -84,8 +96,17 @@
     let (to, inputs) = mpsc::unbounded_channel();
     let inbox = Inbox::new(to);
 
-    let front = Box::new(Platform::new(&config.settings));
-    let facade = Facade::new(config.settings.clone(), config.seed, false)
+    let file = front_file();
+    let front: Box<dyn Front> = match &file {
+        None => Box::new(Platform::new(&config.settings)),
+        Some(path) => {
+            let front = OpenApi::load(path, &config.settings).map_err(|why| why.to_string())?;
+            front.warnings.iter().for_each(|warning| tracing::warn!("{warning}"));
+            tracing::info!(file = %path.display(), "routes are an operator's");
+            Box::new(front)
+        }
+    };
+    let facade = Facade::new(config.settings.clone(), config.seed, file.is_some())
         .map_err(|why| format!("configuration: settings: {why}"))?;
     let regions = Regions::new(budget.clone(), wheel.clone(), config.connect_ms, config.idle_close_ms);
     let counter = config.counter.map(|address| {
@@ -103,6 +124,7 @@
     spawn_local(regions.reap());
 
     let listener = listener(&config)?;
+    let listening = listener.local_addr();
     let (set_phase, phase) = watch::channel(Phase::Serving);
     let terminals = Rc::new(Terminals {
         front,
@@ -124,7 +146,8 @@
     };
     spawn_local(service_table::watch(config.discovery, rev, wheel.clone(), told));
     spawn_local(terminal::listen(listener, terminals.clone()));
-    tracing::info!(name = config.name, listen = %config.listen, "serving");
+    let listen = listening.map_or_else(|why| why.to_string(), |address| address.to_string());
+    tracing::info!(name = config.name, listen, "serving");
 
     let mut stop = signal(SignalKind::terminate()).map_err(|why| format!("signals: {why}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|why| format!("signals: {why}"))?;
--- /dev/null
+++ b/tests/gateway.rs
@@ -0,0 +1,222 @@
+//! The gateway over real sockets: one scenario for each promise or failure found.
+
+mod scenario;
+
+use scenario::{start, Rig, SETTINGS};
+use std::io::Read;
+use std::path::Path;
+
+fn play(regions: usize, text: &str) {
+    Rig::new(regions, None).play(text);
+}
+
+#[test]
+fn a_request_passes_on_and_its_answer_comes_back_unchanged() {
+    play(1, "a: raw GET /health/ready HTTP/1.1\\r\\n\\r\\n
+        a: expect 200
+        a: send GET /safe/1?x=2 units=2
+        r1: expect GET /safe/1?x=2
+        r1: send 200 hello settled=3
+        a: expect 200 hello
+        a: send POST /keyed/2 key=k1 body=b
+        r1: expect POST /keyed/2 key=k1
+        r1: raw HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n2\\r\\nhe\\r\\n3\\r\\nllo\\r\\n0\\r\\n\\r\\n
+        a: expect 200 hello");
+}
+
+#[test]
+fn what_may_have_run_is_repeated_only_where_the_class_allows_it() {
+    let mut rig = Rig::new(1, None);
+    rig.play(
+        "a: send POST /once/1
+        r1: expect POST /once/1
+        r1: send 500
+        a: expect 502 failed
+        a: send POST /once/2
+        r1: expect POST /once/2
+        r1: close
+        a: expect 502 failed
+        a: send POST /once/3
+        r1: expect POST /once/3
+        r1: send 503 not-started
+        a: expect 503 short retry",
+    );
+}
+
+#[test]
+fn a_client_that_closes_ends_its_request_and_the_next_is_served() {
+    play(
+        1,
+        "a: send GET /safe/1
+        r1: expect GET /safe/1
+        a: close
+        r1: send 200 late
+        b: send GET /safe/2
+        r1: expect GET /safe/2
+        r1: send 200 fine
+        b: expect 200 fine",
+    );
+}
+
+#[test]
+fn a_silent_region_costs_the_request_no_more_than_its_time() {
+    play(
+        1,
+        "a: send POST /once/1 timeout=0.4
+        r1: expect POST /once/1
+        a: expect 502 failed
+        r1: expect eof",
+    );
+}
+
+#[test]
+fn bytes_past_an_answer_never_answer_the_next_request() {
+    play(1, "a: send GET /safe/1
+        r1: expect GET /safe/1
+        r1: raw HTTP/1.1 200 OK\\r\\nContent-Length: 1\\r\\n\\r\\nAHTTP/1.1 200 OK\\r\\nContent-Length: 4\\r\\n\\r\\nEVIL
+        a: expect 200 A
+        r1: expect eof
+        a: send GET /safe/2
+        r1: expect GET /safe/2
+        r1: send 200 good
+        a: expect 200 good");
+}
+
+#[test]
+fn a_kept_connection_that_the_region_closed_is_not_used_again() {
+    play(
+        1,
+        "a: send GET /safe/1
+        r1: expect GET /safe/1
+        r1: send 200 one
+        a: expect 200 one
+        r1: close
+        a: send POST /once/2
+        r1: expect POST /once/2
+        r1: send 200 two
+        a: expect 200 two",
+    );
+}
+
+#[test]
+fn quotas_are_refused_with_advice_and_counted_by_the_true_units() {
+    play(
+        1,
+        "a: send GET /safe/1 plan=small units=3
+        c: expect 7 3
+        r1: expect GET /safe/1
+        r1: send 200 x settled=4
+        a: expect 200 x
+        a: send GET /safe/2 plan=small units=3
+        a: expect 503 short retry",
+    );
+}
+
+#[test]
+fn a_draining_region_gets_nothing_new() {
+    play(
+        2,
+        "d: send r1 Terminating
+        d: send r2 Ready
+        wait 1000
+        a: send GET /safe/1
+        r2: expect GET /safe/1
+        r2: send 200 x
+        a: expect 200 x
+        b: send GET /safe/2
+        r2: expect GET /safe/2
+        r2: send 200 x
+        b: expect 200 x",
+    );
+}
+
+#[test]
+fn a_broken_watch_and_a_broken_line_are_survived() {
+    play(
+        2,
+        "d: close
+        d: raw {\"rev\":nonsense}
+        d: close
+        d: send r1 Gone
+        wait 1000
+        a: send GET /safe/1
+        r2: expect GET /safe/1
+        r2: send 200 x
+        a: expect 200 x",
+    );
+}
+
+#[test]
+fn bad_input_is_answered_and_the_connection_ends() {
+    let long = "x".repeat(20_000);
+    for (text, status) in [
+        ("NONSENSE\\r\\n\\r\\n", "400"),
+        ("POST /once HTTP/1.1\\r\\nContent-Length: 3\\r\\nContent-Length: 4\\r\\n\\r\\n", "400"),
+        ("POST /once HTTP/1.1\\r\\nContent-Length: +3\\r\\n\\r\\nabc", "400"),
+        ("POST /once HTTP/1.1\\r\\nContent-Length: 3\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n", "400"),
+        ("POST /once HTTP/1.1\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\nzz\\r\\n", "400"),
+        ("POST /once HTTP/1.1\\r\\nContent-Length: 65537\\r\\n\\r\\n", "413"),
+        (&format!("GET /safe HTTP/1.1\\r\\nX-Long: {long}\\r\\n\\r\\n"), "431"),
+    ] {
+        play(1, &format!("a: raw {text}\na: expect {status}\na: expect eof"));
+    }
+}
+
+#[test]
+fn what_does_not_fit_its_class_is_not_passed_on() {
+    play(
+        1,
+        "a: send GET /nowhere/1
+        a: expect 404
+        a: send POST /keyed/1
+        a: expect 400 missing: Idempotency-Key
+        a: send POST /safe/1
+        a: expect 405",
+    );
+}
+
+#[test]
+fn a_stop_answers_what_was_taken_and_hands_leases_back() {
+    play(
+        1,
+        "a: send GET /safe/1 plan=small
+        c: expect 7 1
+        r1: expect GET /safe/1
+        r1: send 200 one
+        a: expect 200 one
+        a: send GET /safe/2 plan=small
+        # One unit more than it needs: the paper's batch.
+        c: expect 7 2
+        r1: expect GET /safe/2
+        gateway: send TERM
+        b: send GET /safe/3 customer=8
+        r1: send 200 two
+        a: expect 200 two
+        r1: expect GET /safe/3
+        c: expect 8 1
+        r1: send 200 three
+        b: expect 200 three
+        b: expect eof
+        gateway: expect exit 0
+        c: expect 7 -1",
+    );
+}
+
+#[test]
+fn a_bad_configuration_is_one_line_that_names_the_key() {
+    let good = r#"{"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","settings":SETTINGS}"#;
+    let good = good.replace("SETTINGS", SETTINGS);
+    for (from, to, key) in [
+        (r#""listen":"127.0.0.1:0""#, r#""listen":"here""#, "listen"),
+        (r#""discovery":"127.0.0.1:9","#, "", "discovery"),
+        (r#""AimMs":1500"#, r#""AimMs":"soon""#, "settings.Classes.0.AimMs"),
+        (r#""Me":0"#, r#""Me":9"#, "me must be under siblings"),
+        (r#""IdleCloseMs":30000"#, r#""IdleCloseMs":0"#, "settings.Permissions.IdleCloseMs"),
+    ] {
+        let mut child = start(&good.replacen(from, to, 1), Path::new(""));
+        let mut said = String::new();
+        child.stderr.take().expect("its log").read_to_string(&mut said).expect("text");
+        assert!(!child.wait().expect("it ends").success(), "{key}");
+        assert!(said.contains(key) && said.trim_end().lines().count() == 1, "{key}: {said}");
+    }
+}
--- /dev/null
+++ b/tests/scenario/mod.rs
@@ -0,0 +1,403 @@
+//! A small language for tests over real sockets: each line is `actor: verb words`, with the verbs send,
+//! expect, close and wait. Actors: clients (`a`, `b`, ...), regions (`r1`, ...), the counter `c`,
+//! discovery `d` and the program itself, `gateway`. Every stand-in listens on a loopback port of its own.
+//!
+//!     a: send GET /safe/1 units=2        a client's request; more words: plan, customer, timeout, key, body
+//!     r1: expect GET /safe/1             the region got it
+//!     r1: send 200 hello settled=3       and answers
+//!     a: expect 200 hello                the client has its answer; a last word `retry` wants a Retry-After
+//!     a: raw GET / HTTP/1.1\r\n\r\n       bytes as they are (clients, regions, discovery)
+//!     r1: close | a: expect eof | d: send r1 Terminating | gateway: send TERM | wait 50
+
+use std::collections::{BTreeMap, HashMap};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::time::Duration;
+
+/// Longest wait for anything; only a broken program takes so long.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+pub type Head = BTreeMap<String, String>;
+
+/// One message: first line, header lines by lower-case name, body.
+pub struct Message {
+    pub line: String,
+    pub head: Head,
+    pub body: String,
+    stream: TcpStream,
+}
+
+fn read_message(reader: &mut BufReader<TcpStream>) -> Option<Message> {
+    let mut lines = Vec::new();
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        match line.trim_end() {
+            "" => break,
+            line => lines.push(line.to_string()),
+        }
+    }
+    let split = |line: &String| line.split_once(':').map(|(a, b)| (a.to_lowercase(), b.trim().to_string()));
+    let head: Head = lines[1..].iter().filter_map(split).collect();
+    let mut body = vec![0; head.get("content-length").map_or(0, |n| n.parse().expect("a length"))];
+    reader.read_exact(&mut body).ok()?;
+    let stream = reader.get_ref().try_clone().expect("a second handle");
+    Some(Message { line: lines[0].clone(), head, body: String::from_utf8_lossy(&body).into(), stream })
+}
+
+/// Listens; each connection is read by `read` until it returns.
+fn stand_in(read: impl Fn(TcpStream) + Clone + Send + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let read = read.clone();
+            std::thread::spawn(move || read(stream));
+        }
+    });
+    address
+}
+
+fn region(to: Sender<Option<Message>>) -> SocketAddr {
+    stand_in(move |stream| {
+        let mut reader = BufReader::new(stream);
+        while let Some(message) = read_message(&mut reader) {
+            let _ = to.send(Some(message));
+        }
+        let _ = to.send(None);
+    })
+}
+
+/// Keeps numbers by name and tells of each call, as `NAME AMOUNT`.
+fn counter(to: Sender<String>) -> SocketAddr {
+    let totals = std::sync::Arc::new(std::sync::Mutex::new(HashMap::<String, f64>::new()));
+    stand_in(move |stream| {
+        let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
+        let mut word = || {
+            let mut line = String::new();
+            reader.read_line(&mut line).ok().filter(|read| *read > 0)?;
+            Some(line.trim_end().to_string())
+        };
+        let mut call = || -> Option<String> {
+            let count: usize = word()?.trim_start_matches('*').parse().ok()?;
+            let parts: Vec<String> = (0..count).map_while(|_| word().and_then(|_| word())).collect();
+            if parts.len() < 4 {
+                return Some("+PONG\r\n".into());
+            }
+            let mut totals = totals.lock().expect("totals");
+            let total = totals.entry(parts[1].clone()).or_default();
+            *total += parts[2].parse::<f64>().ok()?;
+            let _ = to.send(format!("{} {}", parts[1], parts[2]));
+            Some(format!("${}\r\n{total}\r\n", total.to_string().len()))
+        };
+        while let Some(answer) = call() {
+            if (&stream).write_all(answer.as_bytes()).is_err() {
+                return;
+            }
+        }
+    })
+}
+
+/// A region: where it listens, what came (`None`: a connection's end), and what is to be answered.
+struct Region {
+    address: SocketAddr,
+    from: Receiver<Option<Message>>,
+    last: Option<Message>,
+}
+
+pub struct Rig {
+    gateway: Child,
+    listen: String,
+    clients: BTreeMap<String, BufReader<TcpStream>>,
+    regions: BTreeMap<String, Region>,
+    counter: Receiver<String>,
+    watch: Receiver<TcpStream>,
+    watching: Option<TcpStream>,
+    sent: u64,
+}
+
+/// A directory for this test's files, removed with the rig's files by the system.
+fn file(name: &str, text: &str) -> std::path::PathBuf {
+    static NUMBER: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(0);
+    let number = NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    let folder = std::env::temp_dir().join(format!("nickeljunction-{}-{number}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    std::fs::write(folder.join(name), text).expect("a file");
+    folder.join(name)
+}
+
+/// Writes a file that another's text names, and gives that text with its full name.
+#[allow(dead_code)]
+pub fn naming(text: &str, other: &str, content: &str) -> String {
+    text.replace(other, &file(other, content).display().to_string())
+}
+
+/// The settings of all scenarios: three classes, a small plan and a large one.
+pub const SETTINGS: &str = r#"{"Me":0,"Siblings":1,"Locality":"east","StepMs":2.0,"Classes":[
+ {"Name":"safe","AimMs":1500,"GiveUpMs":8000,"Repeat":"repeatable","Group":"all","KeyTtlMs":1000,"Worth":1},
+ {"Name":"keyed","AimMs":1500,"GiveUpMs":8000,"Repeat":"by_key","Group":"all","KeyTtlMs":5000,"Worth":1},
+ {"Name":"once","AimMs":1500,"GiveUpMs":8000,"Repeat":"once","Group":"all","KeyTtlMs":1000,"Worth":1}],
+ "TiersOfService":[{"Name":"small","Refill":0.001,"PeakUnits":4,"WorthFactor":1,"OverCost":1},
+ {"Name":"large","Refill":1,"PeakUnits":100000,"WorthFactor":1,"OverCost":1}],
+ "Extra":{"Counter":true,"CounterTimeoutMs":2000,"Settles":true,"UnitsTop":6},"Discovery":"automatic",
+ "Permissions":{"MayCancel":true,"MaxAttempts":3,"MaxRetryAfterMs":2000,"RetryAfter":true,
+ "SecondCopies":false,"ConnectTimeoutMs":2000,"IdleCloseMs":30000},
+ "Guarantees":{"ColdFrom":0.15,"ColdMs":1000,"DrainGraceMs":1000,"FallMultiple":2,"FallMs":1500}}"#;
+
+impl Rig {
+    /// A gateway with `regions` in its service table, and the operator's file of a front.
+    pub fn new(regions: usize, front: Option<&str>) -> Rig {
+        let names: Vec<String> = (1..=regions).map(|at| format!("r{at}")).collect();
+        let regions: BTreeMap<_, _> = (names.into_iter())
+            .map(|name| {
+                let (to, from) = channel();
+                (name, Region { address: region(to), from, last: None })
+            })
+            .collect();
+        let (calls, counted) = channel();
+        let (watches, watch) = channel();
+        let discovery = stand_in(move |stream| {
+            let mut reader = BufReader::new(stream);
+            while let Some(mut message) = read_message(&mut reader) {
+                let _ = message.stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                let _ = watches.send(message.stream);
+            }
+        });
+        let entry = |(name, region): (&String, &Region)| target(name, region.address, "Ready");
+        let known: Vec<String> = regions.iter().map(entry).collect();
+        let config = format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"07","counter":"{}",
+            "limits":{{"sockets":256}},"known":{{"rev":1,"all":true,"targets":[{}]}},"settings":{SETTINGS}}}"#,
+            counter(calls),
+            known.join(",")
+        );
+        let front = front.map(|text| file("front.json", text)).unwrap_or_default();
+        let mut gateway = start(&config, &front);
+        let mut log = BufReader::new(gateway.stderr.take().expect("its log")).lines().map_while(Result::ok);
+        let serving = log.find(|line| line.contains("serving")).expect("it serves");
+        let listen = serving.split("listen=").nth(1).expect("its address").trim_matches('"').to_string();
+        // Nobody may block it by leaving its log unread.
+        std::thread::spawn(move || log.for_each(drop));
+        let (clients, watching) = (BTreeMap::new(), None);
+        Rig { gateway, listen, clients, regions, counter: counted, watch, watching, sent: 0 }
+    }
+
+    /// Plays a scenario and returns what the clients and regions saw, line by line.
+    pub fn play(&mut self, scenario: &str) -> Vec<String> {
+        let mut seen = Vec::new();
+        for (at, line) in scenario.lines().enumerate() {
+            let line = line.trim();
+            if line.is_empty() || line.starts_with('#') {
+                continue;
+            }
+            if let Some(ms) = line.strip_prefix("wait ") {
+                std::thread::sleep(Duration::from_millis(ms.parse().expect("milliseconds")));
+                continue;
+            }
+            let (actor, rest) = line.split_once(": ").expect("actor: verb words");
+            let (verb, words) = rest.split_once(' ').unwrap_or((rest, ""));
+            let done = match actor {
+                "gateway" => self.process(verb, words),
+                "c" => self.count(words),
+                "d" => self.discovery(verb, words),
+                _ if self.regions.contains_key(actor) => self.region(actor, verb, words),
+                _ => self.client(actor, verb, words),
+            };
+            match done {
+                Ok(text) => seen.push(format!("{actor} {text}")),
+                Err(why) => panic!("line {}: {line}: {why}", at + 1),
+            }
+        }
+        seen
+    }
+
+    fn client(&mut self, name: &str, verb: &str, words: &str) -> Result<String, String> {
+        if verb != "expect" && verb != "close" && !self.clients.contains_key(name) {
+            let stream = TcpStream::connect(&self.listen).map_err(|why| why.to_string())?;
+            stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+            self.clients.insert(name.into(), BufReader::new(stream));
+        }
+        let reader = self.clients.get_mut(name).ok_or("not connected")?;
+        match verb {
+            "send" => {
+                self.sent += 1;
+                let text = request(words, self.sent);
+                reader.get_mut().write_all(text.as_bytes()).map_err(|why| why.to_string())?;
+                Ok(words.into())
+            }
+            "raw" => {
+                reader.get_mut().write_all(unescape(words).as_bytes()).map_err(|why| why.to_string())?;
+                Ok(words.into())
+            }
+            "close" => {
+                self.clients.remove(name);
+                Ok("closed".into())
+            }
+            _ if words == "eof" => match read_message(reader) {
+                None => self.clients.remove(name).map(|_| "eof".into()).ok_or("gone".into()),
+                Some(message) => Err(format!("got {}", message.line)),
+            },
+            _ => {
+                let message = read_message(reader).ok_or("no answer")?;
+                let status = message.line.split(' ').nth(1).unwrap_or_default();
+                let advice = if message.head.contains_key("retry-after") { " retry" } else { "" };
+                let got = format!("{status} {}{advice}", message.body.trim_end());
+                let fits = words.is_empty() || got.starts_with(words.trim_end_matches(" retry"));
+                let advised = !words.ends_with("retry") || !advice.is_empty();
+                if fits && advised {
+                    Ok(got)
+                } else {
+                    Err(format!("got {got}"))
+                }
+            }
+        }
+    }
+
+    fn region(&mut self, name: &str, verb: &str, words: &str) -> Result<String, String> {
+        let Region { from, last, .. } = self.regions.get_mut(name).expect("looked up");
+        match verb {
+            "expect" => {
+                let message = from.recv_timeout(PATIENCE).map_err(|_| "nothing came")?;
+                if words == "eof" {
+                    return message.map_or(Ok("eof".into()), |m| Err(format!("got {}", m.line)));
+                }
+                let message = message.ok_or("the connection ended")?;
+                let got = message.line.trim_end_matches(" HTTP/1.1").to_string();
+                let mut parts = words.split(" key=");
+                let (line, key) = (parts.next().unwrap_or_default(), parts.next());
+                if line != got
+                    || key.is_some_and(|key| message.head.get("idempotency-key").is_none_or(|k| k != key))
+                {
+                    return Err(format!("got {got}, {:?}", message.head));
+                }
+                *last = Some(message);
+                Ok(got)
+            }
+            "close" => {
+                let message = last.take().ok_or("nothing to close")?;
+                message.stream.shutdown(Shutdown::Both).map_err(|why| why.to_string())?;
+                // The reader of that connection tells of its end: not a surprise to a later line.
+                from.recv_timeout(PATIENCE).map(|_| "closed".into()).map_err(|why| why.to_string())
+            }
+            _ => {
+                let message = last.as_mut().ok_or("nothing to answer")?;
+                let text = if verb == "raw" { unescape(words) } else { reply(words) };
+                message.stream.write_all(text.as_bytes()).map_err(|why| why.to_string())?;
+                Ok(words.into())
+            }
+        }
+    }
+
+    /// The next call that adds: `NAME AMOUNT` without the window's number in the name.
+    fn count(&mut self, words: &str) -> Result<String, String> {
+        let call = self.counter.recv_timeout(PATIENCE).map_err(|_| "no call")?;
+        let (name, amount) = call.split_once(' ').expect("name and amount");
+        let got = format!("{} {amount}", name.split('.').next().unwrap_or_default());
+        if got == words || words.is_empty() {
+            Ok(got)
+        } else {
+            Err(format!("got {got}"))
+        }
+    }
+
+    fn discovery(&mut self, verb: &str, words: &str) -> Result<String, String> {
+        if verb == "close" || self.watching.is_none() {
+            if let Some(old) = self.watching.take() {
+                let _ = old.shutdown(Shutdown::Both);
+            }
+            self.watching = Some(self.watch.recv_timeout(PATIENCE).map_err(|_| "no watch")?);
+        }
+        if verb == "close" {
+            return Ok("closed".into());
+        }
+        let line = match (verb, words.split_once(' ')) {
+            ("send", Some((name, state))) => {
+                let address = self.regions[name].address;
+                format!(r#"{{"rev":2,"all":false,"targets":[{}]}}"#, target(name, address, state))
+            }
+            _ => words.to_string(),
+        };
+        let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
+        let stream = self.watching.as_mut().expect("a watch");
+        stream.write_all(chunk.as_bytes()).map_err(|why| why.to_string())?;
+        Ok(words.into())
+    }
+
+    fn process(&mut self, verb: &str, words: &str) -> Result<String, String> {
+        if verb == "send" {
+            let pid = self.gateway.id().to_string();
+            let sent =
+                Command::new("kill").args(["-s", words, &pid]).status().map_err(|why| why.to_string())?;
+            return if sent.success() { Ok(words.into()) } else { Err("no signal sent".into()) };
+        }
+        let status = self.gateway.wait().map_err(|why| why.to_string())?;
+        let got = format!("exit {}", status.code().unwrap_or(-1));
+        if got == words {
+            Ok(got)
+        } else {
+            Err(format!("got {got}"))
+        }
+    }
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        let _ = self.gateway.kill();
+        let _ = self.gateway.wait();
+    }
+}
+
+/// Starts the program on a configuration.
+pub fn start(config: &str, front: &std::path::Path) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_nickeljunction"))
+        .env("EDGE_CONFIG", file("config.json", config))
+        .env("NICKELJUNCTION_FRONT", front)
+        .env_remove("EDGE_LISTEN")
+        .env_remove("EDGE_DISCOVERY")
+        .stderr(Stdio::piped())
+        .stdout(Stdio::null())
+        .spawn()
+        .expect("it starts")
+}
+
+fn target(name: &str, address: SocketAddr, state: &str) -> String {
+    format!(
+        r#"{{"uid":"{name}","endpoint":"{address}","az":"east","pod_group":1,"state":"{state}","boot_ms":0}}"#
+    )
+}
+
+fn unescape(text: &str) -> String {
+    text.replace("\\r", "\r").replace("\\n", "\n")
+}
+
+fn request(words: &str, number: u64) -> String {
+    let mut parts = words.split(' ');
+    let (method, path) = (parts.next().expect("a method"), parts.next().expect("a path"));
+    let given: HashMap<&str, &str> = parts.filter_map(|part| part.split_once('=')).collect();
+    let get = |key: &str, or: &'static str| given.get(key).copied().unwrap_or(or);
+    let key = given.get("key").map(|key| format!("Idempotency-Key: {key}\r\n")).unwrap_or_default();
+    let body = get("body", "");
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: x\r\nRequest-Id: {number:016x}\r\nX-Contract: {}\r\nX-Client-Id: {:0>16}\r\n\
+        Request-Timeout: {}\r\n{key}X-Metering: units={},spread=1,first=0\r\nContent-Length: {}\r\n\r\n{body}",
+        get("plan", "large"), get("customer", "7"), get("timeout", "8"), get("units", "1"), body.len()
+    )
+}
+
+fn reply(words: &str) -> String {
+    let mut parts = words.split(' ');
+    let status = parts.next().expect("a status");
+    let (mut extra, mut body) = (String::new(), "");
+    for part in parts {
+        match part.split_once('=') {
+            Some(("settled", units)) => extra += &format!("X-Settled: {units}\r\n"),
+            _ if part == "not-started" => extra += "Not-Started: 1\r\n",
+            _ => body = part,
+        }
+    }
+    format!("HTTP/1.1 {status} X\r\n{extra}Content-Length: {}\r\n\r\n{body}", body.len())
+}
