--- a/src/decide.rs
+++ b/src/decide.rs
@@ -408,8 +408,8 @@
             admitted.push(id);
         }
         if let Some(pool) = account.pool.as_mut() {
-            // Not on the heels of a call that failed: on a refused connection, which fails at once, a book to be
-            // put right was asked for again and again without a pause. The next sweep does it.
+            // Not on the heels of a failed call: where connections are refused, which fails at once, this
+            // asked again and again without a pause. The next sweep does it.
             let tidy = pool.fix < 0.0 || (pool.fix > 0.0 && self.odds >= TIDY_ODDS);
             if tidy && !pool.unanswered {
                 self.ask(customer, pool, 0.0, 0.0);
