--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,7 @@
-.PHONY: build test lint run
+# What a developer needs: build, test, lint, run, toy.
+CONFIG ?= examples/config.json
+
+.PHONY: build test lint run toy
 
 build:
 	cargo build --release --locked
@@ -10,5 +13,10 @@
 	cargo fmt --check
 	cargo clippy --all-targets --locked -- -D warnings
 
+# The gateway on CONFIG, by default that of the toy world.
 run: build
-	exec target/release/nickeljunction
+	EDGE_CONFIG=$(CONFIG) exec target/release/nickeljunction
+
+# Two toy booking servers, discovery and a counter, for `make run` to talk to.
+toy:
+	cargo run --locked --example toy
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -353,7 +353,10 @@
         let worth = request.value / self.latency[class];
         self.worth += CLASS_GAIN * (worth - self.worth);
         request.stake = if arrival.retry { 0.0 } else { worth / self.worth };
-        if self.rng.f64() > self.admit.powf(self.worth / worth.max(1e-9)) {
+        // Too short for any server, or even for the next sweep, which would then answer too late.
+        let least = (self.latency[class] * 0.5).max(self.settings.step_ms * CALM_STEPS);
+        let hopeless = arrival.patience_ms < least;
+        if hopeless || self.rng.f64() > self.admit.powf(self.worth / worth.max(1e-9)) {
             self.requests.insert(id.clone(), request);
             return self.refuse(&id, self.settings.max_retry_after_ms);
         }
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1112,3 +1112,15 @@
     };
     assert!(refused(&out, "a"), "{out:?}");
 }
+
+/// The last try of a client may come with next to no time: held until a sweep it was answered too late.
+#[test]
+fn a_request_with_too_little_time_for_any_server_is_refused_at_once() {
+    let mut rig = Rig::new(settings(), 2);
+    let (class, plan) = ("safe".to_string(), "soft".to_string());
+    let (customer, patience_ms, units, doors, retry) = (5, 5.0, 1.0, 2, true);
+    let arrival = Arrival { id: "a".into(), class, plan, customer, patience_ms, units, doors, retry };
+    let out = rig.tell(Event::Request(arrival));
+    assert!(refused(&out, "a") && sends(&out).is_empty(), "{out:?}");
+    assert_eq!(rig.limiter.open_requests(), 0);
+}
