Pass on header lines both ways and every answer of a region that is not a server error

Seen in review: only Request-Id, Idempotency-Key and Content-Type went on to a region, and only Content-Type came back; a region's 404 or 204 became a 502. The platform leaves other lines free, but behind the OpenAPI front an app needs Authorization, ETag and plain client errors. Now all lines go on but those of one connection, and 2xx to 4xx but 429 are the region's answer. Scenario test added.

--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -11,6 +11,24 @@
 /// Most header lines.
 const MOST_HEADERS: usize = 64;
 
+/// Header lines of one connection, and those that the gateway writes itself.
+const OWN_LINES: [&str; 14] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+    "host",
+    "content-length",
+    "request-timeout",
+    "not-started",
+];
+
 /// Why a message can't be read.
 #[derive(Debug)]
 pub enum HttpError {
@@ -44,7 +62,7 @@
 impl std::error::Error for HttpError {}
 
 /// The header lines of a message: spans of the bytes of its head.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Headers {
     head: Bytes,
     spans: Vec<[u16; 4]>,
@@ -82,6 +100,17 @@
         self.all(name).next()
     }
 
+    /// The lines that go on to the next hop: all but those that speak of this connection, or that the
+    /// gateway writes itself.
+    pub fn end_to_end(&self) -> impl Iterator<Item = (&str, &[u8])> + '_ {
+        let part = |from: u16, to: u16| &self.head[from as usize..to as usize];
+        self.spans.iter().filter_map(move |s| {
+            let name = std::str::from_utf8(part(s[0], s[1])).ok()?;
+            let own = OWN_LINES.iter().any(|line| name.eq_ignore_ascii_case(line));
+            (!own && !self.has_token("connection", name)).then(|| (name, part(s[2], s[3])))
+        })
+    }
+
     fn has_token(&self, name: &str, token: &str) -> bool {
         self.all(name).flat_map(|value| value.split(',')).any(|part| part.trim().eq_ignore_ascii_case(token))
     }
@@ -266,8 +295,8 @@
     pub status: u16,
     /// `Retry-After`, seconds.
     pub retry_after: Option<f64>,
-    /// `Content-Type`, where known.
-    pub content_type: Option<String>,
+    /// Header lines of a region's answer, passed on.
+    pub headers: Headers,
     /// Body.
     pub body: Bytes,
     /// The connection ends with this answer.
@@ -278,17 +307,20 @@
     /// An answer with a line of text.
     pub fn text(status: u16, text: &str) -> TerminalReply {
         let body = Bytes::copy_from_slice(text.as_bytes());
-        let content_type = Some("text/plain".to_string());
-        TerminalReply { status, retry_after: None, content_type, body, close: false }
+        TerminalReply { status, retry_after: None, headers: Headers::default(), body, close: false }
     }
 }
 
 fn reason(status: u16) -> &'static str {
     match status {
         200 => "OK",
+        201 => "Created",
+        204 => "No Content",
+        304 => "Not Modified",
         400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
+        409 => "Conflict",
         413 => "Content Too Large",
         429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
@@ -352,8 +384,10 @@
         to.reserve(reply.body.len() + 160);
         let head = (|| {
             write!(to, "HTTP/1.1 {} {}\r\n", reply.status, reason(reply.status))?;
-            if let Some(content_type) = &reply.content_type {
-                write!(to, "Content-Type: {content_type}\r\n")?;
+            for (name, value) in reply.headers.end_to_end() {
+                write!(to, "{name}: ")?;
+                to.extend_from_slice(value);
+                to.write_str("\r\n")?;
             }
             if let Some(seconds) = reply.retry_after {
                 write!(to, "Retry-After: {seconds:.3}\r\n")?;
@@ -361,7 +395,11 @@
             if reply.close {
                 to.write_str("Connection: close\r\n")?;
             }
-            write!(to, "Content-Length: {}\r\n\r\n", reply.body.len())
+            match reply.status {
+                // These two have no body by definition, and a length would speak of one.
+                204 | 304 => to.write_str("\r\n"),
+                _ => write!(to, "Content-Length: {}\r\n\r\n", reply.body.len()),
+            }
         })();
         head.map_err(|_| HttpError::Malformed("answer"))?;
         to.extend_from_slice(&reply.body);
@@ -382,8 +420,8 @@
     pub settled: Option<f64>,
     /// The region vouches that it did not begin the request.
     pub not_started: bool,
-    /// `Content-Type`.
-    pub content_type: Option<String>,
+    /// Header lines.
+    pub headers: Headers,
     /// Body.
     pub body: Bytes,
     /// The region keeps the connection.
@@ -428,7 +466,7 @@
                 status,
                 settled: settled.filter(|units| units.is_finite() && *units > 0.0),
                 not_started: headers.get("not-started") == Some("1"),
-                content_type: headers.get("content-type").map(str::to_string),
+                headers,
                 body: Bytes::new(),
                 keep_alive: !close,
             };
--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -6,7 +6,7 @@
 use crate::net::http::{RegionReply, TerminalRequest};
 use crate::net::region::Regions;
 use crate::net::wheel::Wheel;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -80,24 +80,23 @@
 /// The request as a region gets it.
 fn region_request(request: &TerminalRequest, host: &str, limit_ms: f64) -> Bytes {
     use std::fmt::Write;
-    let mut text = String::with_capacity(request.body.len() + 256);
+    let mut bytes = BytesMut::with_capacity(request.body.len() + 512);
     let fine = (|| {
-        write!(text, "{} {} HTTP/1.1\r\nHost: {host}\r\n", request.method, request.target)?;
-        for name in ["Request-Id", "Idempotency-Key", "Content-Type"] {
-            if let Some(value) = request.headers.get(name) {
-                write!(text, "{name}: {value}\r\n")?;
-            }
+        write!(bytes, "{} {} HTTP/1.1\r\nHost: {host}\r\n", request.method, request.target)?;
+        for (name, value) in request.headers.end_to_end() {
+            write!(bytes, "{name}: ")?;
+            bytes.extend_from_slice(value);
+            bytes.write_str("\r\n")?;
         }
-        write!(text, "Request-Timeout: {:.3}\r\n", limit_ms / 1000.0)?;
+        write!(bytes, "Request-Timeout: {:.3}\r\n", limit_ms / 1000.0)?;
         if !request.body.is_empty() || request.method != "GET" {
-            write!(text, "Content-Length: {}\r\n", request.body.len())?;
+            write!(bytes, "Content-Length: {}\r\n", request.body.len())?;
         }
-        text.write_str("\r\n")
+        bytes.write_str("\r\n")
     })();
-    debug_assert!(fine.is_ok(), "writing to a String cannot fail");
-    let mut bytes = text.into_bytes();
+    debug_assert!(fine.is_ok(), "the buffer grows");
     bytes.extend_from_slice(&request.body);
-    Bytes::from(bytes)
+    bytes.freeze()
 }
 
 impl Ports for World {
--- a/src/net/region.rs
+++ b/src/net/region.rs
@@ -175,7 +175,8 @@
             self.keep(uid, link);
         }
         match reply.status {
-            200 => (Outcome::Served, Some(reply)),
+            // A redirection or a client's error is an answer, too: the region has dealt with the request.
+            200..=428 | 430..=499 => (Outcome::Served, Some(reply)),
             503 | 504 if reply.not_started => (Outcome::TurnedAway, None),
             _ => (Outcome::Error, None),
         }
--- a/src/net/terminal.rs
+++ b/src/net/terminal.rs
@@ -184,8 +184,8 @@
 fn reply_of(answer: Option<Answer<RegionReply>>) -> TerminalReply {
     match answer {
         Some(Answer::Served(reply)) => {
-            let (content_type, body) = (reply.content_type, reply.body);
-            TerminalReply { status: 200, retry_after: None, content_type, body, close: false }
+            let RegionReply { status, headers, body, .. } = reply;
+            TerminalReply { status, retry_after: None, headers, body, close: false }
         }
         Some(Answer::ShortOnCapacityReply(pause_ms)) => {
             let reply = TerminalReply::text(503, "short on capacity\n");
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -252,3 +252,24 @@
     }
     rig.play("a: send GET /safe/1\nr1: expect GET /safe/1\nr1: send 200 x\na: expect 200 x");
 }
+
+/// What a booking server says of a request is its answer, lines and all; only this hop's own lines stay behind.
+#[test]
+fn answers_other_than_200_and_header_lines_pass_on() {
+    let seen = Rig::new(1, &[]).play(
+        "a: raw GET /safe/1 HTTP/1.1\\r\\nX-Contract: large\\r\\nX-Client-Id: 7\\r\\nAuthorization: me\\r\\nConnection: x-hop\\r\\nX-Hop: 1\\r\\n\\r\\n
+        r1: expect GET /safe/1
+        r1: head authorization x-hop connection
+        r1: raw HTTP/1.1 404 No\\r\\nX-Why: gone\\r\\nContent-Length: 4\\r\\n\\r\\nnone
+        a: expect 404 none
+        a: send GET /safe/2
+        r1: expect GET /safe/2
+        r1: raw HTTP/1.1 204 No\\r\\nETag: 5\\r\\n\\r\\n
+        a: expect 204
+        a: send GET /safe/3
+        r1: expect GET /safe/3
+        r1: send 200 three
+        a: expect 200 three",
+    );
+    assert!(seen.contains(&"r1 authorization=me".to_string()), "{seen:?}");
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -293,6 +293,13 @@
                 // The reader of that connection tells of its end: not a surprise to a later line.
                 from.recv_timeout(PATIENCE).map(|_| "closed".into()).map_err(|why| why.to_string())
             }
+            // Which of these header lines the last request had.
+            "head" => {
+                let head = &last.as_ref().ok_or("nothing came")?.head;
+                let had =
+                    words.split(' ').filter_map(|name| head.get(name).map(|value| format!("{name}={value}")));
+                Ok(had.collect::<Vec<_>>().join(" "))
+            }
             _ => {
                 let message = last.as_mut().ok_or("nothing to answer")?;
                 let text = if verb == "raw" { unescape(words) } else { reply(words) };
