Listen a last moment to idle connections when the program stops

Seen in review: 0.5 s after SIGTERM an idle connection was closed without another look, so one accepted in that moment was closed before its request could be read, and the request was lost. At fault: terminal.rs `serve`, the branch on `Phase::Closing`. Now it is listened to for 100 ms more, and for 2 s where half a request is there. Scenario test added.

--- a/src/net/terminal.rs
+++ b/src/net/terminal.rs
@@ -17,6 +17,9 @@
 const IDLE_MS: f64 = 120_000.0;
 /// A client that does not take its answer in this time has gone, ms.
 const WRITE_MS: f64 = 5_000.0;
+/// At a stop, how long a connection is still listened to: with nothing on it, and with half a request, ms.
+const LAST_MOMENT_MS: f64 = 100.0;
+const PARTIAL_MS: f64 = 2_000.0;
 /// Pause of the listener when the system has no descriptor left, ms.
 const ACCEPT_PAUSE_MS: f64 = 20.0;
 
@@ -105,11 +108,10 @@
                 biased;
                 read = wire.next() => read,
                 _ = phase.wait_for(|phase| *phase >= Phase::Closing) => {
-                    if wire.read_buffer().is_empty() {
-                        return;
-                    }
-                    // Half a request has come: it may yet become whole, and is then owed an answer.
-                    match terminals.wheel.timeout(1_000.0, wire.next()).await {
+                    // A request may be under way on a connection that has just come, or be here in part: it is
+                    // owed an answer, so it gets a moment before the connection goes.
+                    let moment = if wire.read_buffer().is_empty() { LAST_MOMENT_MS } else { PARTIAL_MS };
+                    match terminals.wheel.timeout(moment, wire.next()).await {
                         Some(read) => read,
                         None => return,
                     }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -273,3 +273,23 @@
     );
     assert!(seen.contains(&"r1 authorization=me".to_string()), "{seen:?}");
 }
+
+/// A connection that came while the program stops still gets its one request answered.
+#[test]
+fn a_request_sent_just_before_idle_connections_close_is_answered() {
+    play(
+        1,
+        "a: send GET /safe/1
+        r1: expect GET /safe/1
+        gateway: send TERM
+        b: raw GET /safe/2 HTTP/1.1\\r\\nX-Contract: large\\r\\n
+        wait 600
+        b: raw X-Client-Id: 8\\r\\n\\r\\n
+        r1: expect GET /safe/2
+        r1: send 200 two
+        b: expect 200 two
+        b: expect eof
+        a: close
+        gateway: expect exit 0",
+    );
+}
