Follow discovery and the counter to new addresses on SIGHUP

Cause: main.rs installed handlers for SIGTERM and SIGINT only, and both at the end of the start; Counter and service_table::watch held a fixed address. Ruled out: nothing else in the log at the crash.

Now all three signals are caught before anything else. SIGHUP reads the file that EDGE_CONFIG names; its discovery and counter go through watch channels, a bad file is named by its key and changes nothing. A counter connection serves until the new one is up and then waits for what it owes, so each call is written once. The old watch goes on until the new one, asked from version 0, has told its list.

The counter's answers, since the session was rewritten for this: a spoilt one (no number, an unknown error, half an answer that stays half) ends its connection, what it owed may have been added, and a connection that had worked is replaced at once instead of after 50 ms of refused calls. A total counts in any form.

--- a/src/main.rs
+++ b/src/main.rs
@@ -18,11 +18,12 @@
 use nickeljunction::plugin::{Hooked, Plugin};
 use std::cell::Cell;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::spawn_local;
 
@@ -34,11 +35,19 @@
 /// Queue of connections that the system has accepted and the program has not.
 const BACKLOG: u32 = 1024;
 
-fn read_config() -> Result<Config, ConfigError> {
-    let fail = |key: &str, why: String| ConfigError { key: key.to_string(), why };
-    let path = std::env::var("EDGE_CONFIG").map_err(|_| fail("EDGE_CONFIG", "not set".into()))?;
+fn fail(key: &str, why: impl Into<String>) -> ConfigError {
+    ConfigError { key: key.to_string(), why: why.into() }
+}
+
+/// The file as it is now.
+fn read_file() -> Result<Config, ConfigError> {
+    let path = std::env::var("EDGE_CONFIG").map_err(|_| fail("EDGE_CONFIG", "not set"))?;
     let text = std::fs::read_to_string(&path).map_err(|why| fail("EDGE_CONFIG", why.to_string()))?;
-    let mut config = Config::parse(&text)?;
+    Config::parse(&text)
+}
+
+fn read_config() -> Result<Config, ConfigError> {
+    let mut config = read_file()?;
     for (key, address) in [("EDGE_LISTEN", &mut config.listen), ("EDGE_DISCOVERY", &mut config.discovery)] {
         if let Ok(text) = std::env::var(key) {
             *address = text.parse().map_err(|_| fail(key, format!("'{text}' is no address with a port")))?;
@@ -56,6 +65,28 @@
     }
 }
 
+/// On SIGHUP, hands on where discovery and the counter are by the file: it is newer than the environment.
+/// The rest of the file holds from start to end. A file that can't be used changes nothing.
+async fn reload(
+    mut hangup: Signal,
+    discovery: watch::Sender<SocketAddr>,
+    counter: watch::Sender<Option<SocketAddr>>,
+) {
+    while hangup.recv().await.is_some() {
+        match read_file() {
+            Ok(config) => {
+                let at = config.counter.map_or_else(|| "none".to_string(), |address| address.to_string());
+                tracing::info!(discovery = %config.discovery, counter = at, "reloaded");
+                discovery
+                    .send_if_modified(|old| std::mem::replace(old, config.discovery) != config.discovery);
+                counter.send_if_modified(|old| std::mem::replace(old, config.counter) != config.counter);
+            }
+            Err(why) => tracing::error!("{why}: the former values stay"),
+        }
+    }
+    std::future::pending().await
+}
+
 /// The front of this deployment, and whether it may ask for never-twice handling.
 fn front(settings: &Settings) -> Result<(Box<dyn Front>, bool), String> {
     let (mut front, mut strict): (Box<dyn Front>, bool) = (Box::new(Platform::new(settings)), false);
@@ -109,6 +140,10 @@
 }
 
 async fn run(config: Config) -> Result<(), String> {
+    // First of all, and long before readiness: until then each of these signals ends the program.
+    let on = |kind| signal(kind).map_err(|why| format!("signals: {why}"));
+    let (mut stop, mut interrupt) = (on(SignalKind::terminate())?, on(SignalKind::interrupt())?);
+    let hangup = on(SignalKind::hangup())?;
     let wheel = Wheel::new(Clock::start());
     let mut turning = spawn_local(wheel.clone().run());
     let budget = Budget::new(config.sockets);
@@ -119,11 +154,14 @@
     let facade = Facade::new(config.settings.clone(), config.seed, strict)
         .map_err(|why| format!("configuration: settings: {why}"))?;
     let regions = Regions::new(budget.clone(), wheel.clone(), config.connect_ms, config.idle_close_ms);
-    let counter = config.counter.map(|address| {
+    let (discovery_at, discovery) = watch::channel(config.discovery);
+    let (counter_at, counter) = watch::channel(config.counter);
+    let counted = {
         let inbox = inbox.clone();
-        let done = Rc::new(move |name, reply| inbox.tell(Input::Counted(name, reply)));
-        Counter::start(address, config.settings.counter_timeout_ms, wheel.clone(), done)
-    });
+        Rc::new(move |name, reply| inbox.tell(Input::Counted(name, reply)))
+    };
+    let counter = Counter::start(counter, config.settings.counter_timeout_ms, wheel.clone(), counted);
+    spawn_local(reload(hangup, discovery_at, counter_at));
     let host = "service.internal".to_string();
     let world = World { regions: regions.clone(), counter, inbox: inbox.clone(), out: HashMap::new(), host };
     let mut core = Core::new(facade, world);
@@ -155,15 +193,13 @@
         }
     };
     match operators_file("NICKELJUNCTION_EPHEMERAL", "deploy/ephemeral.json") {
-        None => drop(spawn_local(service_table::watch(config.discovery, rev, wheel.clone(), told))),
+        None => drop(spawn_local(service_table::watch(discovery, rev, wheel.clone(), told))),
         Some(path) => drop(spawn_local(ephemeral::watch(Ephemeral::load(&path)?, wheel.clone(), told))),
     }
     spawn_local(terminal::listen(listener, terminals.clone()));
     let listen = listening.map_or_else(|why| why.to_string(), |address| address.to_string());
     tracing::info!(name = config.name, listen, "serving");
 
-    let mut stop = signal(SignalKind::terminate()).map_err(|why| format!("signals: {why}"))?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(|why| format!("signals: {why}"))?;
     // Neither of the two tasks ends by itself: without them nothing would ever be answered.
     tokio::select! {
         _ = stop.recv() => {}
--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -5,13 +5,16 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use std::collections::VecDeque;
+use std::future::Future;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::sync::watch;
 use tokio_util::codec::{Decoder, Framed};
 
 /// Connections of a gateway; a name always takes the same one, so that its answers keep their order.
@@ -121,10 +124,21 @@
 
 impl Counter {
     /// Starts the connections as tasks of the present `LocalSet`.
-    pub fn start(address: SocketAddr, timeout_ms: f64, wheel: Wheel, done: OnCounted) -> Counter {
+    pub fn start(
+        addresses: watch::Receiver<Option<SocketAddr>>,
+        timeout_ms: f64,
+        wheel: Wheel,
+        done: OnCounted,
+    ) -> Counter {
         let links = (0..LINKS).map(|_| {
             let (to, calls) = unbounded_channel();
-            let link = Link { address, timeout_ms, wheel: wheel.clone(), done: done.clone(), calls };
+            let link = Link {
+                addresses: addresses.clone(),
+                timeout_ms,
+                wheel: wheel.clone(),
+                done: done.clone(),
+                calls,
+            };
             tokio::task::spawn_local(link.run());
             to
         });
@@ -147,32 +161,163 @@
     made: f64,
 }
 
+/// A connection to the counter with what it owes.
+struct Session {
+    framed: Framed<TcpStream, CounterCodec>,
+    pending: VecDeque<Pending>,
+    /// It has brought a good answer.
+    proven: bool,
+    timeout_ms: f64,
+    wheel: Wheel,
+    done: OnCounted,
+}
+
+impl Session {
+    /// Waits for the next answer or time limit; `None` once the connection is of no more use.
+    async fn step(&mut self) -> Option<()> {
+        let now = self.wheel.now();
+        // Answers come in order, so a call given up keeps its place: its late answer must not pass for
+        // that of the next.
+        for call in self.pending.iter_mut().filter(|call| now - call.made >= self.timeout_ms) {
+            call.name.take().into_iter().for_each(|name| (self.done)(name, CounterReply::TimedOut));
+        }
+        if let Some(call) = self.pending.front().filter(|call| now - call.made >= self.timeout_ms) {
+            // Half an answer that stays half is a spoilt one: nothing behind it can be read either.
+            if now - call.made > STUCK_MS || !self.framed.read_buffer().is_empty() {
+                tracing::info!("the counter owes an answer for long: connecting anew");
+                return None;
+            }
+        }
+        let waiting = self.pending.iter().find(|call| call.name.is_some());
+        let next = match (waiting, self.pending.front()) {
+            (Some(call), _) => call.made + self.timeout_ms,
+            (None, Some(call)) => call.made + STUCK_MS + 1.0,
+            (None, None) => f64::MAX,
+        };
+        let answer = if next < f64::MAX {
+            tokio::select! {
+                biased;
+                answer = self.framed.next() => answer,
+                () = self.wheel.sleep_until(next) => return Some(()),
+            }
+        } else {
+            self.framed.next().await
+        };
+        match answer {
+            Some(Ok(answer)) => self.answered(answer),
+            Some(Err(error)) => {
+                tracing::info!(%error, "the counter's answer can't be read: connecting anew");
+                None
+            }
+            None => None,
+        }
+    }
+
+    /// Books an answer; `None` if it is spoilt, for then the connection is of no further use.
+    fn answered(&mut self, answer: CounterAnswer) -> Option<()> {
+        let total = |text: &Bytes| std::str::from_utf8(text).ok()?.trim().parse::<f64>().ok();
+        let reply = match &answer {
+            CounterAnswer::Bulk(text) | CounterAnswer::Plain(text) => {
+                total(text).filter(|total| total.is_finite()).map(CounterReply::Total)
+            }
+            CounterAnswer::Error(text) if text.starts_with(b"BUSY") => Some(CounterReply::Busy),
+            CounterAnswer::Error(text) if text.starts_with(b"ERR") => {
+                tracing::warn!(?text, "the counter rejects a call");
+                Some(CounterReply::Busy)
+            }
+            CounterAnswer::Error(_) => None,
+        };
+        let Some(call) = self.pending.front_mut() else {
+            tracing::info!("the counter answered a call that was not made: connecting anew");
+            return None;
+        };
+        let pong = call.name.is_none() && answer == CounterAnswer::Plain(Bytes::from_static(b"PONG"));
+        if reply.is_none() && !pong {
+            // The call stays pending, and ends with the connection: it was added.
+            tracing::debug!(?answer, "the counter's answer is no total");
+            return None;
+        }
+        let name = call.name.take();
+        self.pending.pop_front();
+        self.proven = true;
+        name.into_iter().zip(reply).for_each(|(name, reply)| (self.done)(name, reply));
+        Some(())
+    }
+
+    async fn write(&mut self, lines: &[u8]) -> Option<()> {
+        let written = self.wheel.timeout(self.timeout_ms, self.framed.get_mut().write_all(lines)).await;
+        matches!(written, Some(Ok(()))).then_some(())
+    }
+
+    /// Waits for what the connection still owes and closes it.
+    async fn finish(mut self) {
+        while !self.pending.is_empty() && self.step().await.is_some() {}
+    }
+}
+
+/// What was written and not answered may have been added, however the connection ends.
+impl Drop for Session {
+    fn drop(&mut self) {
+        for name in self.pending.drain(..).filter_map(|call| call.name) {
+            (self.done)(name, CounterReply::TimedOut);
+        }
+    }
+}
+
 struct Link {
-    address: SocketAddr,
+    addresses: watch::Receiver<Option<SocketAddr>>,
     timeout_ms: f64,
     wheel: Wheel,
     done: OnCounted,
     calls: UnboundedReceiver<Call>,
 }
 
+/// How a session ended.
+enum End {
+    /// Its connection is of no more use; it had been of some or not.
+    Broken(bool),
+    /// The counter is elsewhere now, and connected.
+    Moved(TcpStream),
+    /// The program lets go of the counter.
+    Released,
+}
+
+/// Connects, to nothing where there is no address.
+async fn connect(address: Option<SocketAddr>, timeout_ms: f64, wheel: &Wheel) -> Option<TcpStream> {
+    match wheel.timeout(timeout_ms, TcpStream::connect(address?)).await {
+        Some(Ok(stream)) => {
+            let _ = stream.set_nodelay(true);
+            return Some(stream);
+        }
+        Some(Err(error)) => tracing::debug!(%error, "no connection to the counter"),
+        None => tracing::debug!("no connection to the counter in time"),
+    }
+    None
+}
+
 impl Link {
     async fn run(mut self) {
-        let mut backoff = BACKOFF_MS;
+        let (mut backoff, mut moved) = (BACKOFF_MS, None);
         loop {
-            let connect = TcpStream::connect(self.address);
-            match self.wheel.timeout(self.timeout_ms, connect).await {
-                Some(Ok(stream)) => {
-                    let began = self.wheel.now();
-                    let _ = stream.set_nodelay(true);
-                    if self.session(Framed::new(stream, CounterCodec)).await.is_none() {
-                        return;
+            let address = *self.addresses.borrow_and_update();
+            let stream = match moved.take() {
+                Some(stream) => Some(stream),
+                None => connect(address, self.timeout_ms, &self.wheel).await,
+            };
+            if let Some(stream) = stream {
+                match self.session(stream).await {
+                    End::Released => return,
+                    End::Moved(stream) => {
+                        (moved, backoff) = (Some(stream), BACKOFF_MS);
+                        continue;
                     }
-                    if self.wheel.now() - began > BACKOFF_MOST_MS {
+                    // One that worked is replaced at once: calls refused meanwhile would pass for an outage.
+                    End::Broken(true) => {
                         backoff = BACKOFF_MS;
+                        continue;
                     }
+                    End::Broken(false) => {}
                 }
-                Some(Err(error)) => tracing::debug!(%error, "no connection to the counter"),
-                None => tracing::debug!("no connection to the counter in time"),
             }
             let pause = self.wheel.sleep(backoff);
             backoff = (backoff * 2.0).min(BACKOFF_MOST_MS);
@@ -181,6 +326,10 @@
             loop {
                 tokio::select! {
                     () = &mut pause => break,
+                    Ok(()) = self.addresses.changed() => {
+                        backoff = BACKOFF_MS;
+                        break;
+                    }
                     call = self.calls.recv() => match call {
                         Some(call) => (self.done)(call.name, CounterReply::CouldNotConnect),
                         None => return,
@@ -190,96 +339,63 @@
         }
     }
 
-    /// Works one connection until it breaks; `None` when the program lets go of the counter.
-    async fn session(&mut self, mut framed: Framed<TcpStream, CounterCodec>) -> Option<()> {
-        let mut pending: VecDeque<Pending> = VecDeque::new();
-        let mut lines = BytesMut::new();
-        let mut used = self.wheel.now();
+    /// Works one connection until it breaks or the counter has moved. The old connection serves until the
+    /// new one is up, and then waits for what it owes: each call is written once, to one of the two.
+    async fn session(&mut self, stream: TcpStream) -> End {
+        let framed = Framed::new(stream, CounterCodec);
+        let (pending, wheel) = (VecDeque::new(), self.wheel.clone());
+        let (timeout_ms, done) = (self.timeout_ms, self.done.clone());
+        let mut session = Session { framed, pending, proven: false, timeout_ms, wheel, done };
+        let (mut lines, mut used) = (BytesMut::new(), self.wheel.now());
+        let mut next: Option<Pin<Box<dyn Future<Output = Option<TcpStream>>>>> = None;
         loop {
-            let now = self.wheel.now();
-            // Answers come in order, so a call given up keeps its place: its late answer must not pass for
-            // that of the next.
-            for call in pending.iter_mut().filter(|call| now - call.made >= self.timeout_ms) {
-                call.name.take().into_iter().for_each(|name| (self.done)(name, CounterReply::TimedOut));
-            }
-            if pending.front().is_some_and(|call| now - call.made > STUCK_MS) {
-                tracing::info!("the counter has answered nothing for long: connecting anew");
-                return self.broken(pending);
-            }
-            let waiting = pending.iter().find(|call| call.name.is_some());
-            let next = match (waiting, pending.front()) {
-                (Some(call), _) => call.made + self.timeout_ms,
-                (None, Some(call)) => call.made + STUCK_MS + 1.0,
-                (None, None) => used + PING_MS,
-            };
             lines.clear();
+            let ping = if session.pending.is_empty() { used + PING_MS } else { f64::MAX };
             tokio::select! {
                 biased;
-                answer = framed.next() => match answer {
-                    Some(Ok(answer)) => self.answered(answer, &mut pending),
-                    Some(Err(error)) => {
-                        tracing::warn!(%error, "the counter's answer can't be read");
-                        return self.broken(pending);
-                    }
-                    None => return self.broken(pending),
+                alive = session.step() => if alive.is_none() {
+                    return End::Broken(session.proven);
                 },
+                Ok(()) = self.addresses.changed() => {
+                    let address = *self.addresses.borrow_and_update();
+                    next = Some(Box::pin(reach(address, self.timeout_ms, self.wheel.clone())));
+                }
+                stream = async { next.as_mut().expect("asked for below").await }, if next.is_some() => {
+                    tokio::task::spawn_local(session.finish());
+                    return stream.map_or(End::Broken(true), End::Moved);
+                }
                 call = self.calls.recv() => {
-                    let call = call?;
+                    let Some(call) = call else { return End::Released };
                     write_call(&call, &mut lines);
-                    pending.push_back(Pending { name: Some(call.name), made: call.made });
+                    session.pending.push_back(Pending { name: Some(call.name), made: call.made });
                     while let Ok(call) = self.calls.try_recv() {
                         write_call(&call, &mut lines);
-                        pending.push_back(Pending { name: Some(call.name), made: call.made });
+                        session.pending.push_back(Pending { name: Some(call.name), made: call.made });
                     }
                 }
-                () = self.wheel.sleep_until(next) => if pending.is_empty() {
+                () = self.wheel.sleep_until(ping), if ping < f64::MAX => {
                     lines.extend_from_slice(b"*1\r\n$4\r\nPING\r\n");
-                    pending.push_back(Pending { name: None, made: self.wheel.now() });
+                    session.pending.push_back(Pending { name: None, made: self.wheel.now() });
                 },
             }
             if !lines.is_empty() {
                 used = self.wheel.now();
-                let written = self.wheel.timeout(self.timeout_ms, framed.get_mut().write_all(&lines)).await;
-                if !matches!(written, Some(Ok(()))) {
-                    return self.broken(pending);
+                if session.write(&lines).await.is_none() {
+                    return End::Broken(session.proven);
                 }
             }
         }
     }
+}
 
-    fn answered(&self, answer: CounterAnswer, pending: &mut VecDeque<Pending>) {
-        let Some(call) = pending.pop_front() else {
-            return tracing::warn!("the counter answered a call that was not made");
-        };
-        let Some(name) = call.name else { return };
-        let total = |text: &Bytes| std::str::from_utf8(text).ok()?.trim().parse::<f64>().ok();
-        let reply = match &answer {
-            CounterAnswer::Bulk(text) => match total(text).filter(|total| total.is_finite()) {
-                Some(total) => CounterReply::Total(total),
-                None => {
-                    tracing::warn!(?answer, "the counter's total is no number");
-                    CounterReply::TimedOut
-                }
-            },
-            CounterAnswer::Error(text) if text.starts_with(b"BUSY") => CounterReply::Busy,
-            CounterAnswer::Error(text) => {
-                tracing::warn!(?text, "the counter rejects a call");
-                CounterReply::Busy
-            }
-            CounterAnswer::Plain(_) => {
-                tracing::warn!(?answer, "the counter's answer is no total");
-                CounterReply::TimedOut
-            }
-        };
-        (self.done)(name, reply);
-    }
-
-    /// What was written may have been added.
-    fn broken(&self, pending: VecDeque<Pending>) -> Option<()> {
-        for name in pending.into_iter().filter_map(|call| call.name) {
-            (self.done)(name, CounterReply::TimedOut);
+/// Connects to where the counter has moved, however often it takes; `None`: there is no counter any more.
+async fn reach(address: Option<SocketAddr>, timeout_ms: f64, wheel: Wheel) -> Option<TcpStream> {
+    let address = address?;
+    loop {
+        if let Some(stream) = connect(Some(address), timeout_ms, &wheel).await {
+            return Some(stream);
         }
-        Some(())
+        wheel.sleep(BACKOFF_MS).await;
     }
 }
 
@@ -316,8 +432,9 @@
             tokio::task::spawn_local(wheel.clone().run());
             let replies: Rc<RefCell<Vec<(String, CounterReply)>>> = Rc::default();
             let told = replies.clone();
+            let (_moves, addresses) = watch::channel(Some(address));
             let counter = Counter::start(
-                address,
+                addresses,
                 300.0,
                 wheel.clone(),
                 Rc::new(move |name, reply| told.borrow_mut().push((name, reply))),
@@ -339,6 +456,41 @@
         });
     }
 
+    /// A spoilt answer ends its connection: what it owed may have been added, and the next call is made at
+    /// once on a new one. A total counts in whatever form it comes.
+    #[test]
+    fn a_spoilt_answer_ends_its_connection_and_any_total_is_true() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        std::thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                std::thread::spawn(move || {
+                    let (mut answers, mut part) = ([":5\r\n", "+oops\r\n$1\r\n6\r\n"].into_iter(), [0; 1024]);
+                    while let Ok(1..) = stream.read(&mut part) {
+                        let _ = stream.write_all(answers.next().unwrap_or_default().as_bytes());
+                    }
+                });
+            }
+        });
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let wheel = Wheel::new(Clock::start());
+            tokio::task::spawn_local(wheel.clone().run());
+            let replies: Rc<RefCell<Vec<CounterReply>>> = Rc::default();
+            let (told, (_moves, addresses)) = (replies.clone(), watch::channel(Some(address)));
+            let done = Rc::new(move |_, reply| told.borrow_mut().push(reply));
+            let counter = Counter::start(addresses, 5_000.0, wheel.clone(), done);
+            for at in 0..3 {
+                counter.call("name".into(), 1.0, 1_000.0);
+                while replies.borrow().len() <= at {
+                    wheel.sleep(5.0).await;
+                }
+            }
+            let wanted = [CounterReply::Total(5.0), CounterReply::TimedOut, CounterReply::Total(5.0)];
+            assert_eq!(replies.borrow()[..], wanted);
+        });
+    }
+
     #[test]
     fn answers_are_read_whole_and_nonsense_is_an_error() {
         let read = |text: &str| CounterCodec.decode(&mut BytesMut::from(text));
--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -67,8 +67,8 @@
 pub struct World {
     /// The regions.
     pub regions: Rc<Regions>,
-    /// The counter, where there is one.
-    pub counter: Option<Counter>,
+    /// The counter.
+    pub counter: Counter,
     /// Where attempts tell their end.
     pub inbox: Inbox,
     /// Attempts under way.
@@ -128,10 +128,7 @@
     }
 
     fn count(&mut self, name: String, amount: f64, life_ms: f64) {
-        match &self.counter {
-            Some(counter) => counter.call(name, amount, life_ms),
-            None => self.inbox.tell(Input::Counted(name, CounterReply::CouldNotConnect)),
-        }
+        self.counter.call(name, amount, life_ms);
     }
 
     fn close_idle(&mut self, region: &str) {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -293,3 +293,54 @@
         gateway: expect exit 0",
     );
 }
+
+/// SIGHUP: the new counter and the new discovery are used, the old watch goes until the new one has told its
+/// list, and a request that is under way is not disturbed.
+#[test]
+fn a_reload_moves_to_the_new_counter_and_the_new_discovery() {
+    play(
+        2,
+        "d: send r1 Gone
+        wait 300
+        a: send GET /safe/1
+        c: expect 7 1
+        r2: expect GET /safe/1
+        gateway: move counter
+        gateway: move discovery
+        gateway: send HUP
+        gateway: log reloaded
+        r2: send 200 one
+        a: expect 200 one
+        wait 500
+        a: send GET /safe/2 customer=8
+        c: expect 8 1
+        r2: expect GET /safe/2
+        r2: send 200 two
+        a: expect 200 two
+        d: send r1 Ready
+        d: send r2 Gone
+        wait 500
+        a: send GET /safe/3
+        r1: expect GET /safe/3
+        r1: send 200 three
+        a: expect 200 three
+        gateway: send TERM
+        gateway: expect exit 0",
+    );
+}
+
+/// A configuration that can't be read on SIGHUP is named in the log and changes nothing.
+#[test]
+fn a_bad_file_on_reload_keeps_the_former_values() {
+    play(
+        1,
+        "gateway: write {\"listen\":\"127.0.0.1:0\"}
+        gateway: send HUP
+        gateway: log configuration: settings: missing
+        a: send GET /safe/1
+        c: expect 7 1
+        r1: expect GET /safe/1
+        r1: send 200 one
+        a: expect 200 one",
+    );
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -8,10 +8,14 @@
 //!     a: expect 200 hello                the client has its answer; a last word `retry` wants a Retry-After
 //!     a: raw GET / HTTP/1.1\r\n\r\n       bytes as they are (clients, regions, discovery)
 //!     r1: close | a: expect eof | d: send r1 Terminating | gateway: send TERM | wait 50
+//!     gateway: move counter              a new counter (or discovery), written into the configuration
+//!     gateway: write {}                  a configuration of another text
+//!     gateway: log listen                its log has a line with this text
 
 use std::collections::{BTreeMap, HashMap};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::time::Duration;
@@ -102,6 +106,17 @@
     })
 }
 
+/// Takes watches, to be told what a scenario says.
+fn discovery(to: Sender<TcpStream>) -> SocketAddr {
+    stand_in(move |stream| {
+        let mut reader = BufReader::new(stream);
+        while let Some(mut message) = read_message(&mut reader) {
+            let _ = message.stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            let _ = to.send(message.stream);
+        }
+    })
+}
+
 /// A region: where it listens, what came (`None`: a connection's end), and what is to be answered.
 struct Region {
     address: SocketAddr,
@@ -111,6 +126,11 @@
 
 pub struct Rig {
     gateway: Child,
+    /// Its configuration: the file and the text with which it began, with the later addresses.
+    config: (PathBuf, String),
+    counter_at: SocketAddr,
+    discovery_at: SocketAddr,
+    log: Receiver<String>,
     listen: String,
     clients: BTreeMap<String, BufReader<TcpStream>>,
     regions: BTreeMap<String, Region>,
@@ -121,7 +141,7 @@
 }
 
 /// A directory for this test's files, removed with the rig's files by the system.
-fn file(name: &str, text: &str) -> std::path::PathBuf {
+fn file(name: &str, text: &str) -> PathBuf {
     static NUMBER: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(0);
     let number = NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
     let folder = std::env::temp_dir().join(format!("nickeljunction-{}-{number}", std::process::id()));
@@ -160,29 +180,37 @@
             .collect();
         let (calls, counted) = channel();
         let (watches, watch) = channel();
-        let discovery = stand_in(move |stream| {
-            let mut reader = BufReader::new(stream);
-            while let Some(mut message) = read_message(&mut reader) {
-                let _ = message.stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-                let _ = watches.send(message.stream);
-            }
-        });
+        let (counter_at, discovery_at) = (counter(calls), discovery(watches));
         let entry = |(name, region): (&String, &Region)| target(name, region.address, "Ready");
         let known: Vec<String> = regions.iter().map(entry).collect();
         let config = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"07","counter":"{}",
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery_at}","seed":"07","counter":"{counter_at}",
             "limits":{{"sockets":256}},"known":{{"rev":1,"all":true,"targets":[{}]}},"settings":{SETTINGS}}}"#,
-            counter(calls),
             known.join(",")
         );
-        let mut gateway = start(&config, files);
+        let path = file("config.json", &config);
+        let mut gateway = start_on(&path, files);
         let mut log = BufReader::new(gateway.stderr.take().expect("its log")).lines().map_while(Result::ok);
         let serving = log.find(|line| line.contains("serving")).expect("it serves");
         let listen = serving.split("listen=").nth(1).expect("its address").trim_matches('"').to_string();
         // Nobody may block it by leaving its log unread.
-        std::thread::spawn(move || log.for_each(drop));
-        let (clients, watching) = (BTreeMap::new(), None);
-        Rig { gateway, listen, clients, regions, counter: counted, watch, watching, sent: 0 }
+        let (to, lines) = channel();
+        std::thread::spawn(move || log.for_each(|line| drop(to.send(line))));
+        let (clients, watching, config) = (BTreeMap::new(), None, (path, config));
+        Rig {
+            gateway,
+            config,
+            counter_at,
+            discovery_at,
+            log: lines,
+            listen,
+            clients,
+            regions,
+            counter: counted,
+            watch,
+            watching,
+            sent: 0,
+        }
     }
 
     /// What a service table says of a region.
@@ -351,6 +379,32 @@
                 Command::new("kill").args(["-s", words, &pid]).status().map_err(|why| why.to_string())?;
             return if sent.success() { Ok(words.into()) } else { Err("no signal sent".into()) };
         }
+        if verb == "move" {
+            let (at, now) = if words == "counter" {
+                let (to, from) = channel();
+                self.counter = from;
+                (&mut self.counter_at, counter(to))
+            } else {
+                let (to, from) = channel();
+                (self.watch, self.watching) = (from, None);
+                (&mut self.discovery_at, discovery(to))
+            };
+            let old = std::mem::replace(at, now);
+            self.config.1 = self.config.1.replace(&old.to_string(), &now.to_string());
+            return std::fs::write(&self.config.0, &self.config.1)
+                .map(|()| words.into())
+                .map_err(|why| why.to_string());
+        }
+        if verb == "write" {
+            return std::fs::write(&self.config.0, words)
+                .map(|()| words.into())
+                .map_err(|why| why.to_string());
+        }
+        if verb == "log" {
+            let line = || self.log.recv_timeout(PATIENCE).map_err(|_| "no such line".to_string());
+            while !line()?.contains(words) {}
+            return Ok(words.into());
+        }
         let status = self.gateway.wait().map_err(|why| why.to_string())?;
         let got = format!("exit {}", status.code().unwrap_or(-1));
         if got == words {
@@ -368,8 +422,13 @@
     }
 }
 
-/// Starts the program on a configuration and operators' files.
+/// Starts the program on the text of a configuration and operators' files.
+#[allow(dead_code)]
 pub fn start(config: &str, files: &[(&str, &str)]) -> Child {
+    start_on(&file("config.json", config), files)
+}
+
+fn start_on(config: &Path, files: &[(&str, &str)]) -> Child {
     let mut command = Command::new(env!("CARGO_BIN_EXE_nickeljunction"));
     for variable in ["EDGE_LISTEN", "EDGE_DISCOVERY"] {
         command.env_remove(variable);
@@ -378,7 +437,7 @@
         let text = files.iter().find(|(name, _)| *name == variable).map(|(_, text)| file("operators", text));
         command.env(variable, text.unwrap_or_default());
     }
-    let command = command.env("EDGE_CONFIG", file("config.json", config));
+    let command = command.env("EDGE_CONFIG", config);
     command.stderr(Stdio::piped()).stdout(Stdio::null()).spawn().expect("it starts")
 }
 
