Bound attempts that can go elsewhere, and replace a silent counter link after eight time-outs

Lines at fault: decide::dispatch sent every attempt without a bound, so silence ate all of a request's time; counter.rs waited 2.5 s for a link that owed an answer, with every name on it unanswered, and broke one whose answer was in pieces at the first time-out. Ruled out: CPU (0.08 s in the worst second).

bound(): a repeatable attempt with an untried server leaves two usual latencies of its aim, if at least four remain for itself and the budget of repeats is not spent. A counter link is given up after eight time-outs, on half an answer after three.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -75,6 +75,9 @@
 const PATH_TESTS: f64 = 0.05;
 /// A copy goes out when an attempt has been out for so many mean latencies of its class.
 const HEDGE_X: f64 = 3.0;
+/// Usual latencies that an attempt's bound leaves within the aim for another, and that it takes at least.
+const BOUND_SPARE: f64 = 2.0;
+const BOUND_LEAST: f64 = 4.0;
 /// Further attempts allowed for each first one, and how many may be saved up: bounds a retry storm.
 const RETRY_RATE: f64 = 0.15;
 const RETRY_SAVED: f64 = 20.0;
@@ -812,12 +815,28 @@
         server.out += 1.0;
         server.tokens -= 1.0;
         server.oldest = server.oldest.min(now);
-        self.out.push(Action::Send(id.clone(), server_id, 0.0));
+        let limit = self.bound(id);
+        self.out.push(Action::Send(id.clone(), server_id, limit));
         true
     }
 
     // ---- Attempts ----
 
+    /// How long an attempt may take, 0 for all the time there is. One that can go elsewhere leaves time for
+    /// that within its aim: a server or a path that says nothing would cost it all.
+    fn bound(&self, id: &RequestId) -> f64 {
+        let request = &self.requests[id];
+        let usual = self.latency[request.class];
+        let left = request.aim_at - self.now - BOUND_SPARE * usual;
+        let repeats = self.settings.classes[request.class].repeat == Repeat::Repeatable;
+        let more = request.attempts.len() < self.settings.max_attempts && self.retries >= 1.0;
+        if repeats && more && left >= BOUND_LEAST * usual && self.untried(id) {
+            left
+        } else {
+            0.0
+        }
+    }
+
     fn outcome(&mut self, outcome: Outcome) {
         self.learn(&outcome);
         let Some(request) = self.requests.get_mut(&outcome.id) else { return };
--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -21,8 +21,10 @@
 const LINKS: usize = 2;
 /// A connection is pinged after so long without a call: the counter closes idle ones, ms.
 const PING_MS: f64 = 3_000.0;
-/// A connection that has owed an answer for so long is given up, ms.
-const STUCK_MS: f64 = 2_500.0;
+/// A connection that has owed an answer for so many time-outs, or the rest of one for so many, is given up: it
+/// may have fallen silent by itself, and a new one costs less than a name that is asked in vain.
+const STUCK_TIMEOUTS: f64 = 8.0;
+const HALF_TIMEOUTS: f64 = 3.0;
 /// First and longest wait between connects, ms.
 const BACKOFF_MS: f64 = 50.0;
 const BACKOFF_MOST_MS: f64 = 800.0;
@@ -183,7 +185,8 @@
         }
         if let Some(call) = self.pending.front().filter(|call| now - call.made >= self.timeout_ms) {
             // Half an answer that stays half is a spoilt one: nothing behind it can be read either.
-            if now - call.made > STUCK_MS || !self.framed.read_buffer().is_empty() {
+            let half = !self.framed.read_buffer().is_empty();
+            if now - call.made > self.timeout_ms * if half { HALF_TIMEOUTS } else { STUCK_TIMEOUTS } {
                 tracing::info!("the counter owes an answer for long: connecting anew");
                 return None;
             }
@@ -191,7 +194,9 @@
         let waiting = self.pending.iter().find(|call| call.name.is_some());
         let next = match (waiting, self.pending.front()) {
             (Some(call), _) => call.made + self.timeout_ms,
-            (None, Some(call)) => call.made + STUCK_MS + 1.0,
+            (None, Some(call)) => {
+                (call.made + self.timeout_ms * STUCK_TIMEOUTS).min(now + self.timeout_ms) + 1.0
+            }
             (None, None) => f64::MAX,
         };
         let answer = if next < f64::MAX {
@@ -491,6 +496,53 @@
         });
     }
 
+    /// A connection that falls silent by itself is replaced after a few time-outs: each call on it is lost, and
+    /// with it the units it may have added.
+    #[test]
+    fn a_connection_that_fell_silent_is_replaced() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        std::thread::spawn(move || {
+            // All names take one of the links: the first connection of each stays silent.
+            let mut silent = Vec::new();
+            for mut stream in listener.incoming().flatten() {
+                if silent.len() < LINKS {
+                    silent.push(stream);
+                    continue;
+                }
+                std::thread::spawn(move || {
+                    let mut part = [0; 1024];
+                    while let Ok(1..) = stream.read(&mut part) {
+                        let _ = stream.write_all(b"$1\r\n5\r\n");
+                    }
+                });
+            }
+        });
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let wheel = Wheel::new(Clock::start());
+            tokio::task::spawn_local(wheel.clone().run());
+            let replies: Rc<RefCell<Vec<CounterReply>>> = Rc::default();
+            let (told, (_moves, addresses)) = (replies.clone(), watch::channel(Some(address)));
+            let done = Rc::new(move |_, reply| told.borrow_mut().push(reply));
+            let counter = Counter::start(addresses, 100.0, wheel.clone(), done);
+            let mut calls = 0;
+            while replies.borrow().last() != Some(&CounterReply::Total(5.0)) {
+                calls += 1;
+                assert!(calls <= 16, "{:?}", replies.borrow());
+                counter.call("name".into(), 1.0, 1_000.0);
+                while replies.borrow().len() < calls {
+                    wheel.sleep(5.0).await;
+                }
+                if replies.borrow().last() == Some(&CounterReply::CouldNotConnect) {
+                    calls -= 1;
+                    replies.borrow_mut().pop();
+                    wheel.sleep(20.0).await;
+                }
+            }
+        });
+    }
+
     #[test]
     fn answers_are_read_whole_and_nonsense_is_an_error() {
         let read = |text: &str| CounterCodec.decode(&mut BytesMut::from(text));
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1214,3 +1214,34 @@
     // (The others meet a new window, of which nothing is known yet.)
     assert!(sent * 10 >= tries * 7, "{sent} of {tries} repeats let in");
 }
+
+/// A region or a path that says nothing cost a request all its time: where it may go elsewhere, it leaves time
+/// for that within its aim, and goes.
+#[test]
+fn an_attempt_that_can_go_elsewhere_does_not_take_all_the_time() {
+    let limit = |out: &[Action]| {
+        let limit = |action: &Action| match action {
+            Action::Send(_, _, limit) => Some(*limit),
+            _ => None,
+        };
+        out.iter().find_map(limit).expect("sent")
+    };
+    let mut rig = Rig::new(settings(), 3);
+    // The class is quick for its aim: there is time for two.
+    for at in 0..30 {
+        let id = format!("r{at}");
+        let to = sends(&rig.request(&id, "safe", "free"))[0].1.clone();
+        rig.now += 50.0;
+        rig.outcome(&id, 0, &to, Status::Ok);
+    }
+    let out = rig.request("a", "safe", "free");
+    let bound = limit(&out);
+    assert!(bound > 0.0 && bound < 500.0, "within its aim: {bound}");
+    rig.now += bound;
+    let first = sends(&out)[0].1.clone();
+    let out = rig.outcome("a", 0, &first, Status::TimedOut);
+    assert!(sends(&out).iter().all(|(_, to)| *to != first) && sends(&out).len() == 1, "{out:?}");
+    assert_eq!(limit(&rig.request("b", "once", "free")), 0.0, "it has nowhere else to go");
+    rig.tell(Event::Servers(ListKind::Full, vec![server(1, ServerState::Up, 0.0)]));
+    assert_eq!(limit(&rig.request("c", "safe", "free")), 0.0, "nor has this");
+}
