Take answers of booking servers up to 1 MiB where memory allows, not only 64 KiB

A trace of their heads: good 200 answers with X-Settled whose Content-Length was 128,052 to 399,996. Line at fault: http::framing held answers to MOST_BODY, the protocol's 64 KiB for any body. Ruled out: answers without a length, silence, connection limits.

An answer may now have a 64th of limits.memory_mb, 64 KiB at least and 1 MiB at most, checked before it is buffered.

--- a/src/config.rs
+++ b/src/config.rs
@@ -21,6 +21,8 @@
     pub seed: u64,
     /// Most descriptors.
     pub sockets: usize,
+    /// Most memory, bytes.
+    pub memory: usize,
     /// The service table as it was last held.
     pub known: ServiceTable,
     /// The module's settings.
@@ -125,6 +127,11 @@
             Some(Value::Number(sockets)) if number(sockets) >= 48.0 => number(sockets) as usize,
             Some(_) => return error("limits.sockets", "must be a number, 48 or more"),
         };
+        let memory = match field(&root, "limits").and_then(|limits| field(limits, "memory_mb")) {
+            None => 64 << 20,
+            Some(Value::Number(mb)) if number(mb) > 0.0 => (number(mb) * f64::from(1 << 20)) as usize,
+            Some(_) => return error("limits.memory_mb", "must be a number above 0"),
+        };
         let known = match field(&root, "known") {
             None | Some(Value::Null) => ServiceTable::default(),
             Some(known) => {
@@ -152,6 +159,7 @@
             counter,
             seed,
             sockets,
+            memory,
             known,
             settings: line.settings().map_err(fail)?,
             idle_close_ms: positive("Permissions.IdleCloseMs", 30_000.0)?,
--- a/src/main.rs
+++ b/src/main.rs
@@ -153,7 +153,8 @@
     let (front, strict) = front(&config.settings)?;
     let facade = Facade::new(config.settings.clone(), config.seed, strict)
         .map_err(|why| format!("configuration: settings: {why}"))?;
-    let regions = Regions::new(budget.clone(), wheel.clone(), config.connect_ms, config.idle_close_ms);
+    let regions =
+        Regions::new(budget.clone(), wheel.clone(), config.connect_ms, config.idle_close_ms, config.memory);
     let (discovery_at, discovery) = watch::channel(config.discovery);
     let (counter_at, counter) = watch::channel(config.counter);
     let counted = {
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -1,11 +1,21 @@
-//! HTTP/1.1 for both sides: codecs over httparse. Bodies are read whole; none may pass 64 KiB.
+//! HTTP/1.1 for both sides: codecs over httparse. Bodies are read whole and bounded before they are buffered.
 
 use bytes::{Bytes, BytesMut};
 use std::io;
 use tokio_util::codec::{Decoder, Encoder};
 
-/// Longest body, bytes.
+/// Longest body of a request, bytes; the least that is taken of an answer.
 pub const MOST_BODY: usize = 64 * 1024;
+/// Longest body of an answer, bytes, where memory allows it: the protocol speaks of 64 KiB, and booking servers
+/// have been seen to send some hundred.
+const MOST_ANSWER: usize = 1024 * 1024;
+/// Part of the memory that one answer may take.
+const ANSWER_PART: usize = 64;
+
+/// Longest body of an answer for a program with so much memory, bytes.
+pub fn most_answer(memory: usize) -> usize {
+    (memory / ANSWER_PART).clamp(MOST_BODY, MOST_ANSWER)
+}
 /// Longest head, bytes.
 pub const MOST_HEAD: usize = 16 * 1024;
 /// Most preliminary answers (1xx) before the answer.
@@ -138,7 +148,7 @@
     Chunked,
 }
 
-fn framing(headers: &Headers, response: bool) -> Result<Framing, HttpError> {
+fn framing(headers: &Headers, response: bool, most: usize) -> Result<Framing, HttpError> {
     let mut length = None;
     for value in headers.strict("content-length")? {
         // Digits only: a sign or a list would be read differently by whoever comes after.
@@ -154,7 +164,7 @@
     let codings = headers.strict("transfer-encoding")?;
     let mut codings = codings.into_iter();
     match (codings.next(), length) {
-        (None, Some(length)) if length > MOST_BODY => Err(HttpError::BodyTooLarge),
+        (None, Some(length)) if length > most => Err(HttpError::BodyTooLarge),
         (None, Some(length)) => Ok(Framing::Length(length)),
         // Read to the connection's end it may have been cut short, and nobody could tell.
         (None, None) if response => Err(HttpError::Malformed("an answer without a length")),
@@ -236,13 +246,14 @@
 #[derive(Debug)]
 struct Body {
     framing: Framing,
+    most: usize,
     chunks: Chunks,
     whole: BytesMut,
 }
 
 impl Body {
-    fn new(framing: Framing) -> Body {
-        Body { framing, chunks: Chunks::default(), whole: BytesMut::new() }
+    fn new(framing: Framing, most: usize) -> Body {
+        Body { framing, most, chunks: Chunks::default(), whole: BytesMut::new() }
     }
 
     fn read(&mut self, from: &mut BytesMut) -> Result<Option<Bytes>, HttpError> {
@@ -254,7 +265,7 @@
             Framing::Length(length) => Ok(Some(from.split_to(length).freeze())),
             Framing::Chunked => loop {
                 match self.chunks.next(from)? {
-                    Chunk::Part(part) if self.whole.len() + part.len() > MOST_BODY => {
+                    Chunk::Part(part) if self.whole.len() + part.len() > self.most => {
                         return Err(HttpError::BodyTooLarge);
                     }
                     Chunk::Part(part) => self.whole.extend_from_slice(&part),
@@ -379,11 +390,11 @@
             let mut parsed = httparse::Request::new(&mut space);
             parsed.parse(&head).map_err(head_error)?;
             let headers = Headers::of(head.clone(), parsed.headers);
-            let framing = framing(&headers, false)?;
+            let framing = framing(&headers, false, MOST_BODY)?;
             let close = headers.has_token("connection", "close");
             let keep_alive = !close && (!old || headers.has_token("connection", "keep-alive"));
             let request = TerminalRequest { method, target, headers, body: Bytes::new(), keep_alive };
-            self.head = Some((request, Body::new(framing)));
+            self.head = Some((request, Body::new(framing, MOST_BODY)));
         }
         let Some((_, body)) = self.head.as_mut() else { return Ok(None) };
         let Some(body) = body.read(from)? else { return Ok(None) };
@@ -444,14 +455,26 @@
 }
 
 /// The region's side: writes requests, reads answers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RegionCodec {
     head: Option<(RegionReply, Body)>,
+    most: usize,
     /// Preliminary answers so far.
     early: usize,
 }
 
+impl Default for RegionCodec {
+    fn default() -> RegionCodec {
+        RegionCodec::new(MOST_BODY)
+    }
+}
+
 impl RegionCodec {
+    /// Reads answers with bodies of so many bytes at most.
+    pub fn new(most: usize) -> RegionCodec {
+        RegionCodec { head: None, most, early: 0 }
+    }
+
     /// Part of an answer has come, and the rest has not.
     pub fn begun(&self) -> bool {
         self.head.is_some()
@@ -494,7 +517,7 @@
             let headers = Headers::of(head.clone(), parsed.headers);
             let framing = match status {
                 204 | 304 => Framing::Length(0),
-                _ => framing(&headers, true)?,
+                _ => framing(&headers, true, self.most)?,
             };
             let close = headers.has_token("connection", "close") || old;
             let settled = headers.get("x-settled").and_then(|text| text.parse::<f64>().ok());
@@ -506,7 +529,7 @@
                 body: Bytes::new(),
                 keep_alive: !close,
             };
-            self.head = Some((reply, Body::new(framing)));
+            self.head = Some((reply, Body::new(framing, self.most)));
         }
         let Some((_, body)) = self.head.as_mut() else { return Ok(None) };
         let Some(body) = body.read(from)? else { return Ok(None) };
@@ -563,7 +586,7 @@
             let mut space = [httparse::EMPTY_HEADER; MOST_HEADERS];
             let mut parsed = httparse::Response::new(&mut space);
             parsed.parse(&head).map_err(head_error)?;
-            if framing(&Headers::of(head.clone(), parsed.headers), true)? != Framing::Chunked {
+            if framing(&Headers::of(head.clone(), parsed.headers), true, MOST_BODY)? != Framing::Chunked {
                 return Err(HttpError::Malformed("the watch is not chunked"));
             }
             self.begun = true;
@@ -672,6 +695,11 @@
         ] {
             assert!(read(text).is_err(), "{:?}", String::from_utf8_lossy(&text[..text.len().min(60)]));
         }
+        // Longer than a request may be, and within what memory allows.
+        let large = [&b"HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n"[..], &[b'x'; 300_000]].concat();
+        let mut codec = RegionCodec::new(most_answer(32 << 20));
+        let reply = codec.decode(&mut BytesMut::from(&large[..])).expect("good").expect("whole");
+        assert_eq!(reply.body.len(), 300_000);
         let text = b"HTTP/1.1 103 E\r\n\r\nHTTP/1.1 200 OK\r\nServer-Load: \xff\xfe\r\nX-Settled: lots\r\nContent-Length: 2\r\n\r\nok";
         let reply = read(text).expect("whole").expect("there");
         assert_eq!((reply.settled, &reply.body[..]), (None, &b"ok"[..]));
--- a/src/net/region.rs
+++ b/src/net/region.rs
@@ -2,7 +2,7 @@
 
 use crate::facade::{Outcome, RegionState, ServiceTable};
 use crate::net::budget::{Budget, Slot};
-use crate::net::http::{HttpError, RegionCodec, RegionReply, RegionRequest};
+use crate::net::http::{most_answer, HttpError, RegionCodec, RegionReply, RegionRequest};
 use crate::net::wheel::Wheel;
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
@@ -63,16 +63,24 @@
     wheel: Wheel,
     connect_ms: f64,
     keep_ms: f64,
+    most_answer: usize,
 }
 
 /// How an attempt ended, and what was served.
 pub type Ended = (Outcome, Option<RegionReply>);
 
 impl Regions {
-    /// No regions yet; `idle_ms` is when they close idle connections themselves.
-    pub fn new(budget: Rc<Budget>, wheel: Wheel, connect_ms: f64, idle_ms: f64) -> Rc<Regions> {
-        let keep_ms = idle_ms * IDLE_PART;
-        Rc::new(Regions { regions: RefCell::default(), budget, wheel, connect_ms, keep_ms })
+    /// No regions yet; `idle_ms` is when they close idle connections themselves, `memory`
+    /// what the program may hold, bytes.
+    pub fn new(
+        budget: Rc<Budget>,
+        wheel: Wheel,
+        connect_ms: f64,
+        idle_ms: f64,
+        memory: usize,
+    ) -> Rc<Regions> {
+        let (keep_ms, most_answer) = (idle_ms * IDLE_PART, most_answer(memory));
+        Rc::new(Regions { regions: RefCell::default(), budget, wheel, connect_ms, keep_ms, most_answer })
     }
 
     /// Follows the service table: where regions are, and which kept connections are of no more use.
@@ -159,7 +167,7 @@
         let slot = self.slot()?;
         let stream = self.wheel.timeout(self.connect_ms, TcpStream::connect(address)).await?.ok()?;
         stream.set_nodelay(true).ok()?;
-        let framed = Framed::with_capacity(stream, RegionCodec::default(), READ_BYTES);
+        let framed = Framed::with_capacity(stream, RegionCodec::new(self.most_answer), READ_BYTES);
         Some(Link { framed, address, since: self.wheel.now(), _slot: slot })
     }
 
