Split the program into crates by what they may depend on

Need: the program is to grow several times over, and nothing but discipline kept sockets out of the decision module and the core. Change: a workspace by moves. crates/decide holds the module (text unchanged) and the simulator's wire, crates/core the facade and the life of a request, crates/gateway all that has a socket. The circle between net::hub and net::terminal is cut by net::inbox; the arrow from net up into front by reception and http, which lie below both.

--- a/Makefile
+++ b/Makefile
@@ -19,4 +19,4 @@
 
 # Two toy booking servers, discovery and a counter, for `make run` to talk to.
 toy:
-	cargo run --locked --example toy
+	cargo run --locked -p nickeljunction --example toy
--- a/src/core/mod.rs
+++ b/crates/core/src/life.rs
@@ -283,8 +283,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::api::{Class, Group, Plan, Repeat, Settings};
     use crate::facade::{RegionEntry, RegionState};
+    use nickeljunction_decide::api::{Class, Group, Plan, Repeat, Settings};
 
     /// Writes down what the core wants; an answer takes the request's content with it.
     #[derive(Default)]
--- a/src/bin/nickeljunction-simhost.rs
+++ b/crates/decide/src/bin/nickeljunction-simhost.rs
@@ -1,8 +1,8 @@
 //! The adapter: hosts limiter instances on the simulator's wire. It translates and decides nothing.
 
-use nickeljunction::api::{Action, Event, ServerEntry};
-use nickeljunction::decide::Limiter;
-use nickeljunction::wire::{one_line, print_action, Line, WireError};
+use nickeljunction_decide::api::{Action, Event, ServerEntry};
+use nickeljunction_decide::decide::Limiter;
+use nickeljunction_decide::wire::{one_line, print_action, Line, WireError};
 use std::any::Any;
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
--- /dev/null
+++ b/crates/decide/src/lib.rs
@@ -0,0 +1,6 @@
+//! The decision module and the simulator's wire. Sans-IO: events and the time come in, actions go out.
+
+pub mod api;
+pub mod decide;
+mod state;
+pub mod wire;
--- a/tests/module.rs
+++ b/crates/decide/tests/module.rs
@@ -1,7 +1,7 @@
 //! The decision module alone, driven by events: one small test for each guard or failure found.
 
-use nickeljunction::api::*;
-use nickeljunction::decide::Limiter;
+use nickeljunction_decide::api::*;
+use nickeljunction_decide::decide::Limiter;
 use std::collections::BTreeMap;
 
 fn class(name: &str, repeat: Repeat) -> Class {
--- a/tests/wire.rs
+++ b/crates/decide/tests/wire.rs
@@ -1,7 +1,7 @@
 //! The wire: round trips, malformed lines and the adapter as a process.
 
-use nickeljunction::api::*;
-use nickeljunction::wire::{print_action, Line};
+use nickeljunction_decide::api::*;
+use nickeljunction_decide::wire::{print_action, Line};
 use std::io::Write;
 use std::process::{Command, Stdio};
 
--- a/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,9 +1,9 @@
 //! What the gateway is told at its start: the file named by `EDGE_CONFIG`, read once.
 
-use crate::facade::{ServiceTable, Settings};
 use crate::net::service_table;
-use crate::wire::Line;
 use miniserde::json::{self, Number, Value};
+use nickeljunction_core::facade::{ServiceTable, Settings};
+use nickeljunction_decide::wire::Line;
 use std::net::SocketAddr;
 
 /// The configuration.
@@ -143,7 +143,7 @@
         let mut pairs = Vec::new();
         flatten("", settings, &mut pairs);
         let line = Line::of("settings", &pairs);
-        let fail = |why: crate::wire::WireError| ConfigError {
+        let fail = |why: nickeljunction_decide::wire::WireError| ConfigError {
             key: format!("settings.{}", why.field),
             why: why.why,
         };
--- a/src/front/caller.rs
+++ b/crates/gateway/src/front/caller.rs
@@ -2,16 +2,14 @@
 //! module counts with these figures, so a wild one under a real franchisee's name would spoil its quota and
 //! the averages of all: what the settings rule out is answered here.
 
-use crate::facade::Settings;
-use crate::net::http::{TerminalReply, TerminalRequest};
+use crate::http::{TerminalReply, TerminalRequest};
+use crate::reception::{bad, needed, request_id, single};
+use nickeljunction_core::facade::Settings;
 
 /// Franchisees' numbers lie under this.
 const CUSTOMERS: u64 = 1 << 33;
 /// Hexadecimal digits of a franchisee's number.
 const CUSTOMER_DIGITS: usize = 16;
-/// Longest request id, bytes.
-const MOST_ID: usize = 128;
-
 /// What a proper request may name, out of the settings.
 #[derive(Debug, Clone)]
 pub struct Bounds {
@@ -45,33 +43,6 @@
     pub retry: bool,
 }
 
-fn bad(what: &str) -> TerminalReply {
-    TerminalReply::text(400, &format!("missing or malformed: {what}\n"))
-}
-
-/// The one value under a name; said twice, nobody knows which one holds further on.
-fn single<'a>(request: &'a TerminalRequest, name: &'a str) -> Result<Option<&'a str>, TerminalReply> {
-    let mut values = request.headers.all(name);
-    let first = values.next();
-    match values.next() {
-        None => Ok(first),
-        Some(_) => Err(bad(name)),
-    }
-}
-
-fn needed<'a>(request: &'a TerminalRequest, name: &'a str) -> Result<&'a str, TerminalReply> {
-    single(request, name)?.filter(|text| !text.is_empty()).ok_or_else(|| bad(name))
-}
-
-/// The request's id: regions know a request by it, so there is one, of visible characters.
-pub fn request_id(request: &TerminalRequest) -> Result<&str, TerminalReply> {
-    let id = needed(request, "Request-Id")?;
-    match id.len() <= MOST_ID && id.bytes().all(|byte| byte.is_ascii_graphic()) {
-        true => Ok(id),
-        false => Err(bad("Request-Id")),
-    }
-}
-
 /// A whole number: digits alone, since `parse` takes a sign, too.
 fn whole(text: &str) -> Option<usize> {
     text.bytes().all(|byte| byte.is_ascii_digit()).then(|| text.parse().ok()).flatten()
@@ -121,9 +92,9 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::api::Plan;
-    use crate::net::http::TerminalCodec;
+    use crate::http::TerminalCodec;
     use bytes::BytesMut;
+    use nickeljunction_decide::api::Plan;
     use tokio_util::codec::Decoder;
 
     fn read(lines: &str) -> Result<Caller, TerminalReply> {
--- /dev/null
+++ b/crates/gateway/src/front/mod.rs
@@ -0,0 +1,5 @@
+//! Fronts: what turns a client's HTTP request into what the core deals in.
+
+pub mod caller;
+pub mod openapi;
+pub mod platform;
--- a/src/front/openapi/routes.rs
+++ b/crates/gateway/src/front/openapi/routes.rs
@@ -1,9 +1,9 @@
 //! Routes: what the description and the hand-written list have in common, and how a path finds its own.
 
 use super::{fail, member, FrontError};
-use crate::api::Repeat;
-use crate::facade::Settings;
 use miniserde::json::{Number, Value};
+use nickeljunction_core::facade::Settings;
+use nickeljunction_decide::api::Repeat;
 use std::collections::BTreeMap;
 
 /// Methods that a description may have operations for and that are passed on.
--- a/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -2,20 +2,21 @@
 
 use nickeljunction::clock::Clock;
 use nickeljunction::config::{Config, ConfigError};
-use nickeljunction::core::Core;
-use nickeljunction::facade::{Facade, Settings};
 use nickeljunction::front::openapi::OpenApi;
 use nickeljunction::front::platform::Platform;
-use nickeljunction::front::Front;
 use nickeljunction::net::budget::Budget;
 use nickeljunction::net::counter::Counter;
 use nickeljunction::net::ephemeral::{self, Ephemeral};
-use nickeljunction::net::hub::{self, Inbox, Input, World};
+use nickeljunction::net::hub::{self, World};
+use nickeljunction::net::inbox::{Inbox, Input};
 use nickeljunction::net::region::Regions;
 use nickeljunction::net::service_table;
 use nickeljunction::net::terminal::{self, Phase, Terminals};
 use nickeljunction::net::wheel::Wheel;
 use nickeljunction::plugin::{Hooked, Plugin};
+use nickeljunction::reception::Front;
+use nickeljunction_core::facade::{Facade, Settings};
+use nickeljunction_core::life::Core;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -189,7 +190,7 @@
     });
     let told = {
         let (inbox, terminals) = (inbox.clone(), terminals.clone());
-        move |table: nickeljunction::facade::ServiceTable| {
+        move |table: nickeljunction_core::facade::ServiceTable| {
             if table.all || !table.regions.is_empty() {
                 terminals.listed.set(true);
             }
--- a/src/net/counter.rs
+++ b/crates/gateway/src/net/counter.rs
@@ -1,9 +1,9 @@
 //! The counter: pipelined calls in RESP2 over a few connections.
 
-use crate::facade::CounterReply;
 use crate::net::wheel::Wheel;
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
+use nickeljunction_core::facade::CounterReply;
 use std::collections::VecDeque;
 use std::future::Future;
 use std::hash::{DefaultHasher, Hash, Hasher};
--- a/src/net/ephemeral.rs
+++ b/crates/gateway/src/net/ephemeral.rs
@@ -5,12 +5,12 @@
 //! everything anew after each reconnect: a watch does not outlive its connection here. While no session can
 //! be had, the table stays as it is, as when discovery is silent.
 
-use crate::facade::{RegionEntry, RegionState, ServiceTable};
 use crate::net::service_table;
 use crate::net::wheel::Wheel;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
 use miniserde::{json, Deserialize};
+use nickeljunction_core::facade::{RegionEntry, RegionState, ServiceTable};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::Path;
--- a/src/net/hub.rs
+++ b/crates/gateway/src/net/hub.rs
@@ -1,71 +1,18 @@
 //! The core loop: the one owner of the core, fed by a queue that every socket task writes to.
 
-use crate::core::{Answer, Core, Ports};
-use crate::facade::{CounterReply, Intake, Outcome, RequestKey, RoutedTask, ServiceTable};
+use crate::http::{RegionReply, TerminalRequest};
 use crate::net::counter::Counter;
-use crate::net::http::{RegionReply, TerminalRequest};
+use crate::net::inbox::{Inbox, Input, Parcel};
 use crate::net::region::Regions;
-use crate::net::terminal::OpenId;
 use crate::net::wheel::Wheel;
 use bytes::{Bytes, BytesMut};
-use std::cell::Cell;
+use nickeljunction_core::facade::{RequestKey, RoutedTask};
+use nickeljunction_core::life::{Answer, Core, Ports};
 use std::collections::HashMap;
 use std::rc::Rc;
-use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
-use tokio::sync::oneshot;
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::task::AbortHandle;
 
-/// A request as it travels: what goes on to a region, and where its answer is awaited.
-pub struct Parcel {
-    /// As the client sent it.
-    pub request: TerminalRequest,
-    /// Holds its id for as long as the request or an attempt is open.
-    pub id: Rc<OpenId>,
-    /// Takes the final answer.
-    pub reply: oneshot::Sender<Answer<RegionReply>>,
-}
-
-/// What socket tasks tell the core loop.
-pub enum Input {
-    /// A request is whole.
-    Arrive(RequestKey, f64, Intake, Parcel),
-    /// Its client has gone.
-    Left(RequestKey),
-    /// A routed task ended.
-    Ended(RequestKey, usize, Outcome, Option<RegionReply>),
-    /// The counter answered.
-    Counted(String, CounterReply),
-    /// Discovery told a change.
-    Table(ServiceTable),
-    /// The program stops: hand leases back, then answer.
-    Retire(oneshot::Sender<()>),
-}
-
-/// Where socket tasks put what they have to tell, and numbers for requests.
-#[derive(Clone)]
-pub struct Inbox {
-    to: UnboundedSender<Input>,
-    last: Rc<Cell<RequestKey>>,
-}
-
-impl Inbox {
-    /// An inbox that writes to this queue.
-    pub fn new(to: UnboundedSender<Input>) -> Inbox {
-        Inbox { to, last: Rc::default() }
-    }
-
-    /// A number for a new request.
-    pub fn next_key(&self) -> RequestKey {
-        self.last.set(self.last.get() + 1);
-        self.last.get()
-    }
-
-    /// Tells the core loop; it ends only with the program.
-    pub fn tell(&self, input: Input) {
-        let _ = self.to.send(input);
-    }
-}
-
 /// The world of the core: regions, the counter, and the attempts under way.
 pub struct World {
     /// The regions.
--- a/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -3,8 +3,8 @@
 pub mod budget;
 pub mod counter;
 pub mod ephemeral;
-pub mod http;
 pub mod hub;
+pub mod inbox;
 pub mod region;
 pub mod service_table;
 pub mod terminal;
--- a/src/net/region.rs
+++ b/crates/gateway/src/net/region.rs
@@ -1,11 +1,11 @@
 //! Regions: the booking servers. Pools of kept connections, and one attempt over one of them.
 
-use crate::facade::{Outcome, RegionState, ServiceTable};
+use crate::http::{most_answer, HttpError, RegionCodec, RegionReply, RegionRequest};
 use crate::net::budget::{Budget, Slot};
-use crate::net::http::{most_answer, HttpError, RegionCodec, RegionReply, RegionRequest};
 use crate::net::wheel::Wheel;
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
+use nickeljunction_core::facade::{Outcome, RegionState, ServiceTable};
 use socket2::SockRef;
 use std::cell::RefCell;
 use std::collections::HashMap;
--- a/src/net/service_table.rs
+++ b/crates/gateway/src/net/service_table.rs
@@ -1,11 +1,11 @@
 //! The service table: discovery's list, kept by a watch that never rests.
 
-use crate::facade::{RegionEntry, RegionState, ServiceTable};
-use crate::net::http::{RegionRequest, WatchCodec};
+use crate::http::{RegionRequest, WatchCodec};
 use crate::net::wheel::Wheel;
 use bytes::Bytes;
 use futures_util::StreamExt;
 use miniserde::{json, Deserialize};
+use nickeljunction_core::facade::{RegionEntry, RegionState, ServiceTable};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/src/net/terminal.rs
+++ b/crates/gateway/src/net/terminal.rs
@@ -1,17 +1,16 @@
 //! Terminals: the clients' side. One task a connection, one request at a time.
 
-use crate::core::Answer;
-use crate::front::caller::request_id;
-use crate::front::Front;
+use crate::http::{HttpError, RegionReply, TerminalCodec, TerminalReply, TerminalRequest};
 use crate::net::budget::{Budget, Slot};
-use crate::net::http::{HttpError, RegionReply, TerminalCodec, TerminalReply, TerminalRequest};
-use crate::net::hub::{Inbox, Input, Parcel};
+use crate::net::inbox::{Inbox, Input, OpenId, OpenIds, Parcel};
 use crate::net::wheel::Wheel;
+use crate::reception::{request_id, Front};
 use bytes::BytesMut;
 use futures_util::{SinkExt, StreamExt};
+use nickeljunction_core::life::Answer;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashSet};
+use std::collections::BTreeMap;
 use std::mem::MaybeUninit;
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpStream};
@@ -186,30 +185,6 @@
     }
 }
 
-/// Ids of the requests that are open, each held by [`OpenId`].
-pub type OpenIds = Rc<RefCell<HashSet<String>>>;
-
-/// The id of an open request: until it is dropped, no other request may bear it. Regions tell requests apart
-/// by it, and a second one under it would pass for a copy of the first.
-pub struct OpenId {
-    ids: OpenIds,
-    id: String,
-}
-
-impl OpenId {
-    /// Takes an id; `None` if a request that is open bears it.
-    pub fn take(ids: &OpenIds, id: &str) -> Option<Rc<OpenId>> {
-        let new = ids.borrow_mut().insert(id.to_string());
-        new.then(|| Rc::new(OpenId { ids: ids.clone(), id: id.to_string() }))
-    }
-}
-
-impl Drop for OpenId {
-    fn drop(&mut self) {
-        self.ids.borrow_mut().remove(&self.id);
-    }
-}
-
 /// Counts open connections, whichever way they end, and stands in the list of those that wait.
 struct Open<'a> {
     terminals: &'a Terminals,
--- a/src/plugin.rs
+++ b/crates/gateway/src/plugin.rs
@@ -4,10 +4,10 @@
 //! request as never to be run twice, put it into a stricter class, raise its units, or refuse it. Whatever
 //! else it returns is left aside, and a script that fails or runs on is passed over.
 
-use crate::api::Repeat;
-use crate::facade::{Class, Intake, Settings};
-use crate::front::Front;
-use crate::net::http::{TerminalReply, TerminalRequest};
+use crate::http::{TerminalReply, TerminalRequest};
+use crate::reception::Front;
+use nickeljunction_core::facade::{Class, Intake, Settings};
+use nickeljunction_decide::api::Repeat;
 use rhai::{CallFnOptions, Dynamic, Engine, Map, Scope, AST};
 use std::cell::Cell;
 use std::path::Path;
@@ -198,7 +198,7 @@
             repeat,
             aim_ms: 500.0,
             give_up_ms: 1_000.0,
-            group: crate::api::Group::All,
+            group: nickeljunction_decide::api::Group::All,
             key_ttl_ms: 1_000.0,
             late_share: 0.0,
             stream: false,
--- a/tests/openapi.rs
+++ b/crates/gateway/tests/openapi.rs
@@ -4,8 +4,8 @@
 mod scenario;
 
 use nickeljunction::config::Config;
-use nickeljunction::facade::Settings;
 use nickeljunction::front::openapi::{OpenApi, RepeatRule};
+use nickeljunction_core::facade::Settings;
 use scenario::{Rig, SETTINGS};
 
 /// Front-desk screens: the check-in is wrongly marked safe, a slot's own path meets a template, one screen is
@@ -189,11 +189,11 @@
 
 #[test]
 fn the_example_that_ships_is_good() {
-    let file = include_str!("../deploy/front.example.json");
+    let file = include_str!("../../../deploy/front.example.json");
     let mut settings = settings();
     let names = ["slot-lookup", "slot-hold", "donor-checkin"];
     settings.classes.iter_mut().zip(names).for_each(|(class, name)| class.name = name.into());
-    let description = include_str!("../deploy/front-desk.openapi.json").to_string();
+    let description = include_str!("../../../deploy/front-desk.openapi.json").to_string();
     let front = OpenApi::parse(file, &settings, |_| Ok(description.clone())).expect("good");
     assert!(front.warnings.is_empty(), "{:?}", front.warnings);
     let rule = |method: &str, path: &str| front.route(method, path).map(|route| route.repeat);
