Add the transaction machine and its ballots over the counter, without I/O

Need: a change must be taken back by itself, and plans' figures must change at all gateways or at none, though gateways share only a counter. Change: ballot decides a vote once under one name of the counter by atomic adds (yes 1, seal -512, mark 0.001); transaction goes from staged over voting, armed and trial to confirmed or rolled back, with a record before each step that others can see, and goes on from its records after a crash. Who can't know how a vote went spends by the smaller of both figures.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -4,12 +4,16 @@
 //! - [`check`]: reads the text and tells every problem with file, line, column and key path.
 //! - [`bundle`]: a document with the files that it names, its digest and its signature.
 //! - [`diff`]: what two documents differ in.
+//! - [`ballot`]: a vote among gateways that share nothing but a counter.
+//! - [`transaction`]: staged, applied on trial, confirmed or rolled back; with recovery from its own records.
 //!
 //! Time comes in as milliseconds since 1970, counter calls and swaps go out as effects.
 
+pub mod ballot;
 pub mod bundle;
 pub mod check;
 pub mod diff;
 pub mod document;
 pub mod problem;
+pub mod transaction;
 mod tree;
