Add the guard: a sequential test of answers after a change, at a stated false-alarm rate

Need: a change that refuses or fails requests must be found within seconds, and an outage that began in the same second must not be laid to it. Change: answers are counted by signal, class and plan; bets on each cell's share against its worst stretch before the change end a trial at 1 in 1,000 false alarms (Ville's inequality). What a few regions, a dark counter or a fleet that sheds explain is excused; what the door turns away never is.

--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -279,7 +279,7 @@
     pub give_up_ms: Option<f64>,
 }
 
-/// When a change on trial is taken back by itself.
+/// When a change on trial is taken back by itself. See [`crate::guard`].
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct GuardFigures {
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`diff`]: what two documents differ in.
 //! - [`ballot`]: a vote among gateways that share nothing but a counter.
 //! - [`transaction`]: staged, applied on trial, confirmed or rolled back; with recovery from its own records.
+//! - [`guard`]: whether answers got worse after a change, by a sequential test with a stated false-alarm rate.
 //!
 //! Time comes in as milliseconds since 1970, counter calls and swaps go out as effects.
 
@@ -14,6 +15,7 @@
 pub mod check;
 pub mod diff;
 pub mod document;
+pub mod guard;
 pub mod problem;
 pub mod transaction;
 mod tree;
