Let the module take new figures while it runs, window by window or at once

Need: plans, limits and time-outs held from start to end. Change: Limiter::retune takes new settings; a pool is rebuilt, by the module's own rule, out of the figures that hold for the window it is in, so every gateway judges one window by one set of figures; what it holds, owes and was told stays.

--- a/crates/core/src/facade.rs
+++ b/crates/core/src/facade.rs
@@ -175,10 +175,26 @@
     format!("{class}#once")
 }
 
+/// Odds of admission under which the module is said to shed work.
+const SHEDS_UNDER: f64 = 0.9;
+
+/// Adds a never-twice twin of every class that may run again, if `strict`.
+fn twinned(mut settings: Settings, strict: bool) -> Settings {
+    if strict {
+        let twins: Vec<Class> = (settings.classes.iter())
+            .filter(|class| class.repeat != Repeat::Once)
+            .map(|class| Class { name: never_twice(&class.name), repeat: Repeat::Once, ..class.clone() })
+            .collect();
+        settings.classes.extend(twins);
+    }
+    settings
+}
+
 /// The decision module behind three calls.
 #[derive(Debug)]
 pub struct Facade {
     limiter: Limiter,
+    strict: bool,
     attempts: BTreeMap<RequestKey, usize>,
     units_top: f64,
     wake: Option<f64>,
@@ -188,17 +204,12 @@
 impl Facade {
     /// A module with these settings. `strict` adds a never-twice twin of every class that may run again,
     /// for requests with [`Intake::never_twice`]; it is off where no front asks for it.
-    pub fn new(mut settings: Settings, seed: u64, strict: bool) -> Result<Facade, BadSettings> {
-        if strict {
-            let twins: Vec<Class> = (settings.classes.iter())
-                .filter(|class| class.repeat != Repeat::Once)
-                .map(|class| Class { name: never_twice(&class.name), repeat: Repeat::Once, ..class.clone() })
-                .collect();
-            settings.classes.extend(twins);
-        }
+    pub fn new(settings: Settings, seed: u64, strict: bool) -> Result<Facade, BadSettings> {
+        let settings = twinned(settings, strict);
         let units_top = settings.units_top.max(1.0);
         let limiter = Limiter::new(settings, seed)?;
-        Ok(Facade { limiter, units_top, attempts: BTreeMap::new(), wake: None, actions: Vec::new() })
+        let (attempts, wake, actions) = (BTreeMap::new(), None, Vec::new());
+        Ok(Facade { limiter, strict, units_top, attempts, wake, actions })
     }
 
     /// Asks what to do with a new request. Without a verdict on it the request is held.
@@ -292,6 +303,22 @@
         self.wake
     }
 
+    /// Takes new figures: those of plans for windows that begin at `from` (ms) or later, the others at once. Must
+    /// name the classes and plans of before in their order; new plans come last.
+    pub fn retune(&mut self, settings: Settings, from: f64) -> Result<(), BadSettings> {
+        let settings = twinned(settings, self.strict);
+        // The module's own check, on a copy that is thrown away: a bad figure must not reach the one that serves.
+        Limiter::new(settings.clone(), 0)?;
+        self.units_top = settings.units_top.max(1.0);
+        self.limiter.retune(settings, from);
+        Ok(())
+    }
+
+    /// The module thinks the fleet short and sheds some of the work.
+    pub fn sheds(&self) -> bool {
+        self.limiter.admission() < SHEDS_UNDER
+    }
+
     /// The program stops: the counter calls that hand unused leases back.
     pub fn retire(&mut self, now: f64) -> Vec<Verdict> {
         let mut actions = std::mem::take(&mut self.actions);
--- a/crates/core/src/life.rs
+++ b/crates/core/src/life.rs
@@ -4,7 +4,8 @@
 //! told by its methods, and the time comes with each call.
 
 use crate::facade::{
-    CounterReply, Facade, Intake, Outcome, Report, RequestKey, RoutedTask, ServiceTable, Verdict,
+    BadSettings, CounterReply, Facade, Intake, Outcome, Report, RequestKey, RoutedTask, ServiceTable,
+    Settings, Verdict,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -163,6 +164,17 @@
         }
     }
 
+    /// Takes new figures; requests under way keep the deadline and class that they came with. See
+    /// [`Facade::retune`].
+    pub fn retune(&mut self, settings: Settings, from: f64) -> Result<(), BadSettings> {
+        self.facade.retune(settings, from)
+    }
+
+    /// The module thinks the fleet short.
+    pub fn sheds(&self) -> bool {
+        self.facade.sheds()
+    }
+
     /// The program stops: unused leases go back to the counter.
     pub fn retire(&mut self, now: f64) {
         let verdicts = self.facade.retire(now);
@@ -283,8 +295,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::facade::{RegionEntry, RegionState};
-    use nickeljunction_decide::api::{Class, Group, Plan, Repeat, Settings};
+    use crate::facade::{Class, Group, Plan, RegionEntry, RegionState, Repeat};
 
     /// Writes down what the core wants; an answer takes the request's content with it.
     #[derive(Default)]
--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -110,7 +110,7 @@
 impl Pool {
     /// The lease of a plan's customer that comes in through so many doors with requests of up to `top` units;
     /// `shift` (0 to 1) keeps customers from changing windows together.
-    fn new(plan: &Plan, shift: f64, doors: f64, top: f64) -> Option<Pool> {
+    pub(crate) fn new(plan: &Plan, shift: f64, doors: f64, top: f64) -> Option<Pool> {
         let (mut rate, mut cap, strict) = (plan.rate, plan.burst, plan.ceiling_rate > 0.0);
         let (mut spare, mut spare_rate) = (0.0, 0.0);
         if strict {
@@ -222,7 +222,8 @@
 /// One limiter: tell it events, carry out its actions.
 #[derive(Debug, Default)]
 pub struct Limiter {
-    settings: Settings,
+    pub(crate) settings: Settings,
+    pub(crate) figures: crate::tune::Figures,
     rng: fastrand::Rng,
     now: f64,
     out: Vec<Action>,
@@ -237,7 +238,7 @@
     /// The lowest that the mean latency of each class has been, ms: servers that hold little.
     calm: Vec<f64>,
     /// Part of the fetches that fitted lately, by plan.
-    trust: Vec<f64>,
+    pub(crate) trust: Vec<f64>,
     /// Odds that a fetch is made rather than its request served on trust.
     odds: f64,
     /// Servers to which no connection came about.
@@ -253,7 +254,7 @@
     answered_at: f64,
     eased: f64,
     /// Odds that a request of mean worth for its time is taken in, and that mean.
-    admit: f64,
+    pub(crate) admit: f64,
     worth: f64,
     sends: f64,
     sends_at: f64,
@@ -379,7 +380,7 @@
             let pool = pool.map(|pool| Pool { plan: plan_at, ..pool });
             Account { pool, doors, at_once: plan.at_once, seen: now, ..Account::default() }
         });
-        account.seen = now;
+        (account.seen, account.at_once) = (now, plan.at_once);
         account.waiters.push_back(id);
         self.serve(arrival.customer);
     }
@@ -388,7 +389,10 @@
     fn serve(&mut self, customer: u64) {
         let Some(mut account) = self.accounts.remove(&customer) else { return };
         let (now, mut admitted) = (self.now, Vec::new());
-        account.pool.iter_mut().for_each(|pool| pool.roll(now));
+        for pool in account.pool.iter_mut() {
+            pool.roll(now);
+            self.fit(pool);
+        }
         while let Some(id) = account.waiters.front().cloned() {
             let waiting =
                 |id: &RequestId| self.requests.get(id).filter(|request| request.stage == Stage::Units);
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod api;
 pub mod decide;
 mod state;
+mod tune;
 pub mod wire;
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -32,6 +32,8 @@
     /// Which plan, and how many limiters the customer comes in through.
     pub(crate) plan: usize,
     pub(crate) doors: f64,
+    /// Which of the plan's figures it was made of, by their stamp.
+    pub(crate) fitted: u64,
     /// Under a ceiling: units that this door may spend on trust at most, their refill a ms, and what it has.
     pub(crate) spare: f64,
     pub(crate) spare_rate: f64,
--- /dev/null
+++ b/crates/decide/src/tune.rs
@@ -0,0 +1,55 @@
+//! New figures while a limiter runs: which of them a window is judged by. No decision is made here; a pool is
+//! only rebuilt by the module's own rule out of the figures that hold for its window.
+
+use crate::api::{Plan, Settings};
+use crate::decide::Limiter;
+use crate::state::Pool;
+
+/// The plans' former figures, and from which windows on the present ones hold.
+#[derive(Debug)]
+pub(crate) struct Figures {
+    former: Vec<Plan>,
+    /// Windows that begin earlier, ms, are judged by the former figures at every gateway alike.
+    from: f64,
+    changes: u64,
+}
+
+impl Default for Figures {
+    fn default() -> Figures {
+        Figures { former: Vec::new(), from: f64::NEG_INFINITY, changes: 0 }
+    }
+}
+
+impl Limiter {
+    /// Takes new figures: those of plans for windows that begin at `from` (ms) or later, negative infinity for all
+    /// at once; the others at once. Classes keep their order, and plans their places: new ones come last.
+    pub fn retune(&mut self, settings: Settings, from: f64) {
+        let former = std::mem::replace(&mut self.settings, settings).plans;
+        self.figures = Figures { former, from, changes: self.figures.changes + 1 };
+        self.trust.resize(self.settings.plans.len(), 1.0);
+    }
+
+    /// Odds, 0 to 1, that a request of mean worth for its time is taken in: below 1 the fleet is thought short.
+    pub fn admission(&self) -> f64 {
+        self.admit
+    }
+
+    /// Rebuilds a pool whose window is judged by other figures than those it was made of. What it holds, owes and
+    /// was told stays: totals under the name count units, whatever the figures.
+    pub(crate) fn fit(&self, pool: &mut Pool) {
+        let figures = &self.figures;
+        let present = pool.window as f64 * pool.length - pool.phase >= figures.from;
+        let stamp = figures.changes * 2 + u64::from(present);
+        if pool.fitted == stamp {
+            return;
+        }
+        let plans = if present { &self.settings.plans } else { &figures.former };
+        let new = plans.get(pool.plan).and_then(|plan| {
+            Pool::new(plan, pool.phase / pool.length, pool.doors, self.settings.units_top.max(1.0))
+        });
+        let Some(new) = new else { return };
+        pool.fitted = stamp;
+        (pool.strict, pool.spare, pool.spare_rate) = (new.strict, new.spare, new.spare_rate);
+        (pool.rate, pool.cap, pool.span) = (new.rate, new.cap, new.span);
+    }
+}
--- a/crates/decide/tests/module.rs
+++ b/crates/decide/tests/module.rs
@@ -1245,3 +1245,63 @@
     rig.tell(Event::Servers(ListKind::Full, vec![server(1, ServerState::Up, 0.0)]));
     assert_eq!(limit(&rig.request("c", "safe", "free")), 0.0, "nor has this");
 }
+
+/// Figures of a window are one for all gateways: a change holds for windows that begin after its moment, and the
+/// window under way goes on by the former ones, also for a customer that comes only now.
+#[test]
+fn new_figures_hold_from_a_windows_start_or_at_once() {
+    let mut rig = Rig::new(settings(), 2);
+    // A counter that answers each call, also those that an answer leads to.
+    let mut totals: BTreeMap<String, f64> = BTreeMap::new();
+    let mut told = |rig: &mut Rig, id: &str| {
+        let mut out = rig.request(id, "safe", "soft");
+        let (mut at, mut last) = (0, String::new());
+        while let Some((name, amount)) = counts(&out).get(at).cloned() {
+            let total = totals.entry(name.clone()).or_default();
+            *total += amount;
+            let total = *total;
+            out.extend(rig.counted(&name, Status::Ok, total));
+            (at, last) = (at + 1, name);
+        }
+        let sent = sends(&out).into_iter().find(|(sent, _)| sent == id);
+        if let Some((id, server)) = &sent {
+            rig.outcome(id, 0, server, Status::Ok);
+        }
+        (last, sent.is_some())
+    };
+    let (name, sent) = told(&mut rig, "a");
+    assert!(sent, "a store of 20 lets the first one in");
+    // A hundredth of the store, from the next window on.
+    let mut small = settings();
+    small.plans[0] = plan("soft", 0.1, 0.2, 0.0, 0.0);
+    let from = rig.now + 1.0;
+    rig.limiter.retune(small.clone(), from);
+    let (mut served, mut windows) = (0, std::collections::BTreeSet::from([name.clone()]));
+    for at in 0..40 {
+        rig.now += 1_000.0;
+        let (window, sent) = told(&mut rig, &format!("b{at}"));
+        windows.extend((!window.is_empty()).then_some(window));
+        if windows.len() > 1 {
+            break;
+        }
+        assert!(sent, "the window under way goes on by the former figures, {at} s");
+        served += 1;
+    }
+    assert!(served > 2 && windows.len() == 2, "{served} served, {windows:?}");
+    let sent: Vec<bool> = (0..8).map(|at| told(&mut rig, &format!("c{at}")).1).collect();
+    assert!(sent[2..].iter().all(|sent| !sent), "a store of 0.2 covers none: {sent:?}");
+    // And back at once, in the middle of the window.
+    rig.limiter.retune(settings(), f64::NEG_INFINITY);
+    assert!(told(&mut rig, "e").1, "the store of 20 is back, with what was spent of it");
+}
+
+#[test]
+fn a_plan_that_came_later_is_known_and_the_others_keep_their_places() {
+    let mut rig = Rig::new(settings(), 1);
+    assert!(refused(&rig.request("a", "safe", "new"), "a"));
+    let mut more = settings();
+    more.plans.push(plan("new", 0.0, 0.0, 0.0, 0.0));
+    rig.limiter.retune(more, f64::NEG_INFINITY);
+    assert_eq!(sends(&rig.request("b", "safe", "new")).len(), 1);
+    assert_eq!(rig.limiter.admission(), 1.0);
+}
