Apply the operators' document to a running gateway, on trial, over a Unix socket

Need: only the addresses of discovery and the counter could change while the gateway ran, and nobody guarded a change. Change: a document is built whole beside what serves (script compiled, routes read, a new counter connected, a new source of the service table asked for its list), then all sections are exchanged in one turn of the core loop. change.rs drives the transaction machine, control.rs takes commands over a socket of mode 0600, tally.rs feeds the guard; none of it exists without a document. Requests keep the document that took them in.

--- a/crates/config/src/diff.rs
+++ b/crates/config/src/diff.rs
@@ -1,10 +1,10 @@
 //! What two documents differ in, key by key.
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 /// One difference. `before` is null where the key is new, `after` where it is gone.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Difference {
     /// Key path.
     pub path: String,
--- a/crates/config/src/guard.rs
+++ b/crates/config/src/guard.rs
@@ -338,6 +338,11 @@
         }
     }
 
+    /// Takes other figures; a watch under way goes on by those that it began with.
+    pub fn set(&mut self, figures: GuardFigures) {
+        self.figures = figures;
+    }
+
     /// The number of a cell; `None` for class or plan stands for all of them.
     fn cell(&self, signal: usize, class: Option<usize>, plan: Option<usize>) -> usize {
         let (classes, plans) = (self.classes.len() + 1, self.plans.len() + 1);
--- a/crates/config/src/problem.rs
+++ b/crates/config/src/problem.rs
@@ -1,9 +1,9 @@
 //! What is wrong with a document, told so that an operator can go there and mend it.
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// One problem of a document.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Problem {
     /// The file as it was named.
     pub file: String,
--- a/crates/config/src/transaction.rs
+++ b/crates/config/src/transaction.rs
@@ -438,6 +438,11 @@
         self.last + 1
     }
 
+    /// How many gateways must agree.
+    pub fn gateways(&self) -> usize {
+        self.gateways
+    }
+
     /// The last confirmed document.
     pub fn confirmed(&self) -> Epoch {
         self.confirmed
--- a/crates/core/src/facade.rs
+++ b/crates/core/src/facade.rs
@@ -190,6 +190,14 @@
     settings
 }
 
+/// The module's own check of settings.
+///
+/// # Errors
+/// The key that no module can work with.
+pub fn check(settings: &Settings) -> Result<(), BadSettings> {
+    Limiter::new(settings.clone(), 0).map(drop)
+}
+
 /// The decision module behind three calls.
 #[derive(Debug)]
 pub struct Facade {
@@ -305,13 +313,11 @@
 
     /// Takes new figures: those of plans for windows that begin at `from` (ms) or later, the others at once. Must
     /// name the classes and plans of before in their order; new plans come last.
-    pub fn retune(&mut self, settings: Settings, from: f64) -> Result<(), BadSettings> {
+    /// [`check`] must have found them good.
+    pub fn retune(&mut self, settings: Settings, from: f64) {
         let settings = twinned(settings, self.strict);
-        // The module's own check, on a copy that is thrown away: a bad figure must not reach the one that serves.
-        Limiter::new(settings.clone(), 0)?;
         self.units_top = settings.units_top.max(1.0);
         self.limiter.retune(settings, from);
-        Ok(())
     }
 
     /// The module thinks the fleet short and sheds some of the work.
--- a/crates/core/src/life.rs
+++ b/crates/core/src/life.rs
@@ -4,8 +4,7 @@
 //! told by its methods, and the time comes with each call.
 
 use crate::facade::{
-    BadSettings, CounterReply, Facade, Intake, Outcome, Report, RequestKey, RoutedTask, ServiceTable,
-    Settings, Verdict,
+    CounterReply, Facade, Intake, Outcome, Report, RequestKey, RoutedTask, ServiceTable, Settings, Verdict,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -166,8 +165,8 @@
 
     /// Takes new figures; requests under way keep the deadline and class that they came with. See
     /// [`Facade::retune`].
-    pub fn retune(&mut self, settings: Settings, from: f64) -> Result<(), BadSettings> {
-        self.facade.retune(settings, from)
+    pub fn retune(&mut self, settings: Settings, from: f64) {
+        self.facade.retune(settings, from);
     }
 
     /// The module thinks the fleet short.
--- a/crates/gateway/src/net/counter.rs
+++ b/crates/gateway/src/net/counter.rs
@@ -4,6 +4,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use nickeljunction_core::facade::CounterReply;
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::future::Future;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -116,6 +117,7 @@
 }
 
 /// The counter as the core loop uses it.
+#[derive(Clone)]
 pub struct Counter {
     links: Vec<UnboundedSender<Call>>,
     wheel: Wheel,
@@ -125,10 +127,11 @@
 pub type OnCounted = Rc<dyn Fn(String, CounterReply)>;
 
 impl Counter {
-    /// Starts the connections as tasks of the present `LocalSet`.
+    /// Starts the connections as tasks of the present `LocalSet`. `timeout_ms`: a call without an answer by then
+    /// counts as timed out; read anew for each call.
     pub fn start(
         addresses: watch::Receiver<Option<SocketAddr>>,
-        timeout_ms: f64,
+        timeout_ms: Rc<Cell<f64>>,
         wheel: Wheel,
         done: OnCounted,
     ) -> Counter {
@@ -136,7 +139,7 @@
             let (to, calls) = unbounded_channel();
             let link = Link {
                 addresses: addresses.clone(),
-                timeout_ms,
+                timeout_ms: timeout_ms.clone(),
                 wheel: wheel.clone(),
                 done: done.clone(),
                 calls,
@@ -169,7 +172,7 @@
     pending: VecDeque<Pending>,
     /// It has brought a good answer.
     proven: bool,
-    timeout_ms: f64,
+    timeout_ms: Rc<Cell<f64>>,
     wheel: Wheel,
     done: OnCounted,
 }
@@ -177,26 +180,24 @@
 impl Session {
     /// Waits for the next answer or time limit; `None` once the connection is of no more use.
     async fn step(&mut self) -> Option<()> {
-        let now = self.wheel.now();
+        let (now, timeout_ms) = (self.wheel.now(), self.timeout_ms.get());
         // Answers come in order, so a call given up keeps its place: its late answer must not pass for
         // that of the next.
-        for call in self.pending.iter_mut().filter(|call| now - call.made >= self.timeout_ms) {
+        for call in self.pending.iter_mut().filter(|call| now - call.made >= timeout_ms) {
             call.name.take().into_iter().for_each(|name| (self.done)(name, CounterReply::TimedOut));
         }
-        if let Some(call) = self.pending.front().filter(|call| now - call.made >= self.timeout_ms) {
+        if let Some(call) = self.pending.front().filter(|call| now - call.made >= timeout_ms) {
             // Half an answer that stays half is a spoilt one: nothing behind it can be read either.
             let half = !self.framed.read_buffer().is_empty();
-            if now - call.made > self.timeout_ms * if half { HALF_TIMEOUTS } else { STUCK_TIMEOUTS } {
+            if now - call.made > timeout_ms * if half { HALF_TIMEOUTS } else { STUCK_TIMEOUTS } {
                 tracing::info!("the counter owes an answer for long: connecting anew");
                 return None;
             }
         }
         let waiting = self.pending.iter().find(|call| call.name.is_some());
         let next = match (waiting, self.pending.front()) {
-            (Some(call), _) => call.made + self.timeout_ms,
-            (None, Some(call)) => {
-                (call.made + self.timeout_ms * STUCK_TIMEOUTS).min(now + self.timeout_ms) + 1.0
-            }
+            (Some(call), _) => call.made + timeout_ms,
+            (None, Some(call)) => (call.made + timeout_ms * STUCK_TIMEOUTS).min(now + timeout_ms) + 1.0,
             (None, None) => f64::MAX,
         };
         let answer = if next < f64::MAX {
@@ -250,7 +251,7 @@
     }
 
     async fn write(&mut self, lines: &[u8]) -> Option<()> {
-        let written = self.wheel.timeout(self.timeout_ms, self.framed.get_mut().write_all(lines)).await;
+        let written = self.wheel.timeout(self.timeout_ms.get(), self.framed.get_mut().write_all(lines)).await;
         matches!(written, Some(Ok(()))).then_some(())
     }
 
@@ -271,7 +272,7 @@
 
 struct Link {
     addresses: watch::Receiver<Option<SocketAddr>>,
-    timeout_ms: f64,
+    timeout_ms: Rc<Cell<f64>>,
     wheel: Wheel,
     done: OnCounted,
     calls: UnboundedReceiver<Call>,
@@ -307,7 +308,7 @@
             let address = *self.addresses.borrow_and_update();
             let stream = match moved.take() {
                 Some(stream) => Some(stream),
-                None => connect(address, self.timeout_ms, &self.wheel).await,
+                None => connect(address, self.timeout_ms.get(), &self.wheel).await,
             };
             if let Some(stream) = stream {
                 match self.session(stream).await {
@@ -349,7 +350,7 @@
     async fn session(&mut self, stream: TcpStream) -> End {
         let framed = Framed::new(stream, CounterCodec);
         let (pending, wheel) = (VecDeque::new(), self.wheel.clone());
-        let (timeout_ms, done) = (self.timeout_ms, self.done.clone());
+        let (timeout_ms, done) = (self.timeout_ms.clone(), self.done.clone());
         let mut session = Session { framed, pending, proven: false, timeout_ms, wheel, done };
         let (mut lines, mut used) = (BytesMut::new(), self.wheel.now());
         let mut next: Option<Pin<Box<dyn Future<Output = Option<TcpStream>>>>> = None;
@@ -363,7 +364,7 @@
                 },
                 Ok(()) = self.addresses.changed() => {
                     let address = *self.addresses.borrow_and_update();
-                    next = Some(Box::pin(reach(address, self.timeout_ms, self.wheel.clone())));
+                    next = Some(Box::pin(reach(address, self.timeout_ms.get(), self.wheel.clone())));
                 }
                 stream = async { next.as_mut().expect("asked for below").await }, if next.is_some() => {
                     tokio::task::spawn_local(session.finish());
@@ -440,7 +441,7 @@
             let (_moves, addresses) = watch::channel(Some(address));
             let counter = Counter::start(
                 addresses,
-                300.0,
+                Rc::new(Cell::new(300.0)),
                 wheel.clone(),
                 Rc::new(move |name, reply| told.borrow_mut().push((name, reply))),
             );
@@ -484,7 +485,7 @@
             let replies: Rc<RefCell<Vec<CounterReply>>> = Rc::default();
             let (told, (_moves, addresses)) = (replies.clone(), watch::channel(Some(address)));
             let done = Rc::new(move |_, reply| told.borrow_mut().push(reply));
-            let counter = Counter::start(addresses, 5_000.0, wheel.clone(), done);
+            let counter = Counter::start(addresses, Rc::new(Cell::new(5_000.0)), wheel.clone(), done);
             for at in 0..3 {
                 counter.call("name".into(), 1.0, 1_000.0);
                 while replies.borrow().len() <= at {
@@ -525,7 +526,7 @@
             let replies: Rc<RefCell<Vec<CounterReply>>> = Rc::default();
             let (told, (_moves, addresses)) = (replies.clone(), watch::channel(Some(address)));
             let done = Rc::new(move |_, reply| told.borrow_mut().push(reply));
-            let counter = Counter::start(addresses, 100.0, wheel.clone(), done);
+            let counter = Counter::start(addresses, Rc::new(Cell::new(100.0)), wheel.clone(), done);
             let mut calls = 0;
             while replies.borrow().last() != Some(&CounterReply::Total(5.0)) {
                 calls += 1;
--- a/crates/gateway/src/net/hub.rs
+++ b/crates/gateway/src/net/hub.rs
@@ -2,11 +2,12 @@
 
 use crate::http::{RegionReply, TerminalRequest};
 use crate::net::counter::Counter;
-use crate::net::inbox::{Inbox, Input, Parcel};
+use crate::net::inbox::{Inbox, Input, Parcel, Swap};
 use crate::net::region::Regions;
 use crate::net::wheel::Wheel;
+use crate::tally::Tally;
 use bytes::{Bytes, BytesMut};
-use nickeljunction_core::facade::{RequestKey, RoutedTask};
+use nickeljunction_core::facade::{Outcome, RequestKey, RoutedTask, Settings};
 use nickeljunction_core::life::{Answer, Core, Ports};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -21,8 +22,12 @@
     pub counter: Counter,
     /// Where attempts tell their end.
     pub inbox: Inbox,
-    /// Attempts under way.
-    pub out: HashMap<RequestKey, (usize, AbortHandle)>,
+    /// Attempts under way, each with its number and a number that stands for its region.
+    pub out: HashMap<RequestKey, (usize, AbortHandle, u64)>,
+    /// Counts answers and attempts; off without an operators' document.
+    pub tally: Option<Rc<Tally>>,
+    /// Timers.
+    pub wheel: Wheel,
     /// The name that regions see in `Host`.
     pub host: String,
 }
@@ -57,23 +62,34 @@
         let bytes = region_request(&parcel.request, &self.host, limit_ms);
         let (regions, inbox, task) = (self.regions.clone(), self.inbox.clone(), task.clone());
         let (request, number, id) = (task.request, task.attempt, parcel.id.clone());
+        let task_region = task.region.clone();
         let attempt = tokio::task::spawn_local(async move {
             let _id = id;
             let (outcome, reply) = regions.attempt(&task.region, bytes).await;
             inbox.tell(Input::Ended(task.request, task.attempt, outcome, reply));
         });
-        self.out.insert(request, (number, attempt.abort_handle()));
+        let region = self.tally.as_ref().map_or(0, |_| crate::tally::region_number(&task_region));
+        if let Some(mark) = &parcel.mark {
+            mark.sent_to(region);
+        }
+        self.out.insert(request, (number, attempt.abort_handle(), region));
     }
 
     fn give_up(&mut self, request: RequestKey) {
         // The task ends at its next turn, before anything else can be sent for this request: its connection
         // is closed with it.
-        if let Some((_, attempt)) = self.out.remove(&request) {
+        if let Some((_, attempt, region)) = self.out.remove(&request) {
             attempt.abort();
+            if let Some(tally) = &self.tally {
+                tally.attempt(self.wheel.now(), region, false);
+            }
         }
     }
 
     fn answer(&mut self, parcel: Parcel, answer: Answer<RegionReply>) {
+        if let (Some(tally), Some(mark)) = (&self.tally, &parcel.mark) {
+            tally.answered(self.wheel.now(), mark, &answer);
+        }
         // A client that has gone awaits nothing.
         let _ = parcel.reply.send(answer);
     }
@@ -87,6 +103,16 @@
     }
 }
 
+impl Swap for Core<World> {
+    fn retune(&mut self, settings: Settings, from: f64) {
+        Core::retune(self, settings, from);
+    }
+
+    fn retime(&mut self, connect_ms: f64, idle_ms: f64) {
+        self.ports().regions.retime(connect_ms, idle_ms);
+    }
+}
+
 /// Runs the core until the queue ends.
 pub async fn run(mut core: Core<World>, mut inputs: UnboundedReceiver<Input>, wheel: Wheel) {
     loop {
@@ -114,14 +140,20 @@
 }
 
 fn take(core: &mut Core<World>, input: Input, now: f64) {
+    if let Some(tally) = core.ports().tally.clone() {
+        tally.sheds(core.sheds());
+    }
     match input {
         Input::Arrive(key, at, intake, parcel) => core.arrive(now, key, now - at, intake, parcel),
         Input::Left(key) => core.left(now, key),
         Input::Ended(key, attempt, outcome, reply) => {
             let settled = reply.as_ref().and_then(|reply| reply.settled).unwrap_or(0.0);
             // News of an attempt given up meanwhile must not unhook the next one.
-            if core.ports().out.get(&key).is_some_and(|(number, _)| *number == attempt) {
-                core.ports().out.remove(&key);
+            if core.ports().out.get(&key).is_some_and(|(number, ..)| *number == attempt) {
+                let ended = core.ports().out.remove(&key);
+                if let (Some(tally), Some((.., region))) = (core.ports().tally.clone(), ended) {
+                    tally.attempt(now, region, outcome == Outcome::Served);
+                }
             }
             core.ended(now, key, attempt, outcome, settled, reply);
         }
@@ -134,5 +166,6 @@
             core.retire(now);
             let _ = done.send(());
         }
+        Input::Turn(turn) => turn(core, now),
     }
 }
--- a/crates/gateway/src/net/inbox.rs
+++ b/crates/gateway/src/net/inbox.rs
@@ -2,7 +2,8 @@
 //! [`super::terminal`], which know nothing of each other.
 
 use crate::http::{RegionReply, TerminalRequest};
-use nickeljunction_core::facade::{CounterReply, Intake, Outcome, RequestKey, ServiceTable};
+use crate::tally::Mark;
+use nickeljunction_core::facade::{CounterReply, Intake, Outcome, RequestKey, ServiceTable, Settings};
 use nickeljunction_core::life::Answer;
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
@@ -18,6 +19,8 @@
     pub id: Rc<OpenId>,
     /// Takes the final answer.
     pub reply: oneshot::Sender<Answer<RegionReply>>,
+    /// What its answer counts for, where answers are counted.
+    pub mark: Option<Mark>,
 }
 
 /// What socket tasks tell the core loop.
@@ -34,6 +37,19 @@
     Table(ServiceTable),
     /// The program stops: hand leases back, then answer.
     Retire(oneshot::Sender<()>),
+    /// Something that is done whole between two turns of the core loop.
+    Turn(Turn),
+}
+
+/// What a turn does, at this time.
+pub type Turn = Box<dyn FnOnce(&mut dyn Swap, f64)>;
+
+/// What can be exchanged between two turns. None of it can fail.
+pub trait Swap {
+    /// New figures; see [`nickeljunction_core::facade::Facade::retune`].
+    fn retune(&mut self, settings: Settings, from: f64);
+    /// New time-outs of connections to regions, ms: to come up, and until regions close idle ones.
+    fn retime(&mut self, connect_ms: f64, idle_ms: f64);
 }
 
 /// Where socket tasks put what they have to tell, and numbers for requests.
--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -6,6 +6,7 @@
 pub mod hub;
 pub mod inbox;
 pub mod region;
+pub mod roster;
 pub mod service_table;
 pub mod terminal;
 pub mod wheel;
--- a/crates/gateway/src/net/region.rs
+++ b/crates/gateway/src/net/region.rs
@@ -7,7 +7,7 @@
 use futures_util::StreamExt;
 use nickeljunction_core::facade::{Outcome, RegionState, ServiceTable};
 use socket2::SockRef;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
@@ -61,8 +61,8 @@
     regions: RefCell<HashMap<String, Region>>,
     budget: Rc<Budget>,
     wheel: Wheel,
-    connect_ms: f64,
-    keep_ms: f64,
+    connect_ms: Cell<f64>,
+    keep_ms: Cell<f64>,
     most_answer: usize,
 }
 
@@ -79,7 +79,8 @@
         idle_ms: f64,
         memory: usize,
     ) -> Rc<Regions> {
-        let (keep_ms, most_answer) = (idle_ms * IDLE_PART, most_answer(memory));
+        let (keep_ms, most_answer) = (Cell::new(idle_ms * IDLE_PART), most_answer(memory));
+        let connect_ms = Cell::new(connect_ms);
         Rc::new(Regions { regions: RefCell::default(), budget, wheel, connect_ms, keep_ms, most_answer })
     }
 
@@ -106,6 +107,12 @@
         }
     }
 
+    /// Takes new time-outs, ms: for connections to come up, and when regions close idle ones.
+    pub fn retime(&self, connect_ms: f64, idle_ms: f64) {
+        self.connect_ms.set(connect_ms);
+        self.keep_ms.set(idle_ms * IDLE_PART);
+    }
+
     /// Closes idle connections to a region.
     pub fn close_idle(&self, uid: &str) {
         if let Some(region) = self.regions.borrow_mut().get_mut(uid) {
@@ -116,10 +123,10 @@
     /// Closes what has been idle for long; runs for as long as it is polled.
     pub async fn reap(self: Rc<Self>) {
         loop {
-            self.wheel.sleep((self.keep_ms / 8.0).clamp(50.0, 1_000.0)).await;
+            self.wheel.sleep((self.keep_ms.get() / 8.0).clamp(50.0, 1_000.0)).await;
             let now = self.wheel.now();
             for region in self.regions.borrow_mut().values_mut() {
-                region.idle.retain(|link| now - link.since < self.keep_ms && link.quiet());
+                region.idle.retain(|link| now - link.since < self.keep_ms.get() && link.quiet());
             }
         }
     }
@@ -129,7 +136,7 @@
         let region = regions.get_mut(uid)?;
         let now = self.wheel.now();
         while let Some(link) = region.idle.pop() {
-            if now - link.since < self.keep_ms && link.quiet() {
+            if now - link.since < self.keep_ms.get() && link.quiet() {
                 return Some(link);
             }
         }
@@ -165,7 +172,7 @@
     async fn connect(&self, uid: &str) -> Option<Link> {
         let address = self.regions.borrow().get(uid)?.address?;
         let slot = self.slot()?;
-        let stream = self.wheel.timeout(self.connect_ms, TcpStream::connect(address)).await?.ok()?;
+        let stream = self.wheel.timeout(self.connect_ms.get(), TcpStream::connect(address)).await?.ok()?;
         stream.set_nodelay(true).ok()?;
         let framed = Framed::with_capacity(stream, RegionCodec::new(self.most_answer), READ_BYTES);
         Some(Link { framed, address, since: self.wheel.now(), _slot: slot })
@@ -180,11 +187,11 @@
                 tokio::select! {
                     biased;
                     reply = link.framed.next() => return reply,
-                    () = self.wheel.sleep(self.connect_ms) => continue,
+                    () = self.wheel.sleep(self.connect_ms.get()) => continue,
                 }
             }
             let had = link.framed.read_buffer().len();
-            match self.wheel.timeout(self.connect_ms, link.framed.next()).await {
+            match self.wheel.timeout(self.connect_ms.get(), link.framed.next()).await {
                 Some(reply) => return reply,
                 None if link.framed.read_buffer().len() > had => {}
                 None => return Some(Err(HttpError::Malformed("an answer that stands still"))),
--- a/crates/gateway/src/net/service_table.rs
+++ b/crates/gateway/src/net/service_table.rs
@@ -6,13 +6,9 @@
 use futures_util::StreamExt;
 use miniserde::{json, Deserialize};
 use nickeljunction_core::facade::{RegionEntry, RegionState, ServiceTable};
-use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::sync::watch;
-use tokio::task::AbortHandle;
 use tokio_util::codec::Framed;
 
 /// Discovery sends an empty line every 2 s: silence beyond that is a dead watch, ms.
@@ -77,43 +73,8 @@
     })
 }
 
-/// Watches discovery from version `rev` on and passes on each change, for as long as it is polled. A new
-/// address is asked for the whole list, since its versions need not be those of the old one; until it has
-/// told that list, the watch at the old address goes on.
-pub async fn watch(
-    mut addresses: watch::Receiver<SocketAddr>,
-    rev: u64,
-    wheel: Wheel,
-    told: impl Fn(ServiceTable) + 'static,
-) {
-    let told = Rc::new(told);
-    let former: Rc<RefCell<Vec<AbortHandle>>> = Rc::default();
-    let (mut address, mut rev) = (*addresses.borrow_and_update(), rev);
-    loop {
-        let replaced = former.borrow().clone();
-        let (told, all) = (told.clone(), former.clone());
-        let task = tokio::task::spawn_local(follow(address, rev, wheel.clone(), move |table| {
-            // The present watch speaks: those before it have had their time.
-            replaced.iter().for_each(AbortHandle::abort);
-            all.borrow_mut().retain(|task| !task.is_finished());
-            told(table);
-        }));
-        former.borrow_mut().push(task.abort_handle());
-        loop {
-            if addresses.changed().await.is_err() {
-                return std::future::pending().await;
-            }
-            let next = *addresses.borrow_and_update();
-            if next != address {
-                (address, rev) = (next, 0);
-                break;
-            }
-        }
-    }
-}
-
-/// Watches discovery at one address.
-async fn follow(address: SocketAddr, mut rev: u64, wheel: Wheel, told: impl Fn(ServiceTable)) {
+/// Watches discovery at one address from version `rev` on, for as long as it is polled.
+pub async fn follow(address: SocketAddr, mut rev: u64, wheel: Wheel, told: impl Fn(ServiceTable)) {
     let mut backoff = BACKOFF_MS;
     loop {
         let heard = session(address, &mut rev, &wheel, &told).await;
--- a/crates/gateway/src/net/terminal.rs
+++ b/crates/gateway/src/net/terminal.rs
@@ -5,6 +5,7 @@
 use crate::net::inbox::{Inbox, Input, OpenId, OpenIds, Parcel};
 use crate::net::wheel::Wheel;
 use crate::reception::{request_id, Front};
+use crate::tally::Tally;
 use bytes::BytesMut;
 use futures_util::{SinkExt, StreamExt};
 use nickeljunction_core::life::Answer;
@@ -86,8 +87,10 @@
 
 /// What all terminals share.
 pub struct Terminals {
-    /// Reads requests.
-    pub front: Box<dyn Front>,
+    /// Reads requests; another may take its place between two turns.
+    pub front: RefCell<Rc<dyn Front>>,
+    /// Counts answers while a change may have to be judged by them; off without an operators' document.
+    pub tally: Option<Rc<Tally>>,
     /// To the core loop.
     pub inbox: Inbox,
     /// Descriptors.
@@ -326,9 +329,16 @@
         let (status, text) = if ready { (200, "ready\n") } else { (503, "not ready\n") };
         return Some(TerminalReply::text(status, text));
     }
-    let intake = match terminals.front.take_in(&request) {
+    // A front that is replaced meanwhile still finishes the request that it has begun to read.
+    let front = terminals.front.borrow().clone();
+    let intake = match front.take_in(&request) {
         Ok(intake) => intake,
-        Err(reply) => return Some(reply),
+        Err(reply) => {
+            if let Some(tally) = &terminals.tally {
+                tally.turned_away(terminals.wheel.now(), request.headers.get("x-contract"));
+            }
+            return Some(reply);
+        }
     };
     let id = match request_id(&request) {
         Ok(id) => OpenId::take(&terminals.ids, id),
@@ -339,7 +349,8 @@
     };
     let (key, at) = (terminals.inbox.next_key(), terminals.wheel.now());
     let (reply, mut answered) = oneshot::channel();
-    terminals.inbox.tell(Input::Arrive(key, at, intake, Parcel { request, id, reply }));
+    let mark = terminals.tally.as_ref().map(|tally| tally.mark(at, &intake));
+    terminals.inbox.tell(Input::Arrive(key, at, intake, Parcel { request, id, reply, mark }));
     loop {
         tokio::select! {
             biased;
--- a/crates/gateway/src/plugin.rs
+++ b/crates/gateway/src/plugin.rs
@@ -11,6 +11,7 @@
 use rhai::{CallFnOptions, Dynamic, Engine, Map, Scope, AST};
 use std::cell::Cell;
 use std::path::Path;
+use std::rc::Rc;
 
 /// Most steps of one call.
 const MOST_STEPS: u64 = 5_000;
@@ -167,7 +168,7 @@
 /// A front with a script behind it.
 pub struct Hooked {
     /// Reads requests.
-    pub front: Box<dyn Front>,
+    pub front: Rc<dyn Front>,
     /// Reviews them.
     pub plugin: Plugin,
 }
