--- a/crates/config/src/ballot.rs
+++ b/crates/config/src/ballot.rs
@@ -309,7 +309,9 @@
             Step::TakeBack(_) if part != Part::Open => drop(self.back.remove(0)),
             Step::TakeBack(_) => {}
         }
-        self.next = now + if matches!(reply, Reply::Total(_)) { 0.0 } else { RETRY_MS };
+        // The few marks are spread: a counter that is dark for seconds must not use them up.
+        let retry = RETRY_MS * if step == Step::Mark { 4f64.powi(i32::from(self.marks_made)) } else { 1.0 };
+        self.next = now + if matches!(reply, Reply::Total(_)) { 0.0 } else { retry };
         let Reply::Total(total) = reply else { return };
         if step == Step::Read {
             let at_once = self.wants_seal && !std::mem::replace(&mut self.looked, self.wants_seal);
--- a/crates/gateway/src/change.rs
+++ b/crates/gateway/src/change.rs
@@ -101,6 +101,8 @@
     wheel: Wheel,
     force: Option<InForce>,
     watching: bool,
+    /// When the guard last looked, ms.
+    looked: f64,
     /// The last alarm, for the status.
     alarm: Option<String>,
     tried: mpsc::UnboundedSender<Trial>,
@@ -198,6 +200,7 @@
             wheel,
             force: None,
             watching: false,
+            looked: 0.0,
             alarm: None,
             tried,
             trials,
@@ -213,12 +216,12 @@
         mut counted: mpsc::UnboundedReceiver<(String, CounterReply)>,
     ) {
         loop {
-            let now = self.wheel.now();
-            let mut next = self.machine.next_tick();
-            if self.watching {
-                next = next.min(now + WATCH_MS);
-            }
+            // From the last look, not from now: commands that come thick and fast must not put it off for ever.
+            let look = if self.watching { self.looked + WATCH_MS } else { f64::INFINITY };
+            let next = self.machine.next_tick().min(look);
             tokio::select! {
+                biased;
+                () = self.wheel.sleep_until(next), if next.is_finite() => self.tick(),
                 Some((ask, told)) = commands.recv() => self.command(ask, told).await,
                 Some((name, reply)) = counted.recv() => {
                     let reply = match reply {
@@ -233,20 +236,25 @@
                     self.carry_out().await;
                     let _ = told.send(came_to);
                 }
-                () = self.wheel.sleep_until(next), if next.is_finite() => {
-                    let now = self.wheel.now();
-                    self.machine.tick(now);
-                    if let Some(alarm) = self.live.tally.tick(now).filter(|_| self.watching) {
-                        let epoch = self.machine.change().map_or(0, |change| change.epoch);
-                        self.alarm = Some(alarm.to_string());
-                        self.machine.tripped(now, epoch, &alarm.to_string());
-                    }
-                }
             }
             self.carry_out().await;
         }
     }
 
+    fn tick(&mut self) {
+        let now = self.wheel.now();
+        self.machine.tick(now);
+        if !self.watching {
+            return;
+        }
+        self.looked = now;
+        if let Some(alarm) = self.live.tally.tick(now) {
+            let epoch = self.machine.change().map_or(0, |change| change.epoch);
+            self.alarm = Some(alarm.to_string());
+            self.machine.tripped(now, epoch, &alarm.to_string());
+        }
+    }
+
     async fn carry_out(&mut self) {
         loop {
             let effects = self.machine.effects();
@@ -307,7 +315,7 @@
             return;
         };
         let scope = new.scope(old, &self.live.places());
-        (self.watching, self.alarm) = (true, None);
+        (self.watching, self.looked, self.alarm) = (true, self.wheel.now(), None);
         self.live.tally.watch(self.wheel.now(), Some((epoch, scope)));
     }
 
