--- a/crates/gateway/benches/changes.rs
+++ b/crates/gateway/benches/changes.rs
@@ -1,7 +1,7 @@
 //! Figures of configuration transactions over real processes. Needs the machine to itself.
 //!
 //! `cargo bench -p nickeljunction --bench changes` makes all; an argument picks some: `rollback`, `swap`, `cpu`;
-//! `runs=20` sets how often. With `OTHER=path/to/a/gateway` the costs are paired with those of another build.
+//! `runs=20` sets how often, `only=plan` which changes. With `OTHER=path/to/a/gateway` the costs are paired with those of another build.
 
 #[path = "../tests/fleet/mod.rs"]
 mod fleet;
@@ -25,22 +25,24 @@
     println!("\nrollback: 190 requests/s, 3 gateways (1 for the plan), {runs} runs each");
     println!("{:<38} {:>9} {:>9} {:>9} {:>8}", "change", "median s", "worst s", "bad, med", "answers");
     let small = ("a plan a hundred times too small", SMALL_PLAN, &[][..]);
+    let only = std::env::args().find_map(|word| word.strip_prefix("only=").map(str::to_string));
     for (name, sections, files) in BAD.into_iter().chain([small]) {
+        if only.as_ref().is_some_and(|only| !name.contains(only.as_str())) {
+            continue;
+        }
         let gateways = if name == small.0 { 1 } else { 3 };
         let fleet = Fleet::start(gateways, 4);
-        let load = fleet.load(190.0);
+        // What the guard knows of the time before.
+        let warm = fleet.load(190.0);
         sleep(5_000);
+        warm.stop();
         let (mut seconds, mut bad, mut seen) = (Vec::new(), Vec::new(), 0);
-        for run in 0..runs {
-            // The load ends after a minute: a new one goes on.
-            let load = if run == 0 { None } else { Some(fleet.load(190.0)) };
-            if load.is_some() {
-                sleep(1_000);
-            }
+        for _ in 0..runs {
+            let load = fleet.load(190.0);
+            sleep(700);
             fleet.push(sections, files, "50s");
             fleet.settle(LONG);
-            sleep(500);
-            let Some(load) = load else { continue };
+            sleep(400);
             let answers = load.stop();
             fleet.check(&answers);
             let (count, took) = spoilt(&answers);
@@ -48,14 +50,6 @@
             bad.push(count as f64);
             seen += answers.len();
         }
-        let answers = load.stop();
-        fleet.check(&answers);
-        seen += answers.len();
-        let (count, took) = spoilt(&answers);
-        if seconds.is_empty() {
-            seconds.push(took);
-            bad.push(count as f64);
-        }
         let worst = seconds.iter().copied().fold(0.0, f64::max);
         println!("{name:<38} {:>9.2} {worst:>9.2} {:>9.0} {seen:>8}", median(&mut seconds), median(&mut bad));
     }
@@ -114,7 +108,7 @@
     println!("pause of the core loop: median {:.0} us, worst {worst:.0} us", median(&mut took));
 }
 
-/// Processor time a request, in turns: without a document, with a quiet one, on trial, and another build's.
+/// Processor time a request, side by side: without a document, with a quiet one, on trial, and another build's.
 fn cpu(runs: usize) {
     let own = env!("CARGO_BIN_EXE_nickeljunction");
     let other = std::env::var("OTHER").ok();
@@ -129,35 +123,43 @@
     }
     let mut costs: Vec<Vec<f64>> = variants.iter().map(|_| Vec::new()).collect();
     for _ in 0..runs {
-        for (at, (_, program, document, trial)) in variants.iter().enumerate() {
-            let fleet = Fleet::of(program, 1, 4, *document);
-            let warm = fleet.load(300.0);
-            sleep(1_000);
-            warm.stop();
+        // All at the same time: whatever else the machine does, it does to each of them.
+        let fleets: Vec<Fleet> =
+            variants.iter().map(|(_, program, document, _)| Fleet::of(program, 1, 3, *document)).collect();
+        let warm: Vec<_> = fleets.iter().map(|fleet| fleet.load(300.0)).collect();
+        sleep(1_500);
+        warm.into_iter().for_each(|load| drop(load.stop()));
+        for (fleet, (.., trial)) in fleets.iter().zip(&variants) {
             if *trial {
                 fleet.push(r#""limits":{"max_attempts":4}"#, &[], "50s");
             }
-            let before = fleet.gateways[0].cpu();
-            let load = fleet.load(1_500.0);
-            sleep(6_000);
-            let answers = load.stop();
-            let spent = fleet.gateways[0].cpu() - before;
-            costs[at].push(spent / answers.len() as f64 * 1e6);
+        }
+        let before: Vec<f64> = fleets.iter().map(|fleet| fleet.gateways[0].cpu()).collect();
+        let loads: Vec<_> = fleets.iter().map(|fleet| fleet.load(400.0)).collect();
+        sleep(12_000);
+        let answers: Vec<usize> = loads.into_iter().map(|load| load.stop().len()).collect();
+        for (at, fleet) in fleets.iter().enumerate() {
+            costs[at].push((fleet.gateways[0].cpu() - before[at]) / answers[at] as f64 * 1e6);
         }
     }
-    println!("\ncpu: us a request at 1,500 requests/s, {runs} rounds in turn");
-    let medians: Vec<f64> = costs.iter_mut().map(|costs| median(costs)).collect();
-    for ((name, ..), cost) in variants.iter().zip(&medians) {
-        println!("{name:<18} {cost:>7.1}   {:.3} of the first", cost / medians[0]);
+    println!(
+        "\ncpu: us a request, {} gateways at the same time with 400 requests/s each, {runs} rounds",
+        costs.len()
+    );
+    for (at, (name, ..)) in variants.iter().enumerate() {
+        let mut ratios: Vec<f64> = costs[at].iter().zip(&costs[0]).map(|(own, first)| own / first).collect();
+        let ratio = median(&mut ratios);
+        let (least, most) = (ratios[0], ratios[ratios.len() - 1]);
+        let cost = median(&mut costs[at].clone());
+        println!("{name:<18} {cost:>7.1}   {ratio:.3} of the first ({least:.3} to {most:.3})");
     }
 }
 
 fn main() {
     let words: Vec<String> = std::env::args().skip(1).filter(|word| !word.starts_with("--")).collect();
     let runs = words.iter().find_map(|word| word.strip_prefix("runs=")?.parse().ok()).unwrap_or(20);
-    let wanted = |name: &str| {
-        words.iter().all(|word| word.starts_with("runs=")) || words.iter().any(|word| word == name)
-    };
+    let wanted =
+        |name: &str| words.iter().all(|word| word.contains('=')) || words.iter().any(|word| word == name);
     if wanted("rollback") {
         rollback(runs);
     }
