Record what gateways see and decide, and run it through the decision module again

Need: when a centre says that a donor was double-booked, the operators must replay exactly what the gateways saw and decided. The clock is rounded to 1/1024 ms so that a replay has the very same times; settings are written as pairs that come back to the bit.

--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -40,6 +40,9 @@
     /// Time-outs.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub timeouts: Option<Timeouts>,
+    /// Trace files of what is seen and decided.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub trace: Option<TraceFiles>,
     /// When a change on trial is taken back by itself.
     #[serde(default)]
     pub guard: GuardFigures,
@@ -244,6 +247,46 @@
     pub max_retry_after_ms: Option<f64>,
 }
 
+/// Trace files of what is seen and decided.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct TraceFiles {
+    /// Folder of the files, beside the document; made if it is not there.
+    pub folder: String,
+    /// A file is ended at this length, MiB.
+    #[schemars(range(min = 1, max = 65536))]
+    #[serde(default = "file_mb")]
+    pub file_mb: f64,
+    /// A file is ended at this age, minutes.
+    #[schemars(range(min = 0.01, max = 100000))]
+    #[serde(default = "file_minutes")]
+    pub file_minutes: f64,
+    /// The oldest files go when all together are longer than this, MiB.
+    #[schemars(range(min = 1, max = 1048576))]
+    #[serde(default = "total_mb")]
+    pub total_mb: f64,
+    /// Files go at this age, hours.
+    #[schemars(range(min = 0.01, max = 100000))]
+    #[serde(default = "keep_hours")]
+    pub keep_hours: f64,
+}
+
+fn file_mb() -> f64 {
+    64.0
+}
+
+fn file_minutes() -> f64 {
+    60.0
+}
+
+fn total_mb() -> f64 {
+    1024.0
+}
+
+fn keep_hours() -> f64 {
+    168.0
+}
+
 /// Time-outs.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -304,8 +347,8 @@
 }
 
 /// The sections that change at run time, by their keys.
-pub const SECTIONS: [&str; 8] =
-    ["routes", "plugin", "roster", "counter", "plans", "limits", "timeouts", "guard"];
+pub const SECTIONS: [&str; 9] =
+    ["routes", "plugin", "roster", "counter", "plans", "limits", "timeouts", "trace", "guard"];
 
 impl Document {
     /// What the gateway's settings become under this document. `base` is what it was started with.
--- a/crates/core/src/facade.rs
+++ b/crates/core/src/facade.rs
@@ -198,10 +198,49 @@
     Limiter::new(settings.clone(), 0).map(drop)
 }
 
+/// What goes into the module.
+#[derive(Debug)]
+pub enum Input<'a> {
+    /// A request.
+    Taken(RequestKey, &'a Intake),
+    /// A report.
+    Reported(&'a Report),
+    /// A tick that was due.
+    Tick,
+    /// The stop.
+    Retired,
+    /// New figures, and from which windows on the plans' hold, ms.
+    Tuned(&'a Settings, f64),
+}
+
+/// How a request ended for its client.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Ending {
+    /// A region's answer, with its status.
+    Served(u16),
+    /// Refused; come back after so many ms (0: not told).
+    ShortOnCapacity(f64),
+    /// Failed.
+    Failed,
+}
+
+/// Sees all that goes into the module and comes out of it, in order. Must not wait for anything.
+pub trait Tap: std::fmt::Debug {
+    /// Id and key of the request that is told next.
+    fn named(&mut self, id: &str, key: &str);
+    /// Something goes in.
+    fn input(&mut self, now: f64, input: Input<'_>);
+    /// A verdict came out.
+    fn verdict(&mut self, now: f64, verdict: &Verdict);
+    /// A client has its final answer.
+    fn answered(&mut self, now: f64, request: RequestKey, ending: Ending);
+}
+
 /// The decision module behind three calls.
 #[derive(Debug)]
 pub struct Facade {
     limiter: Limiter,
+    tap: Option<Box<dyn Tap>>,
     strict: bool,
     attempts: BTreeMap<RequestKey, usize>,
     units_top: f64,
@@ -217,7 +256,17 @@
         let units_top = settings.units_top.max(1.0);
         let limiter = Limiter::new(settings, seed)?;
         let (attempts, wake, actions) = (BTreeMap::new(), None, Vec::new());
-        Ok(Facade { limiter, strict, units_top, attempts, wake, actions })
+        Ok(Facade { limiter, tap: None, strict, units_top, attempts, wake, actions })
+    }
+
+    /// Sets or takes away who sees what goes in and out. `None` costs nothing.
+    pub fn set_tap(&mut self, tap: Option<Box<dyn Tap>>) {
+        self.tap = tap;
+    }
+
+    /// Who sees what goes in and out.
+    pub fn tap(&mut self) -> Option<&mut (dyn Tap + 'static)> {
+        self.tap.as_deref_mut()
     }
 
     /// Asks what to do with a new request. Without a verdict on it the request is held.
@@ -237,11 +286,17 @@
             retry: intake.retry,
         };
         self.attempts.insert(request, 0);
+        if let Some(tap) = &mut self.tap {
+            tap.input(now, Input::Taken(request, intake));
+        }
         self.tell(now, Event::Request(arrival))
     }
 
     /// Tells what happened.
     pub fn report(&mut self, now: f64, report: Report) -> Vec<Verdict> {
+        if let Some(tap) = &mut self.tap {
+            tap.input(now, Input::Reported(&report));
+        }
         let event = match report {
             Report::Ended { request, attempt, region, outcome, settled, latency_ms, closed } => {
                 if closed {
@@ -301,6 +356,9 @@
             None => Vec::new(),
             Some(_) => {
                 self.wake = None;
+                if let Some(tap) = &mut self.tap {
+                    tap.input(now, Input::Tick);
+                }
                 self.tell(now, Event::Timer("sweep".into()))
             }
         }
@@ -314,7 +372,10 @@
     /// Takes new figures: those of plans for windows that begin at `from` (ms) or later, the others at once. Must
     /// name the classes and plans of before in their order; new plans come last.
     /// [`check`] must have found them good.
-    pub fn retune(&mut self, settings: Settings, from: f64) {
+    pub fn retune(&mut self, now: f64, settings: Settings, from: f64) {
+        if let Some(tap) = &mut self.tap {
+            tap.input(now, Input::Tuned(&settings, from));
+        }
         let settings = twinned(settings, self.strict);
         self.units_top = settings.units_top.max(1.0);
         self.limiter.retune(settings, from);
@@ -327,6 +388,9 @@
 
     /// The program stops: the counter calls that hand unused leases back.
     pub fn retire(&mut self, now: f64) -> Vec<Verdict> {
+        if let Some(tap) = &mut self.tap {
+            tap.input(now, Input::Retired);
+        }
         let mut actions = std::mem::take(&mut self.actions);
         self.limiter.retire(now, &mut actions);
         self.verdicts(now, actions)
@@ -374,6 +438,9 @@
             });
         }
         self.actions = actions;
+        if let Some(tap) = &mut self.tap {
+            verdicts.iter().for_each(|verdict| tap.verdict(now, verdict));
+        }
         verdicts
     }
 }
--- a/crates/core/src/life.rs
+++ b/crates/core/src/life.rs
@@ -4,7 +4,8 @@
 //! told by its methods, and the time comes with each call.
 
 use crate::facade::{
-    CounterReply, Facade, Intake, Outcome, Report, RequestKey, RoutedTask, ServiceTable, Settings, Verdict,
+    CounterReply, Ending, Facade, Intake, Outcome, Report, RequestKey, RoutedTask, ServiceTable, Settings,
+    Tap, Verdict,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -39,6 +40,14 @@
     fn count(&mut self, name: String, amount: f64, life_ms: f64);
     /// Closes idle connections to a region.
     fn close_idle(&mut self, region: &str);
+    /// Id and idempotency key of a request, for who records them.
+    fn names(_content: &Self::Content) -> (&str, &str) {
+        ("", "")
+    }
+    /// Status of a region's answer, for who records it.
+    fn status(_served: &Self::Served) -> u16 {
+        200
+    }
 }
 
 #[derive(Debug)]
@@ -97,6 +106,11 @@
         let wake = deadline.ceil() as u64;
         self.wakes.insert((wake, key));
         self.requests.insert(key, Request { content: Some(content), deadline, out: None, wake });
+        if let Some(tap) = self.facade.tap() {
+            let content = self.requests.get(&key).and_then(|entry| entry.content.as_ref());
+            let (id, idempotency) = content.map_or(("", ""), P::names);
+            tap.named(id, idempotency);
+        }
         let verdicts = self.facade.pick(now, key, &intake);
         self.carry_out(now, verdicts);
     }
@@ -117,6 +131,7 @@
         let content = served.is_some().then(|| entry.content.take()).flatten();
         let closed = entry.content.is_none();
         if let (Some(content), Some(served)) = (content, served) {
+            self.ending(now, request, Ending::Served(P::status(&served)));
             self.ports.answer(content, Answer::Served(served));
         }
         self.settle(now, request, out, outcome, settled, closed);
@@ -165,8 +180,13 @@
 
     /// Takes new figures; requests under way keep the deadline and class that they came with. See
     /// [`Facade::retune`].
-    pub fn retune(&mut self, settings: Settings, from: f64) {
-        self.facade.retune(settings, from);
+    pub fn retune(&mut self, now: f64, settings: Settings, from: f64) {
+        self.facade.retune(now, settings, from);
+    }
+
+    /// Sets or takes away who sees what goes into the module and comes out of it.
+    pub fn set_tap(&mut self, tap: Option<Box<dyn Tap>>) {
+        self.facade.set_tap(tap);
     }
 
     /// The module thinks the fleet short.
@@ -201,6 +221,7 @@
             self.settle(now, key, out, Outcome::TimedOut, 0.0, closed);
         }
         if let Some(content) = self.requests.get_mut(&key).and_then(|entry| entry.content.take()) {
+            self.ending(now, key, Ending::Failed);
             self.ports.answer(content, Answer::Failed);
             let verdicts = self.facade.report(now, Report::Left(key));
             self.carry_out(now, verdicts);
@@ -229,10 +250,13 @@
         for verdict in verdicts {
             match verdict {
                 Verdict::Route(task) => self.route(now, task),
-                Verdict::ShortOnCapacity(request, pause) => {
-                    self.answer(request, Answer::ShortOnCapacityReply(pause))
-                }
-                Verdict::Fail(request) => self.answer(request, Answer::Failed),
+                Verdict::ShortOnCapacity(request, pause) => self.answer(
+                    now,
+                    request,
+                    Answer::ShortOnCapacityReply(pause),
+                    Ending::ShortOnCapacity(pause),
+                ),
+                Verdict::Fail(request) => self.answer(now, request, Answer::Failed, Ending::Failed),
                 Verdict::GiveUp(request, attempt) => {
                     let Some(entry) = self.requests.get_mut(&request) else { continue };
                     let Some(out) = entry.out.take_if(|out| out.task.attempt == attempt) else { continue };
@@ -259,8 +283,15 @@
         self.rewake(key);
     }
 
-    fn answer(&mut self, request: RequestKey, answer: Answer<P::Served>) {
+    fn ending(&mut self, now: f64, request: RequestKey, ending: Ending) {
+        if let Some(tap) = self.facade.tap() {
+            tap.answered(now, request, ending);
+        }
+    }
+
+    fn answer(&mut self, now: f64, request: RequestKey, answer: Answer<P::Served>, ending: Ending) {
         if let Some(content) = self.requests.get_mut(&request).and_then(|entry| entry.content.take()) {
+            self.ending(now, request, ending);
             self.ports.answer(content, answer);
         }
         self.tidy(request);
--- a/crates/decide/src/wire.rs
+++ b/crates/decide/src/wire.rs
@@ -304,6 +304,76 @@
     }
 }
 
+/// Settings as the pairs that [`Line::of`] reads again, to the bit: figures are written so that they come back.
+pub fn settings_pairs(settings: &Settings) -> Vec<(String, String)> {
+    let mut pairs: Vec<(String, String)> = Vec::new();
+    let mut put = |key: &str, value: String| pairs.push((key.to_string(), value));
+    let truth = |truth: bool| truth.to_string();
+    put("Me", settings.me.to_string());
+    put("Siblings", settings.siblings.to_string());
+    put("Locality", settings.zone.clone());
+    put("StepMs", settings.step_ms.to_string());
+    put("Extra.Counter", truth(settings.counter));
+    put("Extra.CounterTimeoutMs", settings.counter_timeout_ms.to_string());
+    put("Extra.Settles", truth(settings.settles));
+    put("Extra.UnitsTop", settings.units_top.to_string());
+    put("Discovery", if settings.subscribe { "subscribe" } else { "automatic" }.to_string());
+    put("Permissions.MayCancel", truth(settings.may_cancel));
+    put("Permissions.MaxAttempts", settings.max_attempts.to_string());
+    put("Permissions.MaxRetryAfterMs", settings.max_retry_after_ms.to_string());
+    put("Permissions.RetryAfter", truth(settings.retry_after));
+    put("Permissions.Probing", truth(settings.probing));
+    put("Permissions.SecondCopies", truth(settings.second_copies));
+    put("Tariffs.Probe", settings.probe_fee.to_string());
+    put("Tariffs.CrossZone", settings.cross_zone_fee.to_string());
+    put("Guarantees.ColdFrom", settings.cold_from.to_string());
+    put("Guarantees.ColdMs", settings.cold_ms.to_string());
+    put("Guarantees.DrainGraceMs", settings.drain_grace_ms.to_string());
+    put("Guarantees.FallMultiple", settings.fall_multiple.to_string());
+    put("Guarantees.FallMs", settings.fall_ms.to_string());
+    put("Guarantees.GraceToAnswerMs", settings.answer_grace_ms.to_string());
+    put("Classes.count", settings.classes.len().to_string());
+    for (at, class) in settings.classes.iter().enumerate() {
+        let mut put = |key: &str, value: String| put(&format!("Classes.{at}.{key}"), value);
+        put("Name", class.name.clone());
+        put("AimMs", class.aim_ms.to_string());
+        put("GiveUpMs", class.give_up_ms.to_string());
+        let repeat = match class.repeat {
+            Repeat::Repeatable => "repeatable",
+            Repeat::ByKey => "by_key",
+            Repeat::Once => "once",
+        };
+        put("Repeat", repeat.to_string());
+        let group = match class.group {
+            Group::All => "all",
+            Group::Zone => "zone",
+            Group::Cell => "cell",
+        };
+        put("Group", group.to_string());
+        put("KeyTtlMs", class.key_ttl_ms.to_string());
+        put("LateShare", class.late_share.to_string());
+        put("Stream", truth(class.stream));
+        put("Worth", class.worth.to_string());
+    }
+    put("TiersOfService.count", settings.plans.len().to_string());
+    for (at, plan) in settings.plans.iter().enumerate() {
+        let mut put = |key: &str, value: f64| put(&format!("TiersOfService.{at}.{key}"), value.to_string());
+        put("Refill", plan.rate);
+        put("PeakUnits", plan.burst);
+        put("AtOnce", plan.at_once);
+        put("WorthFactor", plan.price);
+        put("ExcessWorth", plan.excess_worth);
+        put("OverCost", plan.over_cost);
+        put("CeilingRate", plan.ceiling_rate);
+        put("NeverOverDepth", plan.ceiling_burst);
+        put("CeilingSlack", plan.ceiling_slack);
+    }
+    for (at, plan) in settings.plans.iter().enumerate() {
+        pairs.push((format!("TiersOfService.{at}.Name"), plan.name.clone()));
+    }
+    pairs
+}
+
 fn read_number(key: &str, text: &str) -> Result<f64, WireError> {
     match text.parse::<f64>() {
         Ok(value) if value.is_finite() => Ok(value),
--- a/crates/decide/tests/wire.rs
+++ b/crates/decide/tests/wire.rs
@@ -104,3 +104,63 @@
         drill("FRAME\tWallMs=1\tturn=1\nSHEET\tRef=0\tMembers=2\nITEM\tMode=U\tServer=a\nGO\n");
     assert!(!fine && err.contains("line 4") && err.contains("Members"), "{err}");
 }
+
+/// A trace holds settings as pairs: a replay must have the very same.
+#[test]
+fn settings_come_back_from_their_pairs_to_the_bit() {
+    let class = Class {
+        name: "c".into(),
+        aim_ms: 0.1 + 0.2,
+        give_up_ms: 1e9 / 3.0,
+        repeat: Repeat::ByKey,
+        group: Group::Cell,
+        key_ttl_ms: 5.0,
+        late_share: 0.25,
+        stream: true,
+        worth: 3.0,
+    };
+    let plan = Plan {
+        name: "p q".into(),
+        rate: 1.0 / 3.0,
+        burst: 7.7,
+        at_once: 2.0,
+        price: 0.55,
+        excess_worth: 0.1,
+        over_cost: 1.2,
+        ceiling_rate: 2.0 / 3.0,
+        ceiling_burst: 15.4,
+        ceiling_slack: 1e-7,
+    };
+    let settings = Settings {
+        me: 2,
+        siblings: 4,
+        zone: "east-wing".into(),
+        step_ms: 2.0,
+        classes: vec![
+            class.clone(),
+            Class { name: "d".into(), repeat: Repeat::Once, group: Group::Zone, ..class },
+        ],
+        plans: vec![plan],
+        counter: true,
+        counter_timeout_ms: 30.5,
+        settles: true,
+        units_top: 6.0,
+        subscribe: true,
+        may_cancel: true,
+        max_attempts: 6,
+        max_retry_after_ms: 2_000.0,
+        retry_after: true,
+        probing: true,
+        second_copies: true,
+        probe_fee: 0.01,
+        cross_zone_fee: 0.014,
+        cold_from: 0.15,
+        cold_ms: 16_000.0,
+        drain_grace_ms: 1_000.0,
+        fall_multiple: 2.0,
+        fall_ms: 1_500.0,
+        answer_grace_ms: 50.0,
+    };
+    let pairs = nickeljunction_decide::wire::settings_pairs(&settings);
+    assert_eq!(Line::of("settings", &pairs).settings().expect("read"), settings);
+}
--- a/crates/gateway/benches/changes.rs
+++ b/crates/gateway/benches/changes.rs
@@ -122,10 +122,16 @@
         variants.insert(0, ("other build, off", other, None, false));
     }
     let mut costs: Vec<Vec<f64>> = variants.iter().map(|_| Vec::new()).collect();
-    for _ in 0..runs {
+    for run in 0..runs {
         // All at the same time: whatever else the machine does, it does to each of them.
-        let fleets: Vec<Fleet> =
-            variants.iter().map(|(_, program, document, _)| Fleet::of(program, 1, 3, *document)).collect();
+        // Started in another order each time, so that no variant always comes first.
+        let mut fleets: Vec<Option<Fleet>> = variants.iter().map(|_| None).collect();
+        for step in 0..variants.len() {
+            let at = (run + step) % variants.len();
+            let (_, program, document, _) = variants[at];
+            fleets[at] = Some(Fleet::of(program, 1, 3, document));
+        }
+        let fleets: Vec<Fleet> = fleets.into_iter().flatten().collect();
         let warm: Vec<_> = fleets.iter().map(|fleet| fleet.load(300.0)).collect();
         sleep(1_500);
         warm.into_iter().for_each(|load| drop(load.stop()));
--- a/crates/gateway/src/cli/mod.rs
+++ b/crates/gateway/src/cli/mod.rs
@@ -1,6 +1,7 @@
 //! The command line. Exit codes: 0 done, 1 failed, 2 bad use or bad input. Errors go to standard error.
 
 mod change;
+mod trace;
 
 use crate::demo;
 use crate::serve::{self, Failure, Start};
@@ -30,6 +31,9 @@
     /// Check, compare, sign and apply the operators' document
     #[command(subcommand)]
     Config(change::Config),
+    /// Look into trace files: what gateways saw and decided
+    #[command(subcommand)]
+    Trace(trace::Trace),
     /// Start a gateway in a toy world on loopback, send it requests and tell what was answered and why
     Demo(demo::Demo),
 }
@@ -100,6 +104,7 @@
         None => serve(cli.serve),
         Some(Command::Serve(serve_args)) => serve(serve_args),
         Some(Command::Config(config)) => change::run(config),
+        Some(Command::Trace(trace)) => trace::run(trace),
         Some(Command::Demo(demo)) => demo::run(&demo).map_err(Failure::Failed),
     };
     match done {
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -6,6 +6,9 @@
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+/// Parts of a millisecond that the clock tells.
+const PARTS: f64 = 1024.0;
+
 /// Milliseconds since 1970, read once, advanced by the monotonic clock.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
@@ -22,6 +25,8 @@
 
     /// Now, ms.
     pub fn now(&self) -> f64 {
-        self.unix_at_start + self.start.elapsed().as_secs_f64() * 1000.0
+        let now = self.unix_at_start + self.start.elapsed().as_secs_f64() * 1000.0;
+        // To the 1024th: a trace tells times in these, and a replay must have the very same.
+        (now * PARTS).floor() / PARTS
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod net;
 pub mod plugin;
 pub mod reception;
+pub mod record;
 pub mod serve;
 pub mod tally;
--- a/crates/gateway/src/live.rs
+++ b/crates/gateway/src/live.rs
@@ -11,18 +11,20 @@
 use crate::net::wheel::Wheel;
 use crate::plugin::{Hooked, Plugin};
 use crate::reception::Front;
+use crate::record::{Place, Recorder};
 use crate::tally::Tally;
 use nickeljunction_config::bundle::{fingerprint, Bundle};
 use nickeljunction_config::check::Checked;
-use nickeljunction_config::document::{smaller, Document, Roster, SECTIONS};
+use nickeljunction_config::document::{smaller, Document, Roster, TraceFiles, SECTIONS};
 use nickeljunction_config::guard::Scope;
 use nickeljunction_config::problem::Problem;
 use nickeljunction_config::transaction::{Epoch, Figures, InForce};
-use nickeljunction_core::facade::{check, Plan, Settings};
+use nickeljunction_core::facade::{check, Plan, Settings, Tap};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
@@ -72,6 +74,8 @@
     pub source: RefCell<Source>,
     /// The counter by these.
     pub counter: Cell<Option<SocketAddr>>,
+    /// Where the operators' document is; empty without one.
+    pub document: PathBuf,
 }
 
 /// A document that is built and can be put in force.
@@ -91,6 +95,18 @@
     counter: Option<SocketAddr>,
     connect_ms: f64,
     idle_close_ms: f64,
+    trace: Option<Place>,
+}
+
+fn place(document: &Path, files: &TraceFiles) -> Place {
+    const MIB: f64 = 1024.0 * 1024.0;
+    Place {
+        folder: crate::serve::beside(document, &files.folder),
+        file_bytes: (files.file_mb * MIB) as u64,
+        file_age: Duration::from_secs_f64(files.file_minutes * 60.0),
+        total_bytes: (files.total_mb * MIB) as u64,
+        keep: Duration::from_secs_f64(files.keep_hours * 3600.0),
+    }
 }
 
 fn source_of(roster: &Roster) -> Option<Source> {
@@ -104,6 +120,11 @@
 }
 
 impl Prepared {
+    /// Where its traces go; none: nothing is recorded.
+    pub fn trace(&self) -> Option<&Place> {
+        self.trace.as_ref()
+    }
+
     /// Builds a document: its settings, routes and script. Opens no connection.
     ///
     /// # Errors
@@ -135,6 +156,8 @@
             counter: document.counter.as_ref().and_then(|counter| counter.address.parse().ok()),
             connect_ms: times.connect_ms.unwrap_or(base.config.connect_ms),
             idle_close_ms: times.idle_close_ms.unwrap_or(base.config.idle_close_ms),
+            // The folder is taken from where the gateway's own document is, whatever file was staged.
+            trace: document.trace.as_ref().map(|files| place(&base.document, files)),
             settings,
             value: checked.value,
             document,
@@ -276,6 +299,8 @@
     pub tally: Rc<Tally>,
     /// Plans by the places that the module knows them under, with the figures that they last had.
     pub places: RefCell<Vec<Plan>>,
+    /// Where traces go at present.
+    pub recording: RefCell<Option<Place>>,
     /// The document in force has a roster, a counter of its own: SIGHUP does not move those.
     pub pinned: Rc<Pinned>,
 }
@@ -335,7 +360,15 @@
         let (sources, counters) = (self.source.clone(), self.counter.clone());
         let timeout = self.counter_timeout_ms.clone();
         let figures = sections.document.guard.clone();
-        Some(Box::new(move |core, _| {
+        let moves = *self.recording.borrow() != sections.trace;
+        let recorder = moves.then(|| {
+            self.recording.replace(sections.trace.clone());
+            sections.trace.clone().map(|place| Recorder::start(&self.base.config.name, place))
+        });
+        Some(Box::new(move |core, now| {
+            if let Some(recorder) = recorder {
+                core.record(recorder.map(|recorder| Box::new(recorder) as Box<dyn Tap>));
+            }
             terminals.front.replace(sections.front.clone());
             timeout.set(settings.counter_timeout_ms);
             counters.send_if_modified(|old| std::mem::replace(old, counter) != counter);
@@ -346,7 +379,7 @@
             });
             tally.retune(&figures, &settings, force.sections);
             core.retime(sections.connect_ms, sections.idle_close_ms);
-            core.retune(settings, force.from);
+            core.retune(now, settings, force.from);
         }))
     }
 }
--- a/crates/gateway/src/net/hub.rs
+++ b/crates/gateway/src/net/hub.rs
@@ -7,7 +7,7 @@
 use crate::net::wheel::Wheel;
 use crate::tally::Tally;
 use bytes::{Bytes, BytesMut};
-use nickeljunction_core::facade::{Outcome, RequestKey, RoutedTask, Settings};
+use nickeljunction_core::facade::{Outcome, RequestKey, RoutedTask, Settings, Tap};
 use nickeljunction_core::life::{Answer, Core, Ports};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -101,11 +101,24 @@
     fn close_idle(&mut self, region: &str) {
         self.regions.close_idle(region);
     }
+
+    fn names(parcel: &Parcel) -> (&str, &str) {
+        let head = &parcel.request.headers;
+        (head.get("request-id").unwrap_or_default(), head.get("idempotency-key").unwrap_or_default())
+    }
+
+    fn status(reply: &RegionReply) -> u16 {
+        reply.status
+    }
 }
 
 impl Swap for Core<World> {
-    fn retune(&mut self, settings: Settings, from: f64) {
-        Core::retune(self, settings, from);
+    fn retune(&mut self, now: f64, settings: Settings, from: f64) {
+        Core::retune(self, now, settings, from);
+    }
+
+    fn record(&mut self, tap: Option<Box<dyn Tap>>) {
+        self.set_tap(tap);
     }
 
     fn retime(&mut self, connect_ms: f64, idle_ms: f64) {
--- a/crates/gateway/src/net/inbox.rs
+++ b/crates/gateway/src/net/inbox.rs
@@ -3,7 +3,7 @@
 
 use crate::http::{RegionReply, TerminalRequest};
 use crate::tally::Mark;
-use nickeljunction_core::facade::{CounterReply, Intake, Outcome, RequestKey, ServiceTable, Settings};
+use nickeljunction_core::facade::{CounterReply, Intake, Outcome, RequestKey, ServiceTable, Settings, Tap};
 use nickeljunction_core::life::Answer;
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
@@ -47,9 +47,11 @@
 /// What can be exchanged between two turns. None of it can fail.
 pub trait Swap {
     /// New figures; see [`nickeljunction_core::facade::Facade::retune`].
-    fn retune(&mut self, settings: Settings, from: f64);
+    fn retune(&mut self, now: f64, settings: Settings, from: f64);
     /// New time-outs of connections to regions, ms: to come up, and until regions close idle ones.
     fn retime(&mut self, connect_ms: f64, idle_ms: f64);
+    /// Another recorder, or none.
+    fn record(&mut self, tap: Option<Box<dyn Tap>>);
 }
 
 /// Where socket tasks put what they have to tell, and numbers for requests.
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -14,6 +14,7 @@
 use crate::net::roster::{self, Source};
 use crate::net::terminal::{self, Phase, Terminals};
 use crate::net::wheel::Wheel;
+use crate::record::Recorder;
 use crate::tally::Tally;
 use nickeljunction_config::bundle::{Bundle, Key};
 use nickeljunction_config::document::Daemon;
@@ -256,6 +257,7 @@
         files,
         source: RefCell::new(source.clone()),
         counter: Cell::new(config.counter),
+        document: start.document.clone().unwrap_or_default(),
         config,
     });
     let config = &base.config;
@@ -310,6 +312,13 @@
         wheel: wheel.clone(),
     };
     let mut core = Core::new(facade, world);
+    // Recording begins before anything goes into the module: only then can it be replayed.
+    let recording = boot.as_ref().and_then(|boot| boot.confirmed().trace().cloned());
+    if let Some(place) = &recording {
+        let mut recorder = Recorder::start(&config.name, place.clone());
+        recorder.boot(wheel.now(), &config.name, config.seed, true, &config.settings);
+        core.set_tap(Some(Box::new(recorder)));
+    }
     regions.follow(&config.known);
     let (rev, listed) = (config.known.rev, !config.known.regions.is_empty());
     core.table(wheel.now(), config.known.clone(), true);
@@ -351,6 +360,7 @@
             counter_timeout_ms,
             tally,
             places: RefCell::new(config.settings.plans.clone()),
+            recording: RefCell::new(recording),
             pinned,
         };
         let Opened { keys, history, control, .. } = opened;
@@ -393,6 +403,8 @@
         }
     }
     let _ = wheel.timeout(100.0, retire()).await;
+    // What was recorded goes to the disk with the recorder.
+    inbox.tell(Input::Turn(Box::new(|core, _| core.record(None))));
     // The calls are written and answered in this time or not at all.
     wheel.sleep(config.settings.counter_timeout_ms.min(100.0) + 10.0).await;
     tracing::info!("stopped");
