Give back what a batch holds above a smaller store when a plan shrinks

Change: a pool that is fitted to a smaller store hands the excess to the next call, as idle batches are (tune.rs; the policy file is unchanged). Result: a test of the module fails without it (2 served out of a store of one); the test of rollbacks now has at least 200 requests in flight, it had 50.

--- a/crates/decide/src/tune.rs
+++ b/crates/decide/src/tune.rs
@@ -51,5 +51,10 @@
         pool.fitted = stamp;
         (pool.strict, pool.spare, pool.spare_rate) = (new.strict, new.spare, new.spare_rate);
         (pool.rate, pool.cap, pool.span) = (new.rate, new.cap, new.span);
+        // A batch can't be larger than the store: what lies above a smaller one goes back with the next call, or a
+        // franchisee would go on for half a window as if nothing had changed.
+        let above = (pool.held - pool.cap).max(0.0);
+        pool.held -= above;
+        pool.fix -= above;
     }
 }
--- a/crates/decide/tests/module.rs
+++ b/crates/decide/tests/module.rs
@@ -1295,6 +1295,52 @@
     assert!(told(&mut rig, "e").1, "the store of 20 is back, with what was spent of it");
 }
 
+/// What a batch holds above a smaller store goes back to the counter, and is not spent.
+#[test]
+fn a_smaller_store_takes_back_what_is_held_above_it() {
+    let mut rig = Rig::new(settings(), 2);
+    let mut total = 0.0;
+    let mut out = rig.request("a", "safe", "soft");
+    let mut at = 0;
+    while let Some((name, amount)) = counts(&out).get(at).cloned() {
+        total += amount;
+        at += 1;
+        out.extend(rig.counted(&name, Status::Ok, total));
+    }
+    // Enough use for a batch of several units.
+    for number in 0..12 {
+        rig.now += 20.0;
+        let mut out = rig.request(&format!("b{number}"), "safe", "soft");
+        let mut at = 0;
+        while let Some((name, amount)) = counts(&out).get(at).cloned() {
+            total += amount;
+            at += 1;
+            out.extend(rig.counted(&name, Status::Ok, total));
+        }
+        for (id, server) in sends(&out) {
+            rig.outcome(&id, 0, &server, Status::Ok);
+        }
+    }
+    let mut small = settings();
+    small.plans[0] = plan("soft", 0.1, 1.0, 0.0, 0.0);
+    rig.limiter.retune(small, f64::NEG_INFINITY);
+    let mut served = 0;
+    let mut back = 0.0f64;
+    for number in 0..8 {
+        let mut out = rig.request(&format!("c{number}"), "safe", "soft");
+        let mut at = 0;
+        while let Some((name, amount)) = counts(&out).get(at).cloned() {
+            back = back.min(amount);
+            total += amount;
+            at += 1;
+            out.extend(rig.counted(&name, Status::Ok, total));
+        }
+        served += sends(&out).len();
+    }
+    assert!(served <= 1, "{served} served out of a store of one");
+    assert!(back <= -1.0, "units went back: {back}");
+}
+
 #[test]
 fn a_plan_that_came_later_is_known_and_the_others_keep_their_places() {
     let mut rig = Rig::new(settings(), 1);
--- a/crates/gateway/tests/transactions.rs
+++ b/crates/gateway/tests/transactions.rs
@@ -103,11 +103,11 @@
 /// its one answer.
 #[test]
 fn a_rollback_with_hundreds_in_flight_leaves_each_exactly_one_answer() {
-    let fleet = Fleet::start(1, 6);
-    let slow = region::Manner { work: Duration::from_millis(400), ..region::Manner::default() };
+    let fleet = Fleet::start(1, 12);
+    let slow = region::Manner { work: Duration::from_millis(600), ..region::Manner::default() };
     fleet.regions.iter().for_each(|region| region.set(slow));
     fleet.regions[0].set(region::Manner { fail_every: 5, ..slow });
-    let load = fleet.load(300.0);
+    let load = fleet.load(500.0);
     pause(1_500);
     for _ in 0..3 {
         fleet.push(r#""limits":{"max_attempts":2},"timeouts":{"connect_ms":400}"#, &[], "50s");
@@ -121,7 +121,7 @@
         .iter()
         .map(|one| answers.iter().filter(|other| other.sent <= one.sent && other.done > one.sent).count());
     let most = in_flight.max().unwrap_or(0);
-    assert!(most >= 50, "{most} in flight at most: too few to prove anything");
+    assert!(most >= 200, "{most} in flight at most: too few to prove anything");
     let history = fleet.gateways[0].done(&["history"]);
     assert_eq!(history.matches("rolled back: by ann: to try").count(), 3, "{history}");
 }
