Kill the gateway while commands run, and record the epoch of new figures

Cause: the test of kills waited for its commands before it killed, so no kill fell into a transaction, and it held an assertion that could not fail; traces told epoch 0 for all new figures. Change: the process is struck while the commands run, at 14 moments from 0 to 53 ms; the epoch goes through the tap.

--- a/crates/core/src/facade.rs
+++ b/crates/core/src/facade.rs
@@ -209,8 +209,8 @@
     Tick,
     /// The stop.
     Retired,
-    /// New figures, and from which windows on the plans' hold, ms.
-    Tuned(&'a Settings, f64),
+    /// New figures, from which windows on the plans' hold, ms, and the document's epoch.
+    Tuned(&'a Settings, f64, u64),
 }
 
 /// How a request ended for its client.
@@ -372,9 +372,9 @@
     /// Takes new figures: those of plans for windows that begin at `from` (ms) or later, the others at once. Must
     /// name the classes and plans of before in their order; new plans come last.
     /// [`check`] must have found them good.
-    pub fn retune(&mut self, now: f64, settings: Settings, from: f64) {
+    pub fn retune(&mut self, now: f64, settings: Settings, from: f64, epoch: u64) {
         if let Some(tap) = &mut self.tap {
-            tap.input(now, Input::Tuned(&settings, from));
+            tap.input(now, Input::Tuned(&settings, from, epoch));
         }
         let settings = twinned(settings, self.strict);
         self.units_top = settings.units_top.max(1.0);
--- a/crates/core/src/life.rs
+++ b/crates/core/src/life.rs
@@ -180,8 +180,8 @@
 
     /// Takes new figures; requests under way keep the deadline and class that they came with. See
     /// [`Facade::retune`].
-    pub fn retune(&mut self, now: f64, settings: Settings, from: f64) {
-        self.facade.retune(now, settings, from);
+    pub fn retune(&mut self, now: f64, settings: Settings, from: f64, epoch: u64) {
+        self.facade.retune(now, settings, from, epoch);
     }
 
     /// Sets or takes away who sees what goes into the module and comes out of it.
--- a/crates/gateway/src/live.rs
+++ b/crates/gateway/src/live.rs
@@ -379,7 +379,7 @@
             });
             tally.retune(&figures, &settings, force.sections);
             core.retime(sections.connect_ms, sections.idle_close_ms);
-            core.retune(now, settings, force.from);
+            core.retune(now, settings, force.from, force.sections);
         }))
     }
 }
--- a/crates/gateway/src/net/hub.rs
+++ b/crates/gateway/src/net/hub.rs
@@ -113,8 +113,8 @@
 }
 
 impl Swap for Core<World> {
-    fn retune(&mut self, now: f64, settings: Settings, from: f64) {
-        Core::retune(self, now, settings, from);
+    fn retune(&mut self, now: f64, settings: Settings, from: f64, epoch: u64) {
+        Core::retune(self, now, settings, from, epoch);
     }
 
     fn record(&mut self, tap: Option<Box<dyn Tap>>) {
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -137,8 +137,8 @@
             }
             Input::Tick => Event::Tick,
             Input::Retired => Event::Retired,
-            Input::Tuned(settings, from) => {
-                Event::Tuned { epoch: 0, settings: settings_pairs(settings), from }
+            Input::Tuned(settings, from, epoch) => {
+                Event::Tuned { epoch, settings: settings_pairs(settings), from }
             }
         };
         self.add(now, &event);
--- a/crates/gateway/tests/transactions.rs
+++ b/crates/gateway/tests/transactions.rs
@@ -132,6 +132,7 @@
 fn killed_at_any_moment_the_last_confirmed_document_is_back() {
     let mut fleet = Fleet::start(1, 2);
     let sections = r#""limits":{"max_attempts":2}"#;
+    let mut seen = std::collections::BTreeSet::new();
     for round in 0..14u64 {
         let gateway = &mut fleet.gateways[0];
         gateway
@@ -150,10 +151,9 @@
                     }
                 }
             });
-            // Each step takes a few ms: the moments lie all over them.
-            std::thread::sleep(Duration::from_micros(1_500 * (round + 1) + 317 * (round % 5)));
-            let pid = std::fs::read_dir("/proc").is_ok();
-            assert!(pid, "processes can be seen");
+            // Each command takes some ms: the moments lie all over them. Struck before the scope waits for them.
+            std::thread::sleep(Duration::from_micros(4_000 * round + 317 * (round % 5)));
+            gateway.strike();
         });
         fleet.gateways[0].kill();
         fleet.gateways[0].again().unwrap_or_else(|why| panic!("round {round}: {why}"));
@@ -169,10 +169,17 @@
             confirmed.and_then(|line| line.split("epoch ").nth(1)?.split(' ').next()).expect("an epoch");
         assert!(status.contains(&format!("\"confirmed\": {epoch},")), "{status}\n{history}");
         assert!(status.contains(&format!("\"sections\": {epoch}")), "{status}\n{history}");
+        let last = history.lines().last().unwrap_or_default();
+        seen.extend(
+            ["staged by", "ended during the trial", "confirmed by", "dropped"]
+                .into_iter()
+                .filter(|step| last.contains(step)),
+        );
         if status.contains("\"phase\": \"staged\"") {
             gateway.done(&["rollback"]);
         }
     }
+    println!("last steps found after the kills: {seen:?}");
 }
 
 #[test]
--- a/crates/testkit/src/gateway.rs
+++ b/crates/testkit/src/gateway.rs
@@ -181,6 +181,13 @@
         }
     }
 
+    /// Sends it SIGKILL at once, also while others speak to it; [`Gateway::kill`] then buries it.
+    pub fn strike(&self) {
+        let pid = self.process.as_ref().map_or(0, Child::id).to_string();
+        let sent = Command::new("kill").args(["-s", "KILL", &pid]).status();
+        assert!(sent.is_ok_and(|sent| sent.success()), "no signal sent");
+    }
+
     /// Sends it SIGTERM and waits for its end; its exit code.
     pub fn stop(&mut self) -> Option<i32> {
         let mut process = self.process.take()?;
--- a/crates/trace/src/replay.rs
+++ b/crates/trace/src/replay.rs
@@ -103,9 +103,9 @@
             Event::Table { table, saved } => facade.report(now, Report::Table { table, saved }),
             Event::Tick => facade.tick(now),
             Event::Retired => facade.retire(now),
-            Event::Tuned { settings: pairs, from, .. } => {
+            Event::Tuned { settings: pairs, from, epoch } => {
                 if let Ok(settings) = settings(&pairs) {
-                    facade.retune(now, settings, from);
+                    facade.retune(now, settings, from, epoch);
                 }
                 Vec::new()
             }
