Use the core's word for how a request ended, and drop what nothing calls

Need: the trace had a type of its own for what the core already names, and stand-ins and marks had calls that nothing makes. Change: one Ending; the unused calls are gone; a test holds that a change on trial is in the trace by its epoch.

--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -5,7 +5,7 @@
 use nickeljunction_core::facade::{Ending, Input, Report, RequestKey, Settings, Tap, Verdict};
 use nickeljunction_decide::wire::settings_pairs;
 use nickeljunction_trace::block::Builder;
-use nickeljunction_trace::event::{self, Event, TICKS_PER_MS};
+use nickeljunction_trace::event::{Event, TICKS_PER_MS};
 use nickeljunction_trace::file::{Header, Writer};
 use nickeljunction_trace::replay::of_verdict;
 use std::fs::File;
@@ -149,11 +149,6 @@
     }
 
     fn answered(&mut self, now: f64, request: RequestKey, ending: Ending) {
-        let ending = match ending {
-            Ending::Served(status) => event::Ending::Served(status),
-            Ending::ShortOnCapacity(pause) => event::Ending::ShortOnCapacity(pause),
-            Ending::Failed => event::Ending::Failed,
-        };
         self.add(now, &Event::Answered(request, ending));
     }
 }
--- a/crates/gateway/src/tally.rs
+++ b/crates/gateway/src/tally.rs
@@ -25,11 +25,6 @@
     pub fn sent_to(&self, region: u64) {
         self.region.set(Some(region));
     }
-
-    /// The document that took the request in.
-    pub fn epoch(&self) -> Epoch {
-        self.epoch
-    }
 }
 
 /// A number that stands for a region.
--- a/crates/gateway/tests/traces.rs
+++ b/crates/gateway/tests/traces.rs
@@ -62,6 +62,8 @@
     }
     let summary = done(&fleet.gateways[0], &["summary", "traces"]);
     assert!(summary.contains("slot-lookup") && summary.contains("served in ms: p50"), "{summary}");
+    let events = done(&fleet.gateways[0], &["cat", "traces"]);
+    assert!(events.contains("Tuned { epoch: 2,"), "the change on trial is in the trace, by its epoch");
     let info = done(&fleet.gateways[1], &["info", "traces"]);
     assert!(info.contains("without its end: scanned") && info.contains("indexed"), "{info}");
     // A request's life in plain lines, and the events of a franchisee as a trace of their own.
--- a/crates/testkit/src/counter.rs
+++ b/crates/testkit/src/counter.rs
@@ -15,15 +15,12 @@
     Fine,
     /// Says nothing, and works on what has come only when it is fine again: answers keep the order of the calls.
     Dark,
-    /// Adds, and ends the connection instead of an answer.
-    Mute,
 }
 
 #[derive(Default)]
 struct State {
     manner: Manner,
     totals: HashMap<String, (f64, Instant)>,
-    calls: u64,
     /// Units added by name, over all time: what was taken in all.
     added: HashMap<String, f64>,
 }
@@ -52,16 +49,6 @@
         self.state.lock().expect("state").manner = manner;
     }
 
-    /// Forgets all names, as one that took this one's place.
-    pub fn replace(&self) {
-        self.state.lock().expect("state").totals.clear();
-    }
-
-    /// Calls so far.
-    pub fn calls(&self) -> u64 {
-        self.state.lock().expect("state").calls
-    }
-
     /// Names called so far.
     pub fn names(&self) -> Vec<String> {
         self.state.lock().expect("state").added.keys().cloned().collect()
@@ -104,7 +91,6 @@
 /// The answer; `None` ends the connection.
 fn add(state: &mut State, name: &str, amount: &str, life: &str) -> Option<String> {
     let (amount, life) = (amount.parse::<f64>().ok()?, life.parse::<u64>().ok()?.clamp(1, 60_000));
-    state.calls += 1;
     *state.added.entry(name.to_string()).or_default() += amount;
     let now = Instant::now();
     let ends = now + Duration::from_millis(life);
@@ -113,9 +99,6 @@
         *entry = (0.0, ends);
     }
     entry.0 += amount;
-    if state.manner == Manner::Mute {
-        return None;
-    }
     // Exact to seven digits, as the protocol has it.
     let total = format!("{:.6e}", entry.0).parse::<f64>().ok()?.to_string();
     Some(format!("${}\r\n{total}\r\n", total.len()))
--- a/crates/trace/src/event.rs
+++ b/crates/trace/src/event.rs
@@ -12,16 +12,7 @@
 /// Most lines of a service table, and most different texts of one block.
 const MOST_LINES: usize = 1 << 20;
 
-/// How a request ended for its client.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Ending {
-    /// A region's answer, with its status.
-    Served(u16),
-    /// Refused; come back after so many ms.
-    ShortOnCapacity(f64),
-    /// Failed.
-    Failed,
-}
+pub use nickeljunction_core::facade::Ending;
 
 /// One event.
 #[derive(Debug, Clone, PartialEq)]
