Judge latencies by a request's units, which follow its work

Counted over all 100 gateways: mean latency is proportional to the units (lookups 116 ms with one unit, 824 ms with six, p90 1,505 ms), and every answer slower than 0.4 of its class's aim (675 ms) cut the odds of admission by a quarter. At five requests a second a gateway has too few other answers to raise them again, so all of them stayed low together.

Lines at fault: Limiter::learn took outcome.latency_ms against the class's mean and aim alone, for shedding, a server's slowness and its place bound; the class's mean needed 33 samples (7 s at such a gateway) to leave its first guess.

Change: where units are settled afterwards they follow the work; latencies, worth for its time and lateness are taken for each unit. A class's mean follows its first samples quickly.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -233,8 +233,9 @@
     servers: BTreeMap<ServerId, Server>,
     /// Those that run, in the order of this gateway's choice.
     ring: Vec<ServerId>,
-    /// Mean latency by class, ms.
-    latency: Vec<f64>,
+    /// Mean latency by class for each part of a request's size, ms, and the mean size.
+    pub(crate) latency: Vec<Average>,
+    pub(crate) size: Average,
     /// The lowest that the mean latency of each class has been, ms: servers that hold little.
     calm: Vec<f64>,
     /// Part of the fetches that fitted lately, by plan.
@@ -280,16 +281,17 @@
         if let Some((_, why)) = checks.into_iter().find(|(fine, _)| !fine) {
             return Err(BadSettings(why));
         }
-        let latency: Vec<f64> = settings.classes.iter().map(|class| class.aim_ms * FIRST_GUESS).collect();
+        let guesses: Vec<f64> = settings.classes.iter().map(|class| class.aim_ms * FIRST_GUESS).collect();
         Ok(Limiter {
             rng: fastrand::Rng::with_seed(seed),
             trust: vec![1.0; settings.plans.len()],
             unseen: 1.0 - (SEEN_BY / settings.siblings.max(1) as f64).min(1.0),
-            calm: latency.clone(),
+            latency: guesses.iter().map(|guess| Average::of(*guess)).collect(),
+            calm: guesses,
+            size: Average::of(1.0),
             retries: RETRY_SAVED / 2.0,
             admit: 1.0,
             odds: 1.0,
-            latency,
             settings,
             ..Limiter::default()
         })
@@ -358,14 +360,17 @@
             due: now + arrival.patience_ms,
             aim_at: now + settings.classes[class].aim_ms.min(arrival.patience_ms),
             value: settings.classes[class].worth * plan.price * units,
+            // Units that are settled afterwards follow the work: without this each large request passed for a
+            // slow server and a late fleet, and a gateway among many has few samples to put that right.
+            size: if settings.settles { units.max(1.0) } else { 1.0 },
             ..Request::default()
         };
         // Place bounds of hundreds bind nothing: what is cheap for its time is shed before it draws units.
-        let worth = request.value / self.latency[class];
+        let worth = request.value / self.usual(&request);
         self.worth += CLASS_GAIN * (worth - self.worth);
         request.stake = if arrival.retry { 0.0 } else { worth / self.worth };
         // Too short for any server, or even for the next sweep, which would then answer too late.
-        let least = (self.latency[class] * 0.5).max(self.settings.step_ms * CALM_STEPS);
+        let least = (self.usual(&request) * 0.5).max(self.settings.step_ms * CALM_STEPS);
         let hopeless = arrival.patience_ms < least;
         if hopeless || self.rng.f64() > self.admit.powf(self.worth / worth.max(1e-9)) {
             self.requests.insert(id.clone(), request);
@@ -662,7 +667,7 @@
             // Given up is answered now: nobody is held until the deadline so that the client can't ask.
             let stale = request.arrived + UNSENT_PART * (request.due - request.arrived);
             let unsent = request.attempts.is_empty() && self.now > stale;
-            let late = unsent || self.now + self.latency[request.class] > request.aim_at;
+            let late = unsent || self.now + self.usual(request) > request.aim_at;
             if late && request.open() == 0 {
                 self.finish(&id);
             } else if !self.dispatch(&id) {
@@ -673,7 +678,7 @@
 
     /// A request with its units in hand: to a server, or into the line, ordered by worth for its time.
     fn place(&mut self, id: RequestId) {
-        let density = |id: &RequestId| self.requests.get(id).map_or(0.0, |r| r.value / self.latency[r.class]);
+        let density = |id: &RequestId| self.requests.get(id).map_or(0.0, |r| r.value / self.usual(r));
         let own = density(&id);
         let at = self.line.partition_point(|other| density(other) >= own);
         let Some(request) = self.requests.get_mut(&id) else { return };
@@ -716,10 +721,6 @@
         self.drain_line();
     }
 
-    fn mean_latency(&self) -> f64 {
-        self.latency.iter().sum::<f64>() / self.latency.len().max(1) as f64
-    }
-
     /// Sets aside servers that hang, fail or are slow while the others are not.
     fn judge_servers(&mut self) {
         let (now, mean) = (self.now, self.mean_latency());
@@ -830,7 +831,7 @@
     /// that within its aim: a server or a path that says nothing would cost it all.
     fn bound(&self, id: &RequestId) -> f64 {
         let request = &self.requests[id];
-        let usual = self.latency[request.class];
+        let usual = self.usual(request);
         let left = request.aim_at - self.now - BOUND_SPARE * usual;
         let repeats = self.settings.classes[request.class].repeat == Repeat::Repeatable;
         let more = request.attempts.len() < self.settings.max_attempts && self.retries >= 1.0;
@@ -859,6 +860,7 @@
             }
         }
         let ended = request.stage == Stage::Ended;
+        let usual = request.size * self.latency[request.class].mean;
         let cancel = !ended && self.settings.may_cancel;
         if outcome.closed || ended {
             for (at, _) in request.attempts.iter().enumerate().filter(|(_, attempt)| attempt.open && cancel) {
@@ -868,7 +870,7 @@
         } else if request.open() == 0 && !request.streaming {
             // No connection cost no server work: the budget against retry storms is not for it.
             let paid = self.retries >= 1.0 || outcome.status == Status::ConnectError;
-            let hopeful = paid && self.now + self.latency[request.class] * 0.5 < request.due;
+            let hopeful = paid && self.now + usual * 0.5 < request.due;
             if hopeful && self.may_repeat(&outcome.id) && self.untried(&outcome.id) {
                 self.place(outcome.id);
             } else {
@@ -925,7 +927,7 @@
     /// A second copy for an attempt that is out too long, at a server that was not tried.
     fn hedge(&mut self, id: &RequestId) {
         let request = &self.requests[id];
-        let (class, usual) = (&self.settings.classes[request.class], self.latency[request.class]);
+        let (class, usual) = (&self.settings.classes[request.class], self.usual(request));
         if class.repeat == Repeat::Once || !self.settings.second_copies || request.open() != 1 {
             return;
         }
@@ -944,7 +946,8 @@
         if !request.attempts.get(outcome.attempt).is_some_and(|attempt| attempt.open) {
             return;
         }
-        let usual = &mut self.latency[request.class];
+        let (size, class) = (request.size, &mut self.latency[request.class]);
+        let usual = class.mean * size;
         server.out = (server.out - 1.0).max(0.0);
         if status == Status::ConnectError {
             return self.lost_path(&outcome.server);
@@ -957,34 +960,37 @@
         let bad = matches!(status, Status::Failed | Status::Reset | Status::QueueFull);
         let heard = bad || status == Status::Ok;
         server.heard = if heard { now } else { server.heard };
-        let fine = status == Status::Ok && outcome.latency_ms < SLOW_X * *usual || server.cut && heard;
+        let fine = status == Status::Ok && outcome.latency_ms < SLOW_X * usual || server.cut && heard;
         // One that was given up took at least so long: a server that answers nobody must not pass for usual.
-        if heard || (status == Status::TimedOut && outcome.latency_ms > server.slowness * *usual) {
+        if heard || (status == Status::TimedOut && outcome.latency_ms > server.slowness * usual) {
             // A failure, however quick, is the longest latency: who turns work away is not the cheapest.
-            let ratio = if bad { 2.0 * SLOW_X } else { (outcome.latency_ms / *usual).min(2.0 * SLOW_X) };
+            let ratio = if bad { 2.0 * SLOW_X } else { (outcome.latency_ms / usual).min(2.0 * SLOW_X) };
             let gain = ((now - server.judged) / (GAIN_MEANS * mean)).clamp(SERVER_GAIN, SPARSE_GAIN);
             server.slowness += gain * (ratio - server.slowness);
             server.judged = now;
             server.samples += 1;
             if server.aside == 0.0 && status == Status::Ok {
-                *usual += CLASS_GAIN * (outcome.latency_ms - *usual);
+                class.add(outcome.latency_ms / size, CLASS_GAIN);
+                self.size.add(size, CLASS_GAIN);
             }
         }
-        let late = outcome.latency_ms / (LATE_AT * self.settings.classes[request.class].aim_ms);
+        let aim = self.settings.classes[request.class].aim_ms;
+        let late = outcome.latency_ms / (LATE_AT * aim * size / self.size.mean);
         if status == Status::QueueFull || server.aside == 0.0 && late > 1.0 && !bad {
             self.admit = (self.admit * SHED_DOWN.powf(self.unseen)).max(ODDS_LEAST);
             self.eased = 0.0;
         } else if status == Status::Ok {
             self.eased += EASE;
             // Few answers come while much is shed: each then counts for more, or the fleet would lie idle.
-            let rare = RARE_X * (now - self.answered_at) / self.settings.classes[request.class].aim_ms;
+            let rare = RARE_X * (now - self.answered_at) / aim;
             self.admit = (self.admit + SHED_UP * rare.max(1.0) * (1.0 - late)).min(1.0);
         }
         self.answered_at = now;
         if matches!(status, Status::Ok | Status::TimedOut) {
             let calm = &mut self.calm[request.class];
-            *calm = (*calm * CALM_CREEP).min(*usual);
-            server.lateness += SERVER_GAIN * ((outcome.latency_ms / *calm).min(10.0) - server.lateness);
+            *calm = (*calm * CALM_CREEP).min(class.mean);
+            let ratio = outcome.latency_ms / (*calm * size);
+            server.lateness += SERVER_GAIN * (ratio.min(10.0) - server.lateness);
         }
         if server.lateness > NARROW_ABOVE || status == Status::QueueFull {
             server.limit = (server.limit * NARROW_BY).max(LEAST_LIMIT);
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -1,8 +1,41 @@
 //! What a limiter remembers: plain state without decisions, which are in `src/decide.rs`.
 
 use crate::api::*;
+use crate::decide::Limiter;
 use std::collections::VecDeque;
 
+/// An average that follows its first samples quickly: each counts for as much as the guess it began with.
+#[derive(Debug, Default, Clone, Copy)]
+pub(crate) struct Average {
+    pub(crate) mean: f64,
+    seen: f64,
+}
+
+impl Average {
+    pub(crate) fn of(guess: f64) -> Average {
+        Average { mean: guess, seen: 1.0 }
+    }
+
+    /// Takes a sample; `gain` is its least weight.
+    pub(crate) fn add(&mut self, sample: f64, gain: f64) {
+        self.seen += 1.0;
+        self.mean += gain.max(1.0 / self.seen) * (sample - self.mean);
+    }
+}
+
+impl Limiter {
+    /// Mean latency over the classes, ms.
+    pub(crate) fn mean_latency(&self) -> f64 {
+        let sum: f64 = self.latency.iter().map(|class| class.mean).sum();
+        self.size.mean * sum / self.latency.len().max(1) as f64
+    }
+
+    /// Usual latency of such a request, ms.
+    pub(crate) fn usual(&self, request: &Request) -> f64 {
+        self.latency[request.class].mean * request.size
+    }
+}
+
 /// A counter call under way: units asked for, correction of the books, units spent before it was made.
 #[derive(Debug, Default)]
 pub(crate) struct Flight {
@@ -107,6 +140,8 @@
     pub(crate) due: f64,
     pub(crate) aim_at: f64,
     pub(crate) value: f64,
+    /// Work against other requests of its class, as far as its units tell it.
+    pub(crate) size: f64,
     /// Worth for its time against the mean; 0: a client's repeat, where clients mark it.
     pub(crate) stake: f64,
     pub(crate) stage: Stage,
--- /dev/null
+++ b/crates/decide/tests/fleet.rs
@@ -0,0 +1,142 @@
+//! Many limiters on one table, in virtual time: what is fine when one does it and hurts when a hundred do.
+
+use nickeljunction_decide::api::*;
+use nickeljunction_decide::decide::Limiter;
+use std::collections::BTreeMap;
+
+fn settings(me: usize, siblings: usize) -> Settings {
+    let class = Class {
+        name: "look".into(),
+        aim_ms: 1_500.0,
+        give_up_ms: 6_000.0,
+        repeat: Repeat::Repeatable,
+        group: Group::All,
+        key_ttl_ms: 1_000.0,
+        late_share: 0.0,
+        stream: false,
+        worth: 1.0,
+    };
+    let plan = Plan {
+        name: "free".into(),
+        rate: 0.0,
+        burst: 0.0,
+        at_once: 0.0,
+        price: 1.0,
+        excess_worth: 0.0,
+        over_cost: 1.0,
+        ceiling_rate: 0.0,
+        ceiling_burst: 0.0,
+        ceiling_slack: 0.0,
+    };
+    Settings {
+        me,
+        siblings,
+        step_ms: 2.0,
+        classes: vec![class],
+        plans: vec![plan],
+        counter: true,
+        counter_timeout_ms: 30.0,
+        settles: true,
+        units_top: 6.0,
+        max_attempts: 6,
+        max_retry_after_ms: 2_000.0,
+        retry_after: true,
+        cold_from: 0.15,
+        cold_ms: 16_000.0,
+        drain_grace_ms: 1_000.0,
+        fall_multiple: 2.0,
+        fall_ms: 1_500.0,
+        answer_grace_ms: 5.0,
+        ..Settings::default()
+    }
+}
+
+fn entry(at: usize, launched: f64) -> ServerEntry {
+    let (state, zone) = (ServerState::Up, "z".to_string());
+    ServerEntry { server: format!("s{at:02}"), state, zone, cell: 0, weight: 1.0, launched }
+}
+
+/// One limiter of a fleet of `siblings` and its servers, each request answered in its own time.
+struct Door {
+    limiter: Limiter,
+    now: f64,
+    asked: usize,
+}
+
+impl Door {
+    fn new(siblings: usize, servers: usize) -> Door {
+        let limiter = Limiter::new(settings(0, siblings), 7).expect("good settings");
+        let mut door = Door { limiter, now: 100_000.0, asked: 0 };
+        door.tell(Event::Servers(ListKind::Saved, (0..servers).map(|at| entry(at, 0.0)).collect()));
+        door
+    }
+
+    fn tell(&mut self, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.limiter.on_event(self.now, event, &mut out);
+        out
+    }
+
+    /// A request of so many units, answered after `latency_ms`; false if it was refused. Logs go to `logs`.
+    fn serve(&mut self, units: f64, latency_ms: f64, logs: &mut Vec<String>) -> bool {
+        self.asked += 1;
+        let id = format!("r{}", self.asked);
+        let mut out = self.tell(Event::Request(Arrival {
+            id: id.clone(),
+            class: "look".into(),
+            plan: "free".into(),
+            customer: 5,
+            patience_ms: 6_000.0,
+            units,
+            doors: 100,
+            retry: false,
+        }));
+        let sent = out.iter().find_map(|action| match action {
+            Action::Send(_, server, _) => Some(server.clone()),
+            _ => None,
+        });
+        self.now += latency_ms;
+        if let Some(server) = &sent {
+            out.extend(self.tell(Event::Outcome(Outcome {
+                id,
+                attempt: 0,
+                server: server.clone(),
+                status: Status::Ok,
+                settled: units,
+                latency_ms,
+                closed: true,
+                load: BTreeMap::new(),
+            })));
+        }
+        out.extend(self.tell(Event::Timer("sweep".into())));
+        logs.extend(out.into_iter().filter_map(|action| match action {
+            Action::Log(text) => Some(text),
+            _ => None,
+        }));
+        sent.is_some()
+    }
+}
+
+/// A request of six units takes six times as long. Read as lateness, each one cut the odds of admission, and with
+/// five requests a second there are too few others to raise them again.
+#[test]
+fn large_requests_that_take_their_time_tell_neither_of_a_late_fleet_nor_of_a_slow_server() {
+    let (mut door, mut logs, mut refused) = (Door::new(100, 20), Vec::new(), 0);
+    for at in 0..300 {
+        let units = if at % 4 == 3 { 6.0 } else { 1.0 };
+        refused += usize::from(!door.serve(units, units * 120.0, &mut logs));
+    }
+    assert_eq!(refused, 0, "nothing is late for its size");
+    assert!(logs.is_empty(), "no server is slow: {logs:?}");
+}
+
+/// The same answers in the same time from requests of one unit each are late.
+#[test]
+fn small_requests_that_take_as_long_do_tell_of_a_late_fleet() {
+    let (mut door, mut logs, mut refused) = (Door::new(100, 20), Vec::new(), 0);
+    for at in 0..300 {
+        let slow = if at % 4 == 3 { 6.0 } else { 1.0 };
+        refused += usize::from(!door.serve(1.0, slow * 120.0, &mut logs));
+    }
+    assert!(refused > 20, "{refused} refused");
+}
