Shed by how late answers are, and tidy books less through many doors

Shedding still cut the odds by a quarter for one answer at 1.01 of the late mark, which one in ten answers passes while nothing is wrong.

Lines at fault: Pool::settle put the books right by a call of its own from 0.1 of the cap on, which each of 50 to 100 doors finds whenever it meets a name again; Limiter::learn weighed every late answer alike.

Change: the tolerance grows with the doors from 4 on, to 0.4; a late answer counts by how late it is.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -17,8 +17,10 @@
 /// Longest life of a count name, ms (the counter service's own bound); a window is half of it, so that no
 /// name is forgotten within its window.
 const NAME_LIFE_MS: f64 = 60_000.0;
-/// Part of the cap by which the books may be off before a call of its own puts them right.
+/// Part of the cap by which the books may be off before a call of its own puts them right, and that part
+/// through many doors: each meets a name seldom, and half of all calls did nothing else.
 const TOLERANCE: f64 = 0.1;
+const TOLERANCE_MOST: f64 = 0.4;
 /// Totals come to seven digits: a store is full enough when it lacks no more than this, units.
 const ROUNDING: f64 = 0.02;
 /// Odds that a fetch is made, after a silence and at least. Each quick answer in a row raises them by more
@@ -89,10 +91,12 @@
 /// The lowest mean latency forgets by this much an outcome: a first guess that was too low must not last.
 const CALM_CREEP: f64 = 1.0003;
 const NARROW_BY: f64 = 0.85;
-/// An answer later than this part of its aim, or none for lack of room, tells of a fleet driven over: what it
-/// leaves of the odds of admission, and what a quick answer adds.
+/// An answer later than this part of its aim, or none for lack of room, tells of a fleet driven over: what one
+/// twice as late leaves of the odds of admission, for how late they count at most (work varies: barely late says
+/// little), and what a quick answer adds.
 const LATE_AT: f64 = 0.4;
 const SHED_DOWN: f64 = 0.75;
+const LATE_MOST: f64 = 1.5;
 const SHED_UP: f64 = 0.05;
 /// A quick answer after a long time raises the odds by so many times more for each aim that passed.
 const RARE_X: f64 = 3.0;
@@ -102,8 +106,8 @@
 /// seen once in a minute a server can't be judged, and every hung one would be met anew.
 const SUBSET_AIMS: f64 = 3.0;
 const SUBSET_LEAST: f64 = 8.0;
-/// With more gateways than this one's own place bounds and work out say little: chance and shedding decide.
-const SEEN_BY: f64 = 4.0;
+/// With more gateways (doors) than this one's own place bounds, work out and books say little.
+const FEW: f64 = 4.0;
 /// Time constant of a server's and the fleet's send rate, ms.
 const RATE_SPAN_MS: f64 = 2_000.0;
 
@@ -196,7 +200,7 @@
         let lacking = (base - prior).max(0.0);
         // Two limiters may put the same name right at once: whoever came second takes its part back.
         let mut fix = if flight.fix > 0.0 { (lacking - flight.fix).max(-flight.fix) } else { lacking };
-        if fix.abs() < TOLERANCE * self.cap {
+        if fix.abs() < (TOLERANCE * self.doors / FEW).clamp(TOLERANCE, TOLERANCE_MOST) * self.cap {
             fix = 0.0;
         }
         let free = floor + self.cap - base.max(prior) - flight.owed;
@@ -285,7 +289,7 @@
         Ok(Limiter {
             rng: fastrand::Rng::with_seed(seed),
             trust: vec![1.0; settings.plans.len()],
-            unseen: 1.0 - (SEEN_BY / settings.siblings.max(1) as f64).min(1.0),
+            unseen: 1.0 - (FEW / settings.siblings.max(1) as f64).min(1.0),
             latency: guesses.iter().map(|guess| Average::of(*guess)).collect(),
             calm: guesses,
             size: Average::of(1.0),
@@ -977,7 +981,9 @@
         let aim = self.settings.classes[request.class].aim_ms;
         let late = outcome.latency_ms / (LATE_AT * aim * size / self.size.mean);
         if status == Status::QueueFull || server.aside == 0.0 && late > 1.0 && !bad {
-            self.admit = (self.admit * SHED_DOWN.powf(self.unseen)).max(ODDS_LEAST);
+            let by =
+                self.unseen * if status == Status::QueueFull { 1.0 } else { (late - 1.0).min(LATE_MOST) };
+            self.admit = (self.admit * SHED_DOWN.powf(by)).max(ODDS_LEAST);
             self.eased = 0.0;
         } else if status == Status::Ok {
             self.eased += EASE;
