--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -91,9 +91,9 @@
 /// The lowest mean latency forgets by this much an outcome: a first guess that was too low must not last.
 const CALM_CREEP: f64 = 1.0003;
 const NARROW_BY: f64 = 0.85;
-/// An answer later than this part of its aim, or none for lack of room, tells of a fleet driven over: what one
-/// twice as late leaves of the odds of admission, for how late they count at most (work varies: barely late says
-/// little), and what a quick answer adds.
+/// An answer later than this part of its aim, or none for lack of room, tells of a fleet driven over: what
+/// one twice as late leaves of the odds of admission, how late they count at most (work varies: barely late
+/// says little), and what a quick answer adds.
 const LATE_AT: f64 = 0.4;
 const SHED_DOWN: f64 = 0.75;
 const LATE_MOST: f64 = 1.5;
@@ -133,29 +133,6 @@
         (rate > 0.0).then_some(pool)
     }
 
-    /// Units that a full store would have let go by now: below this the total says nothing.
-    fn floor(&self, now: f64) -> f64 {
-        self.rate * (now + self.phase - self.window as f64 * self.length)
-    }
-
-    fn room(&self, now: f64) -> f64 {
-        let floor = self.floor(now);
-        floor + self.cap - self.told.unwrap_or(0.0).max(self.target).max(floor)
-    }
-
-    /// A batch ends with its window; what the customer had used of its store is carried into the next name.
-    fn roll(&mut self, now: f64) {
-        let window = ((now + self.phase) / self.length).floor() as i64;
-        if window == self.window {
-            return;
-        }
-        let used = self.told.unwrap_or(0.0) - self.held - self.rate * self.length;
-        let next = window == self.window.saturating_add(1);
-        self.target = if next { used.max(0.0) } else { 0.0 };
-        (self.window, self.fix) = (window, self.target);
-        (self.held, self.told, self.own) = (0.0, None, 0.0);
-    }
-
     fn spend(&mut self, now: f64, units: f64) {
         self.held -= units;
         self.recent = self.recent * (-(now - self.used_at) / (RECENT * self.span).max(1.0)).exp() + units;
@@ -707,12 +684,12 @@
         for entry in entries {
             let warm = entry.launched <= 0.0 || now - entry.launched >= self.settings.cold_ms;
             let cold_since = if warm { f64::NEG_INFINITY } else { entry.launched };
-            let server = self.servers.entry(entry.server).or_insert_with(|| Server::new(now));
+            let server = self.servers.entry(entry.server).or_insert_with(|| Server::new(now, FIRST_LIMIT));
             if cold_since > server.cold_since {
                 // A restarted process: what was learned of the old one says nothing of it. Hundreds of
                 // gateways hear of it at once: each draws when its first send is due, or all would come.
                 let tokens = self.rng.f64();
-                *server = Server { out: server.out, cold_since, tokens, ..Server::new(now) };
+                *server = Server { out: server.out, cold_since, tokens, ..Server::new(now, FIRST_LIMIT) };
             }
             server.up = entry.state == ServerState::Up;
             (server.zone, server.cell, server.weight) = (entry.zone, entry.cell, entry.weight.max(1e-3));
@@ -1029,11 +1006,6 @@
 }
 
 impl Server {
-    fn new(now: f64) -> Server {
-        let server = Server { up: true, weight: 1.0, limit: FIRST_LIMIT, slowness: 1.0, ..Server::default() };
-        Server { heard: now, oldest: f64::INFINITY, cold_since: f64::NEG_INFINITY, tokens_at: now, ..server }
-    }
-
     /// Steeper among many gateways: each sees little, and a jammed server is left only if all leave it.
     fn cost(&self, now: f64, mean: f64, once: bool, unseen: f64) -> f64 {
         let silence = self.silence(now) / mean;
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -101,6 +101,32 @@
     pub(crate) used_at: f64,
 }
 
+impl Pool {
+    /// Units that a full store would have let go by now: below this the total says nothing.
+    pub(crate) fn floor(&self, now: f64) -> f64 {
+        self.rate * (now + self.phase - self.window as f64 * self.length)
+    }
+
+    /// Units left in the store, as far as is known.
+    pub(crate) fn room(&self, now: f64) -> f64 {
+        let floor = self.floor(now);
+        floor + self.cap - self.told.unwrap_or(0.0).max(self.target).max(floor)
+    }
+
+    /// A batch ends with its window; what the customer had used of its store is carried into the next name.
+    pub(crate) fn roll(&mut self, now: f64) {
+        let window = ((now + self.phase) / self.length).floor() as i64;
+        if window == self.window {
+            return;
+        }
+        let used = self.told.unwrap_or(0.0) - self.held - self.rate * self.length;
+        let next = window == self.window.saturating_add(1);
+        self.target = if next { used.max(0.0) } else { 0.0 };
+        (self.window, self.fix) = (window, self.target);
+        (self.held, self.told, self.own) = (0.0, None, 0.0);
+    }
+}
+
 #[derive(Debug, Default)]
 pub(crate) struct Account {
     pub(crate) doors: f64,
@@ -201,6 +227,12 @@
 }
 
 impl Server {
+    /// A server that nothing is known of, with its first bound on attempts out.
+    pub(crate) fn new(now: f64, limit: f64) -> Server {
+        let server = Server { up: true, weight: 1.0, limit, slowness: 1.0, ..Server::default() };
+        Server { heard: now, oldest: f64::INFINITY, cold_since: f64::NEG_INFINITY, tokens_at: now, ..server }
+    }
+
     /// How long nothing has come back while work was out.
     pub(crate) fn silence(&self, now: f64) -> f64 {
         (now - self.heard.max(self.oldest)).max(0.0)
