Leave a store found empty to the other doors for a while

Lines at fault: Limiter::cover refused a known-empty store only until its next unit was due, and then all doors asked for that one unit; all but one handed theirs back by a second call.

Change: through more than 4 doors, a fetch that did not fit shuts the store at this door for a quarter of the time in which it fills for all doors; the client is told that time. Fewer doors stay as they are.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -45,6 +45,9 @@
 const SILENT_CALLS: u32 = 6;
 /// Part of the cap that a store must be known to hold for its customer to be trusted whatever was before.
 const KNOWN_ROOM: f64 = 0.15;
+/// A store found empty is left to the other doors for this part of the time in which it fills for them all:
+/// they would ask for each unit that comes together, and hand back what does not fit.
+const PATIENCE: f64 = 0.25;
 /// Part of a request's aim that it may wait for units or for an attempt of its customer to end.
 const UNIT_WAIT: f64 = 0.25;
 /// Rounds between two sweeps over requests and servers: while requests wait for a server, and else, when a
@@ -183,6 +186,9 @@
         let free = floor + self.cap - base.max(prior) - flight.owed;
         let barred = flushed && self.strict;
         let granted = if barred { 0.0 } else { (free + ROUNDING).floor().clamp(0.0, flight.take) };
+        if granted < flight.take.min(1.0) && self.doors > FEW {
+            self.shut = now + PATIENCE * flight.take * self.doors / self.rate;
+        }
         // What stood for others and does not fit was beyond the quota: it must not weigh on what comes.
         let surplus = flight.take - granted + (flight.unseen - (free - granted).max(0.0)).max(0.0).floor();
         if self.strict || flight.odds >= 1.0 {
@@ -449,9 +455,9 @@
             let pass = !doubtful || self.unseen < 0.5;
             return if pass { self.local(pool, units, pause, true) } else { Cover::None(f64::INFINITY) };
         }
-        if pool.told.is_some() && lacking > ROUNDING {
+        if pool.told.is_some() && lacking > ROUNDING || self.now < pool.shut {
             // Known to be empty: asking would cost a call and change nothing.
-            return Cover::None(pause);
+            return Cover::None(pause.max(pool.shut - self.now));
         }
         if chosen {
             // Stands also for those that were not chosen but trusted: each add counts for one in so many.
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -99,6 +99,8 @@
     pub(crate) fits: f64,
     pub(crate) judged_at: f64,
     pub(crate) used_at: f64,
+    /// Found empty: not asked for until then, ms.
+    pub(crate) shut: f64,
 }
 
 impl Pool {
--- a/crates/decide/tests/fleet.rs
+++ b/crates/decide/tests/fleet.rs
@@ -183,3 +183,94 @@
     assert!(calls(2), "two doors keep the books exact");
     assert!(!calls(100), "a hundred leave them");
 }
+
+/// Many limiters on one counter in virtual time; each answer takes 5 ms, each attempt 100 ms.
+struct Fleet {
+    limiters: Vec<Limiter>,
+    totals: BTreeMap<String, f64>,
+    due: BTreeMap<(u64, usize), (usize, Event)>,
+    step: usize,
+    calls: usize,
+    sent: f64,
+}
+
+impl Fleet {
+    fn new(siblings: usize, rate: f64, burst: f64) -> Fleet {
+        let limiters = (0..siblings).map(|me| {
+            let mut settings = settings(me, siblings);
+            (settings.plans[0].rate, settings.plans[0].burst) = (rate, burst);
+            let mut limiter = Limiter::new(settings, 100 + me as u64).expect("good settings");
+            let list = (0..60).map(|at| entry(at, 0.0)).collect();
+            limiter.on_event(100_000.0, Event::Servers(ListKind::Saved, list), &mut Vec::new());
+            limiter
+        });
+        let (totals, due) = (BTreeMap::new(), BTreeMap::new());
+        Fleet { limiters: limiters.collect(), totals, due, step: 0, calls: 0, sent: 0.0 }
+    }
+
+    fn tell(&mut self, me: usize, now: f64, event: Event) {
+        let mut out = Vec::new();
+        self.limiters[me].on_event(now, event, &mut out);
+        for action in out {
+            self.step += 1;
+            let (after, event) = match action {
+                Action::Count(name, add, _) => {
+                    self.calls += 1;
+                    let total = self.totals.entry(name.clone()).or_default();
+                    *total += add;
+                    (5.0, Event::Counted(name, Status::Ok, *total))
+                }
+                Action::Send(id, server, _) => {
+                    self.sent += 1.0;
+                    let (load, latency_ms) = (BTreeMap::new(), 100.0);
+                    let (attempt, status, settled, closed) = (0, Status::Ok, 1.0, true);
+                    let outcome = Outcome { id, attempt, server, status, settled, latency_ms, closed, load };
+                    (latency_ms, Event::Outcome(outcome))
+                }
+                Action::Timer(token, after) => (after, Event::Timer(token)),
+                _ => continue,
+            };
+            self.due.insert((((now + after) * 1_000.0) as u64, self.step), (me, event));
+        }
+    }
+
+    /// A customer's requests of one unit, so many a second, at each door in turn, for so long.
+    fn ask(&mut self, per_second: f64, seconds: f64) {
+        let mut rng = fastrand::Rng::with_seed(11);
+        let doors = self.limiters.len();
+        let requests = (per_second * seconds) as usize;
+        for at in 0..requests {
+            let now = 100_000.0 + at as f64 * 1_000.0 / per_second;
+            while let Some(entry) =
+                self.due.first_entry().filter(|entry| entry.key().0 <= (now * 1_000.0) as u64)
+            {
+                let ((at, _), (me, event)) = entry.remove_entry();
+                self.tell(me, at as f64 / 1_000.0, event);
+            }
+            let arrival = Arrival {
+                id: format!("q{at}"),
+                class: "look".into(),
+                plan: "free".into(),
+                customer: 5,
+                patience_ms: 6_000.0,
+                units: 1.0,
+                doors,
+                retry: false,
+            };
+            self.tell(rng.usize(..doors), now, Event::Request(arrival));
+        }
+    }
+}
+
+/// A customer that asks for four times its quota through 60 doors: each door that saw room asked for it, and handed
+/// back what the others had taken first, so that refusing one request cost two calls.
+#[test]
+fn a_store_found_empty_is_left_to_the_other_doors_and_is_still_used() {
+    let mut fleet = Fleet::new(60, 25.0, 50.0);
+    fleet.ask(100.0, 20.0);
+    let quota = 50.0 + 25.0 * 20.0;
+    assert!(fleet.sent > 0.8 * quota, "{} of {quota} units used", fleet.sent);
+    assert!(fleet.sent < 1.1 * quota, "{} of {quota} units used", fleet.sent);
+    let calls = fleet.calls as f64 / fleet.sent;
+    assert!(calls < 4.5, "{} calls for {} served", fleet.calls, fleet.sent);
+}
