Ask an overbooked discovery out of step, and less often the more gateways there are

A call is turned away at once (503) or after 2 s in its queue.

Lines at fault: service_table::follow doubled its wait to 1 s without lot and without regard to the number of gateways.

The log says when discovery answers.

--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! Sockets: codecs, the client's side, the regions, the counter, discovery, and the timer wheel.
 
+pub mod backoff;
 pub mod budget;
 pub mod counter;
 pub mod ephemeral;
--- a/crates/gateway/src/net/service_table.rs
+++ b/crates/gateway/src/net/service_table.rs
@@ -1,6 +1,7 @@
 //! The service table: discovery's list, kept by a watch that never rests.
 
 use crate::http::{RegionRequest, WatchCodec};
+use crate::net::backoff::Backoff;
 use crate::net::wheel::Wheel;
 use bytes::Bytes;
 use futures_util::StreamExt;
@@ -15,9 +16,6 @@
 const SILENT_MS: f64 = 3_500.0;
 /// Longest wait for the connection, ms.
 const CONNECT_MS: f64 = 1_000.0;
-/// First and longest wait between two watches, ms.
-const BACKOFF_MS: f64 = 50.0;
-const BACKOFF_MOST_MS: f64 = 1_000.0;
 
 #[derive(Deserialize)]
 struct RawTable {
@@ -74,12 +72,16 @@
 }
 
 /// Watches discovery at one address from version `rev` on, for as long as it is polled.
-pub async fn follow(address: SocketAddr, mut rev: u64, wheel: Wheel, told: impl Fn(ServiceTable)) {
-    let mut backoff = BACKOFF_MS;
+pub async fn follow(
+    address: SocketAddr,
+    mut rev: u64,
+    wheel: Wheel,
+    mut backoff: Backoff,
+    told: impl Fn(ServiceTable),
+) {
     loop {
         let heard = session(address, &mut rev, &wheel, &told).await;
-        backoff = if heard { BACKOFF_MS } else { (backoff * 2.0).min(BACKOFF_MOST_MS) };
-        wheel.sleep(backoff).await;
+        wheel.sleep(if heard { backoff.answered() } else { backoff.failed() }).await;
     }
 }
 
@@ -111,7 +113,9 @@
                 return heard;
             }
         };
-        heard = true;
+        if !std::mem::replace(&mut heard, true) {
+            tracing::info!(rev, "discovery answers the watch");
+        }
         let text = String::from_utf8_lossy(&line);
         if text.trim().is_empty() {
             continue;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -11,7 +11,7 @@
 use crate::net::hub::{self, World};
 use crate::net::inbox::{Inbox, Input};
 use crate::net::region::Regions;
-use crate::net::roster::{self, Source};
+use crate::net::roster::{self, Peers, Source};
 use crate::net::terminal::{self, Phase, Terminals};
 use crate::net::wheel::Wheel;
 use crate::record::Recorder;
@@ -350,7 +350,8 @@
             inbox.tell(Input::Table(table));
         }
     };
-    spawn_local(roster::watch(sources, rev, wheel.clone(), told));
+    let peers = Peers { gateways: config.settings.siblings, seed: config.seed, listed };
+    spawn_local(roster::watch(sources, rev, wheel.clone(), peers, told));
     if let (Some(opened), Some(boot), Some(tally)) = (opened, boot, tally) {
         let live = Live {
             base: base.clone(),
