Let a gateway judge a server by its sends in two aims rather than three

Lines at fault: SUBSET_AIMS in Limiter::pick, which sets how many servers a gateway uses by its own sends.

Two is kept: more servers bear a skewed load better.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -107,7 +107,7 @@
 const EASE: f64 = 0.5;
 /// A gateway uses as many servers as its own sends in so many mean aims can judge, and at least so many:
 /// seen once in a minute a server can't be judged, and every hung one would be met anew.
-const SUBSET_AIMS: f64 = 3.0;
+const SUBSET_AIMS: f64 = 2.0;
 const SUBSET_LEAST: f64 = 8.0;
 /// With more gateways (doors) than this one's own place bounds, work out and books say little.
 const FEW: f64 = 4.0;
--- a/crates/decide/tests/fleet.rs
+++ b/crates/decide/tests/fleet.rs
@@ -61,12 +61,13 @@
     limiter: Limiter,
     now: f64,
     asked: usize,
+    met: std::collections::BTreeSet<String>,
 }
 
 impl Door {
     fn new(siblings: usize, servers: usize) -> Door {
         let limiter = Limiter::new(settings(0, siblings), 7).expect("good settings");
-        let mut door = Door { limiter, now: 100_000.0, asked: 0 };
+        let mut door = Door { limiter, now: 100_000.0, asked: 0, met: Default::default() };
         door.tell(Event::Servers(ListKind::Saved, (0..servers).map(|at| entry(at, 0.0)).collect()));
         door
     }
@@ -97,6 +98,7 @@
         });
         self.now += latency_ms;
         if let Some(server) = &sent {
+            self.met.insert(server.clone());
             out.extend(self.tell(Event::Outcome(Outcome {
                 id,
                 attempt: 0,
@@ -304,3 +306,11 @@
     assert!(fleet.sent > 0.8 * quota, "{} of {quota} units used", fleet.sent);
     assert!(fleet.sent < 1.03 * quota, "{} of {quota} units used", fleet.sent);
 }
+
+/// Each server met costs a greeting, and each gateway's greetings are the fleet's a hundredfold.
+#[test]
+fn a_gateway_with_five_requests_a_second_greets_few_of_sixty_servers() {
+    let (mut door, mut logs) = (Door::new(100, 60), Vec::new());
+    (0..100).for_each(|_| assert!(door.serve(1.0, 200.0, &mut logs)));
+    assert!((8..=18).contains(&door.met.len()), "{} servers met", door.met.len());
+}
