--- a/crates/trace/tests/files.rs
+++ b/crates/trace/tests/files.rs
@@ -191,9 +191,10 @@
             other.feed(*time, &event, &settings).err()
         });
         assert!(differs.is_some(), "another seed decides otherwise");
+        // Which requests are routed is the module's to decide: any one in the middle will do.
         let at =
-            events.iter().position(|(_, event)| matches!(event, Event::Route(task) if task.request == 700));
-        let at = at.expect("it was routed");
+            events.iter().position(|(_, event)| matches!(event, Event::Route(task) if task.request >= 700));
+        let at = at.expect("one was routed");
         let mut changed = Replay::default();
         let difference = events.iter().enumerate().find_map(|(number, (time, event))| {
             let event = match event {
