Leave an empty store alone for no longer than it takes to be full

Seen on reading again: a fetch of six units that did not fit shut a starter's store (1.1 a second) at one of a hundred doors for 0.25 * 6 * 100 / 1.1 = 136 s, though an empty store is full after 11 s.

Line at fault: Pool::settle, where the time to shut grew without bound as the plan's rate falls.

Kept for the lock-out of minutes, which the test shows.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -187,7 +187,9 @@
         let barred = flushed && self.strict;
         let granted = if barred { 0.0 } else { (free + ROUNDING).floor().clamp(0.0, flight.take) };
         if granted < flight.take.min(1.0) && self.doors > FEW {
-            self.shut = now + PATIENCE * flight.take * self.doors / self.rate;
+            // Not for longer than an empty store takes to be full again: through many doors a slow plan's
+            // customer was shut out for minutes.
+            self.shut = now + (PATIENCE * flight.take * self.doors / self.rate).min(self.span);
         }
         // What stood for others and does not fit was beyond the quota: it must not weigh on what comes.
         let surplus = flight.take - granted + (flight.unseen - (free - granted).max(0.0)).max(0.0).floor();
--- a/crates/decide/tests/module.rs
+++ b/crates/decide/tests/module.rs
@@ -1354,6 +1354,23 @@
     }
 }
 
+/// A customer of a slow plan was left alone by a door for as long as all doors together need, which is minutes.
+#[test]
+fn a_store_found_empty_is_asked_for_again_once_it_could_be_full() {
+    let mut rig = among_many(1);
+    for (after, calls) in [(0.0, 1), (1_000.0, 0), (1_100.0, 1)] {
+        rig.now += after;
+        let large = Arrival { units: 6.0, doors: 100, ..arrival(&format!("r{after}"), "safe", "soft") };
+        let asked = counts(&rig.tell(Event::Request(large)));
+        assert_eq!(asked.len(), calls, "{after} ms later");
+        for (name, add) in asked {
+            let total = floor(&rig) + 20.0;
+            rig.counted(&name, Status::Ok, total + add);
+            rig.counted(&name, Status::Ok, total);
+        }
+    }
+}
+
 /// A customer on `soft` asks 40 times a second, four times its quota, for 20 s through 60 doors. The quota lets 220
 /// units go. Each door that saw room for one asked for it, and handed back what the others had taken first.
 #[test]
