Start the watch apart without holding up a move, and wait alike for both sources

Seen on reading again: roster::watch slept before it took the present source, so a source that changed meanwhile was asked for changes after the old one's version in place of its whole list; and ephemeral.rs doubled its waits on its own, in step.

Change: only the first watch waits, in its own task, so that a move is followed at once; coordinators are asked again by the same Backoff.

Measured: all tests of the gateway pass, among them those of moving and of ephemeral nodes.

--- a/crates/gateway/src/net/ephemeral.rs
+++ b/crates/gateway/src/net/ephemeral.rs
@@ -5,6 +5,7 @@
 //! everything anew after each reconnect: a watch does not outlive its connection here. While no session can
 //! be had, the table stays as it is, as when discovery is silent.
 
+use crate::net::backoff::Backoff;
 use crate::net::service_table;
 use crate::net::wheel::Wheel;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
@@ -17,9 +18,6 @@
 use tokio::net::TcpStream;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-/// First and longest wait between two connections, ms.
-const BACKOFF_MS: f64 = 50.0;
-const BACKOFF_MOST_MS: f64 = 2_000.0;
 /// Longest wait for a connection, ms.
 const CONNECT_MS: f64 = 1_000.0;
 /// A parent node that is not there is asked for again after this, ms.
@@ -276,12 +274,11 @@
 }
 
 /// Watches the ensemble and passes on each change, for as long as it is polled.
-pub async fn watch(source: Ephemeral, wheel: Wheel, told: impl Fn(ServiceTable)) {
-    let (mut session, mut backoff) = (Session::default(), BACKOFF_MS);
+pub async fn watch(source: Ephemeral, wheel: Wheel, mut backoff: Backoff, told: impl Fn(ServiceTable)) {
+    let mut session = Session::default();
     for server in source.servers.iter().cycle() {
         let welcome = connection(*server, &source, &mut session, &wheel, &told).await;
-        backoff = if welcome { BACKOFF_MS } else { (backoff * 2.0).min(BACKOFF_MOST_MS) };
-        wheel.sleep(backoff).await;
+        wheel.sleep(if welcome { backoff.answered() } else { backoff.failed() }).await;
     }
 }
 
--- a/crates/gateway/src/net/roster.rs
+++ b/crates/gateway/src/net/roster.rs
@@ -1,5 +1,6 @@
 //! Where the service table comes from, and how it moves from one source to another while the program serves.
 
+use crate::net::backoff::Backoff;
 use crate::net::ephemeral::{self, Ephemeral};
 use crate::net::service_table;
 use crate::net::wheel::Wheel;
@@ -28,20 +29,23 @@
     }
 }
 
-async fn follow(source: Source, rev: u64, wheel: Wheel, told: impl Fn(ServiceTable)) {
+async fn follow(source: Source, rev: u64, wheel: Wheel, backoff: Backoff, told: impl Fn(ServiceTable)) {
     match source {
-        Source::Discovery(address) => service_table::follow(address, rev, wheel, told).await,
-        Source::Ephemeral(nodes) => ephemeral::watch(nodes, wheel, told).await,
+        Source::Discovery(address) => service_table::follow(address, rev, wheel, backoff, told).await,
+        Source::Ephemeral(nodes) => ephemeral::watch(nodes, wheel, backoff, told).await,
     }
 }
 
 /// Watches the present source, the first one from version `rev` on, and passes on each change for as long as it is
 /// polled. A new source is asked for the whole list, since its versions need not be those of the old one; until it
-/// has told that list, the watch at the old one goes on.
+/// has told that list, the watch at the old one goes on. The first one is asked after `first_ms`: gateways that
+/// start together and know a table need not all ask at once for a newer one.
 pub async fn watch(
     mut sources: watch::Receiver<Source>,
     rev: u64,
     wheel: Wheel,
+    backoff: Backoff,
+    mut first_ms: f64,
     told: impl Fn(ServiceTable) + 'static,
 ) {
     let told = Rc::new(told);
@@ -50,12 +54,14 @@
     loop {
         let replaced = former.borrow().clone();
         let (told, all) = (told.clone(), former.clone());
-        let task = tokio::task::spawn_local(follow(source.clone(), rev, wheel.clone(), move |table| {
+        let watch = follow(source.clone(), rev, wheel.clone(), backoff.clone(), move |table| {
             // The present watch speaks: those before it have had their time.
             replaced.iter().for_each(AbortHandle::abort);
             all.borrow_mut().retain(|task| !task.is_finished());
             told(table);
-        }));
+        });
+        let begin = wheel.sleep(std::mem::take(&mut first_ms));
+        let task = tokio::task::spawn_local(async { (begin.await, watch.await) });
         former.borrow_mut().push(task.abort_handle());
         loop {
             if sources.changed().await.is_err() {
@@ -73,7 +79,8 @@
 /// Asks a source for its whole list once, as a trial of it. `None`: it told none in this time, ms.
 pub async fn ask(source: Source, wheel: &Wheel, within_ms: f64) -> Option<ServiceTable> {
     let (to, mut tables) = mpsc::unbounded_channel();
-    let watching = tokio::task::spawn_local(follow(source, 0, wheel.clone(), move |table: ServiceTable| {
+    let alone = Backoff::new(1, 0);
+    let watching = tokio::task::spawn_local(follow(source, 0, wheel.clone(), alone, move |table| {
         let _ = to.send(table);
     }));
     let whole = async {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -5,13 +5,14 @@
 use crate::config::{Config, ConfigError};
 use crate::control::{Command, Control};
 use crate::live::{Base, Files, Live, Pinned};
+use crate::net::backoff::Backoff;
 use crate::net::budget::Budget;
 use crate::net::counter::Counter;
 use crate::net::ephemeral::Ephemeral;
 use crate::net::hub::{self, World};
 use crate::net::inbox::{Inbox, Input};
 use crate::net::region::Regions;
-use crate::net::roster::{self, Peers, Source};
+use crate::net::roster::{self, Source};
 use crate::net::terminal::{self, Phase, Terminals};
 use crate::net::wheel::Wheel;
 use crate::record::Recorder;
@@ -350,8 +351,9 @@
             inbox.tell(Input::Table(table));
         }
     };
-    let peers = Peers { gateways: config.settings.siblings, seed: config.seed, listed };
-    spawn_local(roster::watch(sources, rev, wheel.clone(), peers, told));
+    let mut backoff = Backoff::new(config.settings.siblings, config.seed);
+    let first_ms = if listed { backoff.start() } else { 0.0 };
+    spawn_local(roster::watch(sources, rev, wheel.clone(), backoff, first_ms, told));
     if let (Some(opened), Some(boot), Some(tally)) = (opened, boot, tally) {
         let live = Live {
             base: base.clone(),
