Take the clients' listening socket that EDGE_SOCKET_FD names, and leave it at SIGTERM

At SIGTERM a gateway on a shared socket stops accepting at once, so the next process takes what comes; the answers owed and the drain of kept connections stay as before.

--- a/crates/gateway/src/net/mod.rs
+++ b/crates/gateway/src/net/mod.rs
@@ -6,6 +6,7 @@
 pub mod ephemeral;
 pub mod hub;
 pub mod inbox;
+pub mod inherit;
 pub mod region;
 pub mod roster;
 pub mod service_table;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -11,6 +11,7 @@
 use crate::net::ephemeral::Ephemeral;
 use crate::net::hub::{self, World};
 use crate::net::inbox::{Inbox, Input};
+use crate::net::inherit;
 use crate::net::region::Regions;
 use crate::net::roster::{self, Source};
 use crate::net::terminal::{self, Phase, Terminals};
@@ -211,12 +212,22 @@
 /// What it was given is no good, or it failed while it ran.
 pub fn serve(start: Start) -> Result<(), Failure> {
     let config = read_config(start.config.as_deref())?;
+    // Before the runtime, which may start threads: taking it sets variables of the process.
+    let inherited = inherit::take().map_err(|why| Failure::Bad(vec![why]))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|why| format!("no runtime: {why}"))?;
-    tokio::task::LocalSet::new().block_on(&runtime, run(start, config))
+    tokio::task::LocalSet::new().block_on(&runtime, run(start, config, inherited))
 }
 
-fn listener(config: &Config) -> Result<TcpListener, String> {
+/// The clients' listener: the inherited one where the platform hands one on, else bound here.
+fn listener(config: &Config, inherited: Option<std::net::TcpListener>) -> Result<TcpListener, String> {
+    if let Some(inherited) = inherited {
+        let adopt = || {
+            inherited.set_nonblocking(true)?;
+            TcpListener::from_std(inherited)
+        };
+        return adopt().map_err(|why| format!("{}: {why}", inherit::SOCKET_FD));
+    }
     let listen = || {
         let socket = if config.listen.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
         socket.set_reuseaddr(true)?;
@@ -226,7 +237,7 @@
     listen().map_err(|why: std::io::Error| format!("configuration: listen: {}: {why}", config.listen))
 }
 
-async fn run(start: Start, config: Config) -> Result<(), Failure> {
+async fn run(start: Start, config: Config, inherited: Option<std::net::TcpListener>) -> Result<(), Failure> {
     // First of all, and long before readiness: until then each of these signals ends the program.
     let on = |kind| signal(kind).map_err(|why| Failure::Failed(format!("signals: {why}")));
     let (mut stop, mut interrupt) = (on(SignalKind::terminate())?, on(SignalKind::interrupt())?);
@@ -326,7 +337,8 @@
     let mut deciding = spawn_local(hub::run(core, inputs, wheel.clone()));
     spawn_local(regions.reap());
 
-    let listener = listener(config)?;
+    let shared = inherited.is_some();
+    let listener = listener(config, inherited)?;
     let listening = listener.local_addr();
     let (set_phase, phase) = watch::channel(Phase::Serving);
     let terminals = Rc::new(Terminals {
@@ -375,7 +387,7 @@
         }
         spawn_local(driver.run(commands, voted));
     }
-    spawn_local(terminal::listen(listener, terminals.clone()));
+    let accepting = spawn_local(terminal::listen(listener, terminals.clone()));
     let listen = listening.map_or_else(|why| why.to_string(), |address| address.to_string());
     tracing::info!(name = config.name, listen, "serving");
 
@@ -388,6 +400,10 @@
     }
     tracing::info!("stopping");
     let began = wheel.now();
+    // A socket shared with the process that follows: what this one does not accept waits there for that one.
+    if shared {
+        accepting.abort();
+    }
     let _ = set_phase.send(Phase::Draining);
     wheel.sleep(ACCEPTING_MS).await;
     let _ = set_phase.send(Phase::Closing);
