Open the admin door on admin_addr: readiness, figures, drain and activation

Design: a second listener where admin_addr or EDGE_ADMIN_ADDR names one, one call a connection, each answered or closed within 800 ms of its connection, at most 16 callers (one more closes the oldest), their descriptors held out of the clients' budget. A drain turns the clients' side to Draining (readiness no, each answer closes) and after 1 s to Closing (idle connections go); activation turns it back unless the process stops. Figures are counted where events happen: answers by class in the terminal, attempts after their last byte in the region, the table's size in follow, loads at SIGHUP. Passed over: a figure read from the module's state, which knows no class's answers nor written bytes.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -15,6 +15,8 @@
     pub listen: SocketAddr,
     /// Discovery's agent.
     pub discovery: SocketAddr,
+    /// The admin door, from `admin_addr`; none: no such listener.
+    pub admin: Option<SocketAddr>,
     /// The counter, where there is one.
     pub counter: Option<SocketAddr>,
     /// For random numbers.
@@ -114,6 +116,11 @@
             Some(Value::String(text)) if text.is_empty() => None,
             Some(_) => Some(address(&root, "counter")?),
         };
+        let admin = match field(&root, "admin_addr") {
+            None | Some(Value::Null) => None,
+            Some(Value::String(text)) if text.is_empty() => None,
+            Some(_) => Some(address(&root, "admin_addr")?),
+        };
         let seed = match field(&root, "seed") {
             None => 0,
             Some(Value::Number(seed)) => number(seed) as u64,
@@ -156,6 +163,7 @@
             name: text(&root, "name").unwrap_or("gateway").to_string(),
             listen: address(&root, "listen")?,
             discovery: address(&root, "discovery")?,
+            admin,
             counter,
             seed,
             sockets,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,11 +1,13 @@
 #![doc = include_str!("../../../README.md")]
 
+pub mod admin;
 pub mod change;
 pub mod cli;
 pub mod clock;
 pub mod config;
 pub mod control;
 pub mod demo;
+pub mod figures;
 pub mod front;
 pub mod http;
 pub mod live;
--- a/crates/gateway/src/net/region.rs
+++ b/crates/gateway/src/net/region.rs
@@ -1,5 +1,6 @@
 //! Regions: the booking servers. Pools of kept connections, and one attempt over one of them.
 
+use crate::figures::Figures;
 use crate::http::{most_answer, HttpError, RegionCodec, RegionReply, RegionRequest};
 use crate::net::budget::{Budget, Slot};
 use crate::net::wheel::Wheel;
@@ -64,6 +65,7 @@
     connect_ms: Cell<f64>,
     keep_ms: Cell<f64>,
     most_answer: usize,
+    figures: Rc<Figures>,
 }
 
 /// How an attempt ended, and what was served.
@@ -78,10 +80,19 @@
         connect_ms: f64,
         idle_ms: f64,
         memory: usize,
+        figures: Rc<Figures>,
     ) -> Rc<Regions> {
         let (keep_ms, most_answer) = (Cell::new(idle_ms * IDLE_PART), most_answer(memory));
         let connect_ms = Cell::new(connect_ms);
-        Rc::new(Regions { regions: RefCell::default(), budget, wheel, connect_ms, keep_ms, most_answer })
+        Rc::new(Regions {
+            regions: RefCell::default(),
+            budget,
+            wheel,
+            connect_ms,
+            keep_ms,
+            most_answer,
+            figures,
+        })
     }
 
     /// Follows the service table: where regions are, and which kept connections are of no more use.
@@ -105,6 +116,8 @@
                 region.idle = Vec::new();
             }
         }
+        let skipped = regions.values().filter(|region| region.address.is_none()).count();
+        self.figures.listed(regions.len(), skipped);
     }
 
     /// Takes new time-outs, ms: for connections to come up, and when regions close idle ones.
@@ -212,6 +225,7 @@
         if link.framed.get_mut().write_all(&bytes).await.is_err() {
             return (Outcome::CouldNotConnect, None);
         }
+        self.figures.tried();
         let reply = match self.answer(&mut link).await {
             Some(Ok(reply)) => reply,
             Some(Err(HttpError::Io(_))) | None => return (Outcome::Reset, None),
--- a/crates/gateway/src/net/terminal.rs
+++ b/crates/gateway/src/net/terminal.rs
@@ -1,5 +1,6 @@
 //! Terminals: the clients' side. One task a connection, one request at a time.
 
+use crate::figures::{Ending, Figures};
 use crate::http::{HttpError, RegionReply, TerminalCodec, TerminalReply, TerminalRequest};
 use crate::net::budget::{Budget, Slot};
 use crate::net::inbox::{Inbox, Input, OpenId, OpenIds, Parcel};
@@ -109,6 +110,8 @@
     pub waiting: RefCell<BTreeMap<u64, Waiting>>,
     /// Number of the last connection.
     pub last: Cell<u64>,
+    /// What the admin door shows.
+    pub figures: Rc<Figures>,
 }
 
 impl Terminals {
@@ -350,14 +353,26 @@
     let (key, at) = (terminals.inbox.next_key(), terminals.wheel.now());
     let (reply, mut answered) = oneshot::channel();
     let mark = terminals.tally.as_ref().map(|tally| tally.mark(at, &intake));
+    let class = intake.class.clone();
+    terminals.figures.began();
     terminals.inbox.tell(Input::Arrive(key, at, intake, Parcel { request, id, reply, mark }));
     loop {
         tokio::select! {
             biased;
-            answer = &mut answered => return Some(reply_of(answer.ok())),
+            answer = &mut answered => {
+                let answer = answer.ok();
+                let ending = match &answer {
+                    Some(Answer::Served(_)) => Ending::Passed,
+                    Some(Answer::ShortOnCapacityReply(_)) => Ending::Dropped,
+                    Some(Answer::Failed) | None => Ending::BadGateway,
+                };
+                terminals.figures.ended(&class, ending);
+                return Some(reply_of(answer));
+            }
             read = wire.next(), if stashed.is_none() => match read {
                 None | Some(Err(HttpError::Io(_))) => {
                     terminals.inbox.tell(Input::Left(key));
+                    terminals.figures.left();
                     return None;
                 }
                 read => *stashed = Some(read),
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,9 +1,11 @@
 //! The gateway as a process: configuration, wiring, signals. It contains no behaviour of its own.
 
+use crate::admin::{self, Door, Gate};
 use crate::change::{Boot, Driver, Parts, NAMES};
 use crate::clock::Clock;
 use crate::config::{Config, ConfigError};
 use crate::control::{Command, Control};
+use crate::figures::Figures;
 use crate::live::{Base, Files, Live, Pinned};
 use crate::net::backoff::Backoff;
 use crate::net::budget::Budget;
@@ -92,6 +94,16 @@
             *address = text.parse().map_err(|_| fail(key, format!("'{text}' is no address with a port")))?;
         }
     }
+    match std::env::var("EDGE_ADMIN_ADDR") {
+        Ok(text) if text.is_empty() => {}
+        Ok(text) => {
+            let address = text
+                .parse()
+                .map_err(|_| fail("EDGE_ADMIN_ADDR", format!("'{text}' is no address with a port")))?;
+            config.admin = Some(address);
+        }
+        Err(_) => {}
+    }
     Ok(config)
 }
 
@@ -145,9 +157,12 @@
     sources: Rc<watch::Sender<Source>>,
     counter: Rc<watch::Sender<Option<SocketAddr>>>,
     pinned: Rc<Pinned>,
+    figures: Rc<Figures>,
 ) {
     while hangup.recv().await.is_some() {
-        match read_file(path.as_deref()) {
+        let read = read_file(path.as_deref());
+        figures.loaded(read.is_ok());
+        match read {
             Ok(config) => {
                 let at = config.counter.map_or_else(|| "none".to_string(), |address| address.to_string());
                 tracing::info!(discovery = %config.discovery, counter = at, "reloaded");
@@ -245,7 +260,11 @@
     let clock = Clock::start();
     let wheel = Wheel::new(clock);
     let mut turning = spawn_local(wheel.clone().run());
-    let budget = Budget::new(config.sockets);
+    // The admin door's callers have descriptors of their own, and its listener one more.
+    let budget = Budget::new(config.sockets - config.admin.map_or(0, |_| admin::MOST_CALLERS + 1));
+    let figures = Rc::new(Figures::new(config.settings.classes.iter().map(|class| class.name.as_str())));
+    // Bound first: a process that can't have its door must say so before it says yes anywhere.
+    let door = config.admin.map(admin::bind).transpose()?;
     let (to, inputs) = mpsc::unbounded_channel();
     let inbox = Inbox::new(to);
 
@@ -259,8 +278,14 @@
     // A document may ask for never-twice handling at any time.
     let facade = Facade::new(config.settings.clone(), config.seed, strict || opened.is_some())
         .map_err(|why| Failure::Failed(format!("configuration: settings: {why}")))?;
-    let regions =
-        Regions::new(budget.clone(), wheel.clone(), config.connect_ms, config.idle_close_ms, config.memory);
+    let regions = Regions::new(
+        budget.clone(),
+        wheel.clone(),
+        config.connect_ms,
+        config.idle_close_ms,
+        config.memory,
+        figures.clone(),
+    );
     let source = match &files.ephemeral {
         None => Source::Discovery(config.discovery),
         Some(path) => Source::Ephemeral(Ephemeral::load(path)?),
@@ -313,6 +338,7 @@
         sources_at.clone(),
         counter_at.clone(),
         pinned.clone(),
+        figures.clone(),
     ));
     let world = World {
         regions: regions.clone(),
@@ -340,7 +366,7 @@
     let shared = inherited.is_some();
     let listener = listener(config, inherited)?;
     let listening = listener.local_addr();
-    let (set_phase, phase) = watch::channel(Phase::Serving);
+    let (gate, phase) = Gate::new(wheel.clone());
     let terminals = Rc::new(Terminals {
         front: RefCell::new(front),
         tally: tally.clone(),
@@ -353,7 +379,12 @@
         ids: Rc::default(),
         waiting: RefCell::default(),
         last: Cell::new(0),
+        figures: figures.clone(),
     });
+    if let Some(door) = door {
+        tracing::info!(admin = %door.local_addr().map_or_else(|why| why.to_string(), |at| at.to_string()), "admin door");
+        spawn_local(Door::new(figures.clone(), terminals.clone(), gate.clone(), wheel.clone()).run(door));
+    }
     let told = {
         let (inbox, terminals) = (inbox.clone(), terminals.clone());
         move |table: ServiceTable| {
@@ -404,9 +435,9 @@
     if shared {
         accepting.abort();
     }
-    let _ = set_phase.send(Phase::Draining);
+    gate.stop(Phase::Draining);
     wheel.sleep(ACCEPTING_MS).await;
-    let _ = set_phase.send(Phase::Closing);
+    gate.stop(Phase::Closing);
     // Early, since the stay may end without warning, and once more below for what stragglers leave.
     let retire = || {
         let (done, retired) = oneshot::channel();
--- a/crates/gateway/tests/scenario/mod.rs
+++ b/crates/gateway/tests/scenario/mod.rs
@@ -132,12 +132,15 @@
     discovery_at: SocketAddr,
     log: Receiver<String>,
     listen: String,
+    /// The admin door, where the files name `("admin", "")`.
+    pub admin: Option<String>,
     clients: BTreeMap<String, BufReader<TcpStream>>,
     regions: BTreeMap<String, Region>,
     counter: Receiver<String>,
     watch: Receiver<TcpStream>,
     watching: Option<TcpStream>,
     sent: u64,
+    called: Option<String>,
 }
 
 /// A directory for this test's files, removed with the rig's files by the system.
@@ -183,15 +186,28 @@
         let (counter_at, discovery_at) = (counter(calls), discovery(watches));
         let entry = |(name, region): (&String, &Region)| target(name, region.address, "Ready");
         let known: Vec<String> = regions.iter().map(entry).collect();
+        let door = if files.iter().any(|(name, _)| *name == "admin") {
+            r#""admin_addr":"127.0.0.1:0","#
+        } else {
+            ""
+        };
         let config = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery_at}","seed":"07","counter":"{counter_at}",
+            r#"{{"name":"n0","listen":"127.0.0.1:0",{door}"discovery":"{discovery_at}","seed":"07","counter":"{counter_at}",
             "limits":{{"sockets":256}},"known":{{"rev":1,"all":true,"targets":[{}]}},"settings":{SETTINGS}}}"#,
             known.join(",")
         );
         let path = file("config.json", &config);
         let mut gateway = start_on(&path, files);
         let mut log = BufReader::new(gateway.stderr.take().expect("its log")).lines().map_while(Result::ok);
-        let serving = log.find(|line| line.contains("serving")).expect("it serves");
+        let mut admin = None;
+        let serving = log
+            .find(|line| {
+                if let Some(at) = line.split("admin=").nth(1) {
+                    admin = Some(at.split_whitespace().next().unwrap_or_default().to_string());
+                }
+                line.contains("serving")
+            })
+            .expect("it serves");
         let listen = serving.split("listen=").nth(1).expect("its address").trim_matches('"').to_string();
         // Nobody may block it by leaving its log unread.
         let (to, lines) = channel();
@@ -204,12 +220,14 @@
             discovery_at,
             log: lines,
             listen,
+            admin,
             clients,
             regions,
             counter: counted,
             watch,
             watching,
             sent: 0,
+            called: None,
         }
     }
 
@@ -243,6 +261,7 @@
                 "gateway" => self.process(verb, words),
                 "c" => self.count(words),
                 "d" => self.discovery(verb, words),
+                "admin" => self.call(verb, words),
                 _ if self.regions.contains_key(actor) => self.region(actor, verb, words),
                 _ => self.client(actor, verb, words),
             };
@@ -254,6 +273,29 @@
         seen
     }
 
+    /// A call at the admin door: `admin: GET /v1/readyz` and `admin: expect 200 yes`, or
+    /// `admin: has app.passed.safe:1|c` for a line of the last answer.
+    fn call(&mut self, verb: &str, words: &str) -> Result<String, String> {
+        match verb {
+            "expect" => {
+                let got = self.called.as_ref().ok_or("no call")?;
+                let status = got.split(' ').nth(1).unwrap_or_default();
+                let body = got.split("\r\n\r\n").nth(1).unwrap_or_default();
+                let got = format!("{status} {}", body.trim_end());
+                got.starts_with(words).then_some(got.clone()).ok_or(format!("got {got}"))
+            }
+            "has" => {
+                let got = self.called.as_ref().ok_or("no call")?;
+                got.lines().any(|line| line == words).then(|| words.to_string()).ok_or(format!("got {got}"))
+            }
+            method => {
+                let (status, text) = admin_call(self.admin.as_ref().ok_or("no admin door")?, method, words)?;
+                self.called = Some(text);
+                Ok(format!("{method} {words}: {status}"))
+            }
+        }
+    }
+
     fn client(&mut self, name: &str, verb: &str, words: &str) -> Result<String, String> {
         if verb != "expect" && verb != "close" && !self.clients.contains_key(name) {
             let stream = TcpStream::connect(&self.listen).map_err(|why| why.to_string())?;
@@ -447,6 +489,19 @@
     command.stderr(Stdio::piped()).stdout(Stdio::null()).spawn().expect("it starts")
 }
 
+/// One call at the admin door, on a connection of its own: its status and its whole answer.
+pub fn admin_call(door: &str, method: &str, path: &str) -> Result<(u16, String), String> {
+    let mut stream = TcpStream::connect(door).map_err(|why| why.to_string())?;
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    let call = format!("{method} {path} HTTP/1.1\r\nHost: admin\r\nContent-Length: 0\r\n\r\n");
+    stream.write_all(call.as_bytes()).map_err(|why| why.to_string())?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).map_err(|why| why.to_string())?;
+    let status =
+        text.split(' ').nth(1).and_then(|status| status.parse().ok()).ok_or(format!("got {text}"))?;
+    Ok((status, text))
+}
+
 fn target(name: &str, address: SocketAddr, state: &str) -> String {
     format!(
         r#"{{"uid":"{name}","endpoint":"{address}","az":"east","pod_group":1,"state":"{state}","boot_ms":0}}"#
