--- a/crates/core/src/facade.rs
+++ b/crates/core/src/facade.rs
@@ -242,6 +242,10 @@
     limiter: Limiter,
     tap: Option<Box<dyn Tap>>,
     strict: bool,
+    /// The classes as the module has them, retired ones among them: see [`crate::classes`].
+    classes: Vec<Class>,
+    /// Changes of settings so far.
+    changes: u64,
     attempts: BTreeMap<RequestKey, usize>,
     units_top: f64,
     wake: Option<f64>,
@@ -254,9 +258,10 @@
     pub fn new(settings: Settings, seed: u64, strict: bool) -> Result<Facade, BadSettings> {
         let settings = twinned(settings, strict);
         let units_top = settings.units_top.max(1.0);
+        let (classes, changes) = (settings.classes.clone(), 0);
         let limiter = Limiter::new(settings, seed)?;
         let (attempts, wake, actions) = (BTreeMap::new(), None, Vec::new());
-        Ok(Facade { limiter, tap: None, strict, units_top, attempts, wake, actions })
+        Ok(Facade { limiter, tap: None, strict, units_top, attempts, wake, actions, classes, changes })
     }
 
     /// Sets or takes away who sees what goes in and out. `None` costs nothing.
@@ -376,7 +381,10 @@
         if let Some(tap) = &mut self.tap {
             tap.input(now, Input::Tuned(&settings, from, epoch));
         }
-        let settings = twinned(settings, self.strict);
+        let mut settings = twinned(settings, self.strict);
+        self.changes += 1;
+        settings.classes = crate::classes::carry(&self.classes, settings.classes, self.changes);
+        self.classes.clone_from(&settings.classes);
         self.units_top = settings.units_top.max(1.0);
         self.limiter.retune(settings, from);
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -2,5 +2,6 @@
 //! and `tick`, [`life`] keeps each request from its arrival to its one final answer. Neither knows a wire, a
 //! socket or a clock; the manifest has nothing that could bring one in.
 
+pub mod classes;
 pub mod facade;
 pub mod life;
--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -64,7 +64,7 @@
 const GAIN_MEANS: f64 = 40.0;
 const CLASS_GAIN: f64 = 0.03;
 /// Mean latency assumed for a class before the first answer, as a part of its aim.
-const FIRST_GUESS: f64 = 0.2;
+pub(crate) const FIRST_GUESS: f64 = 0.2;
 /// A server is set aside when the attempts out there have waited, since it was last heard, so many mean
 /// latencies in sum and the oldest so many: one long request alone is no silence.
 const SILENT_SUM: f64 = 12.0;
@@ -226,7 +226,7 @@
     pub(crate) latency: Vec<Average>,
     pub(crate) size: Average,
     /// The lowest that the mean latency of each class has been, ms: servers that hold little.
-    calm: Vec<f64>,
+    pub(crate) calm: Vec<f64>,
     /// Part of the fetches that fitted lately, by plan.
     pub(crate) trust: Vec<f64>,
     /// Odds that a fetch is made rather than its request served on trust.
--- a/crates/decide/src/tune.rs
+++ b/crates/decide/src/tune.rs
@@ -2,8 +2,8 @@
 //! only rebuilt by the module's own rule out of the figures that hold for its window.
 
 use crate::api::{Plan, Settings};
-use crate::decide::Limiter;
-use crate::state::Pool;
+use crate::decide::{Limiter, FIRST_GUESS};
+use crate::state::{Average, Pool};
 
 /// The plans' former figures, and from which windows on the present ones hold.
 #[derive(Debug)]
@@ -22,11 +22,17 @@
 
 impl Limiter {
     /// Takes new figures: those of plans for windows that begin at `from` (ms) or later, negative infinity for all
-    /// at once; the others at once. Classes keep their order, and plans their places: new ones come last.
+    /// at once; the others at once. Classes keep their places, and plans theirs: new ones come last.
     pub fn retune(&mut self, settings: Settings, from: f64) {
         let former = std::mem::replace(&mut self.settings, settings).plans;
         self.figures = Figures { former, from, changes: self.figures.changes + 1 };
         self.trust.resize(self.settings.plans.len(), 1.0);
+        // Classes that come new begin with the guesses of a start; those of before keep what was learned.
+        for class in &self.settings.classes[self.latency.len().min(self.settings.classes.len())..] {
+            let guess = class.aim_ms * FIRST_GUESS;
+            self.latency.push(Average::of(guess));
+            self.calm.push(guess);
+        }
     }
 
     /// Odds, 0 to 1, that a request of mean worth for its time is taken in: below 1 the fleet is thought short.
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -2,7 +2,7 @@
 
 use crate::net::service_table;
 use miniserde::json::{self, Number, Value};
-use nickeljunction_core::facade::{ServiceTable, Settings};
+use nickeljunction_core::facade::{check, ServiceTable, Settings};
 use nickeljunction_decide::wire::Line;
 use std::net::SocketAddr;
 
@@ -108,6 +108,29 @@
 }
 
 impl Config {
+    /// The settings can be taken by a gateway that runs: at least one class, each with an aim and a time to
+    /// give up above 0, at least one attempt, and what the module itself asks of them.
+    ///
+    /// # Errors
+    /// The first key at fault, by its place under `settings`, and what is wanted there.
+    pub fn retunable(&self) -> Result<(), ConfigError> {
+        let settings = &self.settings;
+        if settings.classes.is_empty() {
+            return error("settings.Classes", "must name one class or more");
+        }
+        if settings.max_attempts == 0 {
+            return error("settings.Permissions.MaxAttempts", "must be a whole number above 0");
+        }
+        for (at, class) in settings.classes.iter().enumerate() {
+            for (key, ms) in [("AimMs", class.aim_ms), ("GiveUpMs", class.give_up_ms)] {
+                if !(ms > 0.0 && ms.is_finite()) {
+                    return error(&format!("settings.Classes.{at}.{key}"), "must be a number of ms above 0");
+                }
+            }
+        }
+        check(settings).or_else(|why| error("settings", why.to_string()))
+    }
+
     /// Reads the text of a configuration file.
     pub fn parse(text_of_file: &str) -> Result<Config, ConfigError> {
         let Ok(root) = json::from_str::<Value>(text_of_file) else { return error("file", "not JSON") };
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -147,9 +147,39 @@
     Key::read(&name, &text)
 }
 
-/// On SIGHUP, hands on where discovery and the counter are by the file: it is newer than the environment.
-/// The rest of the file holds from start to end, and what an operators' document says stays the document's. A
-/// file that can't be used changes nothing.
+/// What SIGHUP changes besides discovery and the counter.
+struct Retune {
+    terminals: Rc<Terminals>,
+    inbox: Inbox,
+    counter_timeout_ms: Rc<Cell<f64>>,
+    /// An operators' document holds the settings: the file's are not taken.
+    documented: bool,
+}
+
+impl Retune {
+    /// Takes the file's settings between two turns of the core loop: requests that come after it are read and
+    /// decided under them, those already open keep the rules of their class as it was.
+    fn take(&self, base: &Base, config: &Config) -> Result<(), String> {
+        if self.documented {
+            return Ok(());
+        }
+        let (front, _) = base.files.front(&config.settings)?;
+        let (settings, terminals) = (config.settings.clone(), self.terminals.clone());
+        let (connect_ms, idle_ms) = (config.connect_ms, config.idle_close_ms);
+        self.counter_timeout_ms.set(settings.counter_timeout_ms);
+        self.inbox.tell(Input::Turn(Box::new(move |core, now| {
+            terminals.front.replace(front);
+            core.retime(connect_ms, idle_ms);
+            core.retune(now, settings, f64::NEG_INFINITY, 0);
+        })));
+        Ok(())
+    }
+}
+
+/// On SIGHUP, hands on where discovery and the counter are by the file: it is newer than the environment;
+/// takes its settings, where no operators' document holds them. The rest of the file holds from start to end. A
+/// file that can't be used changes nothing, and is counted and told with its place.
+#[allow(clippy::too_many_arguments)]
 async fn reload(
     path: Option<PathBuf>,
     mut hangup: Signal,
@@ -158,9 +188,16 @@
     counter: Rc<watch::Sender<Option<SocketAddr>>>,
     pinned: Rc<Pinned>,
     figures: Rc<Figures>,
+    retune: Retune,
 ) {
+    let named =
+        || path.clone().or_else(|| std::env::var_os("EDGE_CONFIG").map(PathBuf::from)).unwrap_or_default();
     while hangup.recv().await.is_some() {
-        let read = read_file(path.as_deref());
+        let read = read_file(path.as_deref()).and_then(|config| config.retunable().map(|()| config));
+        let read = read.map_err(|why| why.to_string()).and_then(|config| {
+            retune.take(&base, &config)?;
+            Ok(config)
+        });
         figures.loaded(read.is_ok());
         match read {
             Ok(config) => {
@@ -183,7 +220,7 @@
                     counter.send_if_modified(|old| std::mem::replace(old, config.counter) != config.counter);
                 }
             }
-            Err(why) => tracing::error!("{why}: the former values stay"),
+            Err(why) => tracing::error!(file = %named().display(), "{why}: nothing of the file is taken"),
         }
     }
     std::future::pending().await
@@ -331,15 +368,6 @@
     let counter_timeout_ms = Rc::new(Cell::new(config.settings.counter_timeout_ms));
     let counter = Counter::start(counter, counter_timeout_ms.clone(), wheel.clone(), counted);
     let pinned = Rc::new(Pinned::default());
-    spawn_local(reload(
-        start.config.clone(),
-        hangup,
-        base.clone(),
-        sources_at.clone(),
-        counter_at.clone(),
-        pinned.clone(),
-        figures.clone(),
-    ));
     let world = World {
         regions: regions.clone(),
         counter: counter.clone(),
@@ -385,6 +413,22 @@
         tracing::info!(admin = %door.local_addr().map_or_else(|why| why.to_string(), |at| at.to_string()), "admin door");
         spawn_local(Door::new(figures.clone(), terminals.clone(), gate.clone(), wheel.clone()).run(door));
     }
+    let retune = Retune {
+        terminals: terminals.clone(),
+        inbox: inbox.clone(),
+        counter_timeout_ms: counter_timeout_ms.clone(),
+        documented: start.document.is_some(),
+    };
+    spawn_local(reload(
+        start.config.clone(),
+        hangup,
+        base.clone(),
+        sources_at.clone(),
+        counter_at.clone(),
+        pinned.clone(),
+        figures.clone(),
+        retune,
+    ));
     let told = {
         let (inbox, terminals) = (inbox.clone(), terminals.clone());
         move |table: ServiceTable| {
--- a/crates/gateway/tests/scenario/mod.rs
+++ b/crates/gateway/tests/scenario/mod.rs
@@ -443,6 +443,24 @@
                 .map(|()| words.into())
                 .map_err(|why| why.to_string());
         }
+        // `gateway: edit OLD => NEW`: the configuration with the first OLD replaced, as a new file.
+        if verb == "edit" {
+            let (old, new) = words.split_once(" => ").ok_or("OLD => NEW")?;
+            if !self.config.1.contains(old) {
+                return Err(format!("the configuration has no {old}"));
+            }
+            self.config.1 = self.config.1.replacen(old, new, 1);
+            return std::fs::write(&self.config.0, &self.config.1)
+                .map(|()| words.into())
+                .map_err(|why| why.to_string());
+        }
+        // `gateway: cut`: the configuration cut off halfway, as a writer that stopped would leave it.
+        if verb == "cut" {
+            let half = &self.config.1[..self.config.1.len() / 2];
+            return std::fs::write(&self.config.0, half)
+                .map(|()| "cut".into())
+                .map_err(|why| why.to_string());
+        }
         if verb == "write" {
             return std::fs::write(&self.config.0, words)
                 .map(|()| words.into())
