Give a body that still comes in 2 s from its last piece, not a deadline for the whole

Change: once the head is whole, each look that finds more of the body moves its due time to 2 s after; a head is still due whole, so silent and half callers go as before.

Measured: a test sends a head over 1 s and 40,000 bytes over 1.5 s: 200 with the change, nothing reaches the server without it (checked by reverting); a body that stops gets 408.

--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -363,6 +363,13 @@
     head: Option<(TerminalRequest, Body)>,
 }
 
+impl TerminalCodec {
+    /// Bytes of a body taken in so far, beside those still in the read buffer; `None` before a head is whole.
+    pub fn body_held(&self) -> Option<usize> {
+        self.head.as_ref().map(|(_, body)| body.whole.len())
+    }
+}
+
 impl Decoder for TerminalCodec {
     type Item = TerminalRequest;
     type Error = HttpError;
--- a/crates/gateway/src/net/terminal.rs
+++ b/crates/gateway/src/net/terminal.rs
@@ -29,6 +29,9 @@
 /// Part of the budget above which the oldest kept connection goes before that, once it has waited so long, ms.
 const KEPT_PART: f64 = 0.15;
 const KEPT_LEAST_MS: f64 = 50.0;
+/// Once a request's head is whole, its body may stand still so long between two pieces, ms: a client may
+/// send a long body slowly, and its time is then counted from its last piece.
+const BODY_STILL_MS: f64 = 2_000.0;
 /// How often a waiting connection looks for half a request, ms.
 const LOOK_MS: f64 = 400.0;
 /// A client that does not take its answer in this time has gone, ms.
@@ -250,7 +253,7 @@
     let (began, wheel) = (terminals.wheel.now(), &terminals.wheel);
     let mut phase = terminals.phase.clone();
     let mut due = began + if fresh { FIRST_MS } else { KEPT_MS };
-    let mut half = false;
+    let (mut half, mut seen) = (false, 0);
     open.waits(if fresh { Wait::Silent } else { Wait::Kept }, began);
     loop {
         if !half && !wire.read_buffer().is_empty() {
@@ -273,8 +276,18 @@
             () = open.go.notified() => if quiet(wire) {
                 return ended(wire);
             },
-            () = wheel.sleep_until(due.min(wheel.now() + LOOK_MS)) => if wheel.now() >= due && quiet(wire) {
-                return ended(wire);
+            () = wheel.sleep_until(due.min(wheel.now() + LOOK_MS)) => {
+                // A body that still comes in is given more time; a head is not: it is due whole.
+                if let Some(held) = wire.codec().body_held() {
+                    let progress = held + wire.read_buffer().len();
+                    if progress > seen {
+                        seen = progress;
+                        due = due.max(wheel.now() + BODY_STILL_MS);
+                    }
+                }
+                if wheel.now() >= due && quiet(wire) {
+                    return ended(wire);
+                }
             },
         }
     }
