--- a/crates/gateway/tests/scenario/mod.rs
+++ b/crates/gateway/tests/scenario/mod.rs
@@ -173,7 +173,28 @@
 
 impl Rig {
     /// A gateway with `regions` in its service table, and operators' files by the variables that name them.
+    #[allow(dead_code)]
     pub fn new(regions: usize, files: &[(&str, &str)]) -> Rig {
+        Rig::on(regions, files, None)
+    }
+
+    /// A gateway as [`Rig::new`] starts it, on a listening socket handed on as descriptor 3 in `EDGE_SOCKET_FD`.
+    #[allow(dead_code)]
+    pub fn sharing(regions: usize, files: &[(&str, &str)], socket: &TcpListener) -> Rig {
+        Rig::on(regions, files, Some(socket))
+    }
+
+    /// Another process on the same configuration and handed-on socket, once it serves; its log is read away.
+    #[allow(dead_code)]
+    pub fn successor(&self, socket: &TcpListener) -> Child {
+        let mut next = start_on(&self.config.0, &[], Some(socket));
+        let mut log = BufReader::new(next.stderr.take().expect("its log")).lines().map_while(Result::ok);
+        log.find(|line| line.contains("serving")).expect("it serves");
+        std::thread::spawn(move || log.for_each(drop));
+        next
+    }
+
+    fn on(regions: usize, files: &[(&str, &str)], socket: Option<&TcpListener>) -> Rig {
         let names: Vec<String> = (1..=regions).map(|at| format!("r{at}")).collect();
         let regions: BTreeMap<_, _> = (names.into_iter())
             .map(|name| {
@@ -197,7 +218,7 @@
             known.join(",")
         );
         let path = file("config.json", &config);
-        let mut gateway = start_on(&path, files);
+        let mut gateway = start_on(&path, files, socket);
         let mut log = BufReader::new(gateway.stderr.take().expect("its log")).lines().map_while(Result::ok);
         let mut admin = None;
         let serving = log
@@ -491,11 +512,17 @@
 /// Starts the program on the text of a configuration and operators' files.
 #[allow(dead_code)]
 pub fn start(config: &str, files: &[(&str, &str)]) -> Child {
-    start_on(&file("config.json", config), files)
+    start_on(&file("config.json", config), files, None)
 }
 
-fn start_on(config: &Path, files: &[(&str, &str)]) -> Child {
+fn start_on(config: &Path, files: &[(&str, &str)], socket: Option<&TcpListener>) -> Child {
     let mut command = Command::new(env!("CARGO_BIN_EXE_nickeljunction"));
+    if let Some(socket) = socket {
+        use command_fds::{CommandFdExt, FdMapping};
+        let parent_fd = socket.try_clone().expect("a copy of the socket").into();
+        command.fd_mappings(vec![FdMapping { parent_fd, child_fd: 3 }]).expect("descriptor 3");
+        command.env("EDGE_SOCKET_FD", "3");
+    }
     for variable in ["EDGE_LISTEN", "EDGE_DISCOVERY"] {
         command.env_remove(variable);
     }
