--- a/crates/gateway/src/cli/mod.rs
+++ b/crates/gateway/src/cli/mod.rs
@@ -16,7 +16,11 @@
 /// never run twice what must not, and exactly one final answer.
 #[derive(Debug, Parser)]
 #[command(name = "nickeljunction", version, args_conflicts_with_subcommands = true)]
-#[command(after_help = "Without a command it serves. Exit codes: 0 done, 1 failed, 2 bad use or bad input.")]
+#[command(
+    after_help = "Without a command it serves. Exit codes: 0 done, 1 failed, 2 bad use or bad input.\n\
+    Before the file: EDGE_LISTEN, EDGE_DISCOVERY, EDGE_ADMIN_ADDR (the admin door). EDGE_SOCKET_FD: listen on that \
+    inherited descriptor. See docs/operators/day-to-day.md."
+)]
 struct Cli {
     #[command(subcommand)]
     command: Option<Command>,
