Hold a request's attempts as a set, so that a second copy ends towards the module too

Cause: life::Core held one attempt a request; a second copy overwrote the first, whose end the module then never heard, so that server's book of what is out never emptied.

A request now owns a set of attempts; each ends once towards the module. Those idle after another answered are called off (a new outcome, which says nothing of the region), and what the core does not send is told as not sent. The core itself refuses a second attempt where settings or class forbid it. Traces: version 2 with the two outcomes.

The module is unchanged but for visibility.

--- a/crates/core/src/facade.rs
+++ b/crates/core/src/facade.rs
@@ -62,6 +62,10 @@
     Spoilt,
     /// Not answered in time: it may have run.
     TimedOut,
+    /// Called off because the request was answered otherwise: it may have run, and that tells nothing of the region.
+    CalledOff,
+    /// Never sent, since the request or its time had ended meanwhile: it never ran.
+    NotSent,
 }
 
 /// The counter's answer to one call.
@@ -315,6 +319,8 @@
                     Outcome::Reset => Status::Reset,
                     Outcome::Spoilt => Status::Spoilt,
                     Outcome::TimedOut => Status::TimedOut,
+                    Outcome::CalledOff => Status::Canceled,
+                    Outcome::NotSent => Status::Ignored,
                 };
                 // A figure on use that can't be true says nothing; believed, it would empty a quota.
                 let settled = if settled <= self.units_top { settled } else { 0.0 };
@@ -389,6 +395,22 @@
         self.limiter.retune(settings, from);
     }
 
+    /// Attempts that are out by the module's book.
+    pub fn told_out(&self) -> usize {
+        self.limiter.book().map(|(_, out)| out).sum()
+    }
+
+    /// The settings allow two attempts of a request to be out at once.
+    pub fn second_copies(&self) -> bool {
+        self.limiter.second_copies()
+    }
+
+    /// A request such as this may have two attempts out where the settings allow it: it repeats safely, or by key.
+    pub fn copies(&self, intake: &Intake) -> bool {
+        let repeats = |class: &Class| class.name == intake.class && class.repeat != Repeat::Once;
+        self.second_copies() && !intake.never_twice && self.classes.iter().any(repeats)
+    }
+
     /// The module thinks the fleet short and sheds some of the work.
     pub fn sheds(&self) -> bool {
         self.limiter.admission() < SHEDS_UNDER
--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -219,7 +219,7 @@
     accounts: BTreeMap<u64, Account>,
     requests: BTreeMap<RequestId, Request>,
     line: Vec<RequestId>,
-    servers: BTreeMap<ServerId, Server>,
+    pub(crate) servers: BTreeMap<ServerId, Server>,
     /// Those that run, in the order of this gateway's choice.
     ring: Vec<ServerId>,
     /// Mean latency by class for each part of a request's size, ms, and the mean size.
--- a/crates/gateway/src/cli/trace.rs
+++ b/crates/gateway/src/cli/trace.rs
@@ -350,7 +350,8 @@
     /// Attempts that may have run it, by region.
     may_have_run: Vec<String>,
     answered: bool,
-    out: bool,
+    /// Attempts that are out.
+    out: usize,
 }
 
 fn story(
@@ -399,18 +400,20 @@
                 let life = lives.entry((gateway.clone(), process, number)).or_default();
                 life.lines.push((time, format!("{gateway}: {}", line(&event))));
                 match &event {
-                    Event::Route(_) => life.out = true,
+                    Event::Route(_) => life.out += 1,
                     Event::Ended { region, outcome, closed, .. } => {
-                        if !matches!(outcome, Outcome::TurnedAway | Outcome::CouldNotConnect) {
+                        let never = [Outcome::TurnedAway, Outcome::CouldNotConnect, Outcome::NotSent];
+                        if !never.contains(outcome) {
                             life.may_have_run.push(region.clone());
                         }
-                        (life.out, life.answered) = (false, life.answered || *closed);
+                        life.out = life.out.saturating_sub(1);
+                        life.answered |= *closed;
                     }
                     Event::Answered(..) | Event::Left(_) => life.answered = true,
                     _ => {}
                 }
                 // A life is over with its answer and its last attempt; the blocks behind need not be read for it.
-                if life.answered && !life.out && matches!(event, Event::Answered(..) | Event::Left(_)) {
+                if life.answered && life.out == 0 && matches!(event, Event::Answered(..) | Event::Left(_)) {
                     open_ones.remove(&number);
                 }
             }
@@ -480,6 +483,8 @@
                 Outcome::Reset => "broke off; it may have run",
                 Outcome::Spoilt => "came back unreadable; it has run",
                 Outcome::TimedOut => "was given up; it may have run, or may yet",
+                Outcome::CalledOff => "was called off, another one did it; it may have run",
+                Outcome::NotSent => "was never sent",
             };
             let units = if *settled > 0.0 { format!(", {settled} units") } else { String::new() };
             format!("attempt {attempt} at {region} {what} ({latency_ms:.1} ms{units})")
--- a/crates/gateway/src/net/hub.rs
+++ b/crates/gateway/src/net/hub.rs
@@ -22,8 +22,8 @@
     pub counter: Counter,
     /// Where attempts tell their end.
     pub inbox: Inbox,
-    /// Attempts under way, each with its number and a number that stands for its region.
-    pub out: HashMap<RequestKey, (usize, AbortHandle, u64)>,
+    /// Attempts under way by request and number, each with a number that stands for its region.
+    pub out: HashMap<(RequestKey, usize), (AbortHandle, u64)>,
     /// Counts answers and attempts; off without an operators' document.
     pub tally: Option<Rc<Tally>>,
     /// Timers.
@@ -72,15 +72,16 @@
         if let Some(mark) = &parcel.mark {
             mark.sent_to(region);
         }
-        self.out.insert(request, (number, attempt.abort_handle(), region));
+        self.out.insert((request, number), (attempt.abort_handle(), region));
     }
 
-    fn give_up(&mut self, request: RequestKey) {
+    fn give_up(&mut self, request: RequestKey, number: usize, why: Outcome) {
         // The task ends at its next turn, before anything else can be sent for this request: its connection
         // is closed with it.
-        if let Some((_, attempt, region)) = self.out.remove(&request) {
+        if let Some((attempt, region)) = self.out.remove(&(request, number)) {
             attempt.abort();
-            if let Some(tally) = &self.tally {
+            // An attempt that another one made idle says nothing against its region.
+            if let Some(tally) = self.tally.as_ref().filter(|_| why != Outcome::CalledOff) {
                 tally.attempt(self.wheel.now(), region, false);
             }
         }
@@ -161,12 +162,9 @@
         Input::Left(key) => core.left(now, key),
         Input::Ended(key, attempt, outcome, reply) => {
             let settled = reply.as_ref().and_then(|reply| reply.settled).unwrap_or(0.0);
-            // News of an attempt given up meanwhile must not unhook the next one.
-            if core.ports().out.get(&key).is_some_and(|(number, ..)| *number == attempt) {
-                let ended = core.ports().out.remove(&key);
-                if let (Some(tally), Some((.., region))) = (core.ports().tally.clone(), ended) {
-                    tally.attempt(now, region, outcome == Outcome::Served);
-                }
+            let ended = core.ports().out.remove(&(key, attempt));
+            if let (Some(tally), Some((_, region))) = (core.ports().tally.clone(), ended) {
+                tally.attempt(now, region, outcome == Outcome::Served);
             }
             core.ended(now, key, attempt, outcome, settled, reply);
         }
--- a/crates/trace/src/event.rs
+++ b/crates/trace/src/event.rs
@@ -454,6 +454,8 @@
         Outcome::Reset => 4,
         Outcome::Spoilt => 5,
         Outcome::TimedOut => 6,
+        Outcome::CalledOff => 7,
+        Outcome::NotSent => 8,
     }
 }
 
@@ -466,6 +468,8 @@
         4 => Outcome::Reset,
         5 => Outcome::Spoilt,
         6 => Outcome::TimedOut,
+        7 => Outcome::CalledOff,
+        8 => Outcome::NotSent,
         _ => return None,
     })
 }
--- a/crates/trace/src/file.rs
+++ b/crates/trace/src/file.rs
@@ -11,8 +11,8 @@
 const FILE_MAGIC: [u8; 8] = *b"NJTRACE\n";
 /// What it ends with, when it was ended in order.
 const END_MAGIC: [u8; 8] = *b"NJTREND\n";
-/// The version that is written; every older one is read.
-pub const VERSION: u16 = 1;
+/// The version that is written; every older one is read. 2 has two more outcomes than 1.
+pub const VERSION: u16 = 2;
 /// Longest header and longest section of the index, bytes.
 const MOST_HEADER: usize = 64 * 1024;
 const MOST_SECTION: u64 = 256 * 1024 * 1024;
--- a/crates/trace/src/summary.rs
+++ b/crates/trace/src/summary.rs
@@ -29,11 +29,20 @@
 }
 
 /// A region's attempts by how they ended, in the order of [`OUTCOMES`].
-pub type Attempts = [u64; 7];
+pub type Attempts = [u64; 9];
 
 /// Names of the outcomes.
-pub const OUTCOMES: [&str; 7] =
-    ["served", "error", "turned away", "no connection", "reset", "spoilt", "timed out"];
+pub const OUTCOMES: [&str; 9] = [
+    "served",
+    "error",
+    "turned away",
+    "no connection",
+    "reset",
+    "spoilt",
+    "timed out",
+    "called off",
+    "not sent",
+];
 
 #[derive(Debug, Clone)]
 struct Life {
@@ -131,6 +140,8 @@
                     Outcome::Reset => 4,
                     Outcome::Spoilt => 5,
                     Outcome::TimedOut => 6,
+                    Outcome::CalledOff => 7,
+                    Outcome::NotSent => 8,
                 };
                 self.regions.entry(region.clone()).or_default()[at] += 1;
             }
