Judge a try by its age: a later try comes with part of its aim gone

age.rs tells a try's age: by the mark where clients mark retries (Clients.MarksRetry, read now), else by a patience that is not the class's usual one. Works from the settings alone.

--- a/crates/decide/src/api.rs
+++ b/crates/decide/src/api.rs
@@ -112,6 +112,8 @@
     pub max_retry_after_ms: f64,
     /// Advice to stay away reaches clients.
     pub retry_after: bool,
+    /// Clients mark their retries.
+    pub marks_retry: bool,
     /// Servers may be probed.
     pub probing: bool,
     /// Two attempts of one request may be out at the same time.
--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -227,6 +227,7 @@
     pub(crate) size: Average,
     /// The lowest that the mean latency of each class has been, ms: servers that hold little.
     pub(crate) calm: Vec<f64>,
+    pub(crate) usual: Vec<crate::age::Usual>,
     /// Part of the fetches that fitted lately, by plan.
     pub(crate) trust: Vec<f64>,
     /// Odds that a fetch is made rather than its request served on trust.
@@ -277,6 +278,7 @@
             unseen: 1.0 - (FEW / settings.siblings.max(1) as f64).min(1.0),
             latency: guesses.iter().map(|guess| Average::of(*guess)).collect(),
             calm: guesses,
+            usual: vec![crate::age::Usual::default(); settings.classes.len()],
             size: Average::of(1.0),
             retries: RETRY_SAVED / 2.0,
             admit: 1.0,
@@ -341,26 +343,33 @@
             return;
         };
         let (plan, units) = (&settings.plans[plan_at], arrival.units.max(0.0));
+        // The aim counts from the client's first try: a later one comes with part of it gone.
+        let marked = settings.marks_retry.then_some(arrival.retry);
+        let age = self.usual[class].age(&settings.classes[class], arrival.patience_ms, marked);
+        // Units that are settled afterwards follow the work: without this each large request passed for a
+        // slow server and a late fleet, and a gateway among many has few samples to put that right.
+        let size = if settings.settles { units.max(1.0) } else { 1.0 };
+        let (aim, least) = (settings.classes[class].aim_ms - age, 0.5 * size * self.latency[class].mean);
+        let late = (f64::INFINITY, settings.classes[class].late_share);
+        let (aim, share) = if aim > least { (aim, 1.0) } else { late };
         let mut request = Request {
             class,
             customer: arrival.customer,
             units,
             arrived: now,
             due: now + arrival.patience_ms,
-            aim_at: now + settings.classes[class].aim_ms.min(arrival.patience_ms),
-            value: settings.classes[class].worth * plan.price * units,
-            // Units that are settled afterwards follow the work: without this each large request passed for a
-            // slow server and a late fleet, and a gateway among many has few samples to put that right.
-            size: if settings.settles { units.max(1.0) } else { 1.0 },
+            aim_at: now + aim.min(arrival.patience_ms),
+            value: settings.classes[class].worth * plan.price * units * share,
+            size,
             ..Request::default()
         };
         // Place bounds of hundreds bind nothing: what is cheap for its time is shed before it draws units.
         let worth = request.value / self.usual(&request);
         self.worth += CLASS_GAIN * (worth - self.worth);
         request.stake = if arrival.retry { 0.0 } else { worth / self.worth };
-        // Too short for any server, or even for the next sweep, which would then answer too late.
-        let least = (self.usual(&request) * 0.5).max(self.settings.step_ms * CALM_STEPS);
-        let hopeless = arrival.patience_ms < least;
+        // Worth nothing any more, or too short for any server or for the next sweep, which would answer late.
+        let least = least.max(self.settings.step_ms * CALM_STEPS);
+        let hopeless = arrival.patience_ms < least || share <= 0.0;
         if hopeless || self.rng.f64() > self.admit.powf(self.worth / worth.max(1e-9)) {
             self.requests.insert(id.clone(), request);
             return self.refuse(&id, self.settings.max_retry_after_ms);
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -1,5 +1,6 @@
 //! The decision module and the simulator's wire. Sans-IO: events and the time come in, actions go out.
 
+mod age;
 pub mod api;
 pub mod decide;
 mod state;
--- a/crates/decide/src/tune.rs
+++ b/crates/decide/src/tune.rs
@@ -32,6 +32,7 @@
             let guess = class.aim_ms * FIRST_GUESS;
             self.latency.push(Average::of(guess));
             self.calm.push(guess);
+            self.usual.push(crate::age::Usual::default());
         }
     }
 
--- a/crates/decide/src/wire.rs
+++ b/crates/decide/src/wire.rs
@@ -290,6 +290,7 @@
             max_attempts: self.whole_or("Permissions.MaxAttempts", 1)? as usize,
             max_retry_after_ms: self.number_or("Permissions.MaxRetryAfterMs", 0.0)?,
             retry_after: self.truth("Permissions.RetryAfter", false)?,
+            marks_retry: self.truth("Clients.MarksRetry", false)?,
             probing: self.truth("Permissions.Probing", false)?,
             second_copies: self.truth("Permissions.SecondCopies", false)?,
             probe_fee: self.number_or("Tariffs.Probe", 0.0)?,
@@ -322,6 +323,7 @@
     put("Permissions.MaxAttempts", settings.max_attempts.to_string());
     put("Permissions.MaxRetryAfterMs", settings.max_retry_after_ms.to_string());
     put("Permissions.RetryAfter", truth(settings.retry_after));
+    put("Clients.MarksRetry", truth(settings.marks_retry));
     put("Permissions.Probing", truth(settings.probing));
     put("Permissions.SecondCopies", truth(settings.second_copies));
     put("Tariffs.Probe", settings.probe_fee.to_string());
--- a/crates/decide/tests/module.rs
+++ b/crates/decide/tests/module.rs
@@ -1399,3 +1399,47 @@
     }
     assert!(calls < 1_100 && sent > 180, "{calls} calls for {sent} sent");
 }
+
+/// A later try of a request whose client waits so long over all its tries, so many ms after the first.
+fn later(id: &str, age: f64) -> Arrival {
+    Arrival {
+        retry: true,
+        patience_ms: class("safe", Repeat::Repeatable).give_up_ms - age,
+        ..arrival(id, "safe", "free")
+    }
+}
+
+#[test]
+fn a_later_try_whose_aim_is_gone_is_refused_at_once_where_a_late_answer_earns_nothing() {
+    let aim = class("safe", Repeat::Repeatable).aim_ms;
+    for (late_share, age, sent) in [(0.0, aim / 2.0, true), (0.0, aim + 10.0, false), (0.2, aim + 10.0, true)]
+    {
+        let mut own = Settings { marks_retry: true, ..settings() };
+        own.classes.iter_mut().for_each(|class| class.late_share = late_share);
+        let mut rig = Rig::new(own, 2);
+        let actions = rig.tell(Event::Request(later("a", age)));
+        assert_eq!(actions.iter().any(|a| matches!(a, Action::Send(..))), sent, "{late_share} {age}");
+        assert_eq!(actions.iter().any(|a| matches!(a, Action::Refuse(..))), !sent, "{late_share} {age}");
+    }
+}
+
+#[test]
+fn a_place_that_gets_free_goes_to_a_first_try_before_a_late_one_that_came_earlier() {
+    let mut own = Settings { marks_retry: true, second_copies: false, ..settings() };
+    own.classes.iter_mut().for_each(|class| class.late_share = 0.2);
+    let aim = own.classes[0].aim_ms;
+    let mut rig = Rig::new(own, 1);
+    let mut out = Vec::new();
+    while let Some(to) = sends(&rig.request(&format!("fill{}", out.len()), "safe", "free")).pop() {
+        out.push(to);
+    }
+    rig.tell(Event::Request(later("late", aim + 10.0)));
+    rig.request("fresh", "safe", "free");
+    // The one that found no place is in line as well.
+    let waiting = format!("fill{}", out.len());
+    let mut next = Vec::new();
+    for (id, server) in &out {
+        next.extend(sends(&rig.outcome(id, 0, server, Status::Failed)).into_iter().map(|(id, _)| id));
+    }
+    assert_eq!(next, [waiting, "fresh".into(), "late".into()]);
+}
--- a/crates/decide/tests/wire.rs
+++ b/crates/decide/tests/wire.rs
@@ -150,6 +150,7 @@
         max_attempts: 6,
         max_retry_after_ms: 2_000.0,
         retry_after: true,
+        marks_retry: true,
         probing: true,
         second_copies: true,
         probe_fee: 0.01,
