Check the books of attempts out against each other, count what differs and heal it

Need: an end that was not told kept servers out of use for good, and nothing noticed. Once a second the core's book of attempts out is compared with the module's, by server and franchisee; ends that were not told are told, counts that still differ are put right, counted in books_put_right and named once in the log.

--- a/crates/core/src/facade.rs
+++ b/crates/core/src/facade.rs
@@ -2,6 +2,7 @@
 //! pass with [`Facade::tick`]. Each call returns what is decided by then, also for other requests. The
 //! module's events and actions stay in here.
 
+use crate::ledger::Whose;
 use nickeljunction_decide::api::{self, Action, Event, ListKind, ServerEntry, ServerState, Status};
 use nickeljunction_decide::decide::Limiter;
 use std::collections::BTreeMap;
@@ -395,9 +396,25 @@
         self.limiter.retune(settings, from);
     }
 
-    /// Attempts that are out by the module's book.
-    pub fn told_out(&self) -> usize {
-        self.limiter.book().map(|(_, out)| out).sum()
+    /// The module's counts of attempts out.
+    pub(crate) fn believed(&self) -> BTreeMap<Whose, usize> {
+        let regions = self.limiter.out_by_server().map(|(uid, out)| (Whose::Region(uid.to_string()), out));
+        let customers = self.limiter.out_by_customer().map(|(number, out)| (Whose::Franchisee(number), out));
+        regions.chain(customers).collect()
+    }
+
+    /// Attempts that the module believes to be out: request, number, region.
+    pub(crate) fn believed_out(&self) -> Vec<(RequestKey, usize, String)> {
+        let key = |id: &str| id.parse().expect("ids are made from keys");
+        self.limiter.open_attempts().map(|(id, attempt, uid)| (key(id), attempt, uid.to_string())).collect()
+    }
+
+    /// Puts one of the module's counts right.
+    pub(crate) fn put_right(&mut self, whose: &Whose, out: usize) {
+        match whose {
+            Whose::Region(uid) => self.limiter.set_out_at(uid, out),
+            Whose::Franchisee(number) => self.limiter.set_out_of(*number, out),
+        }
     }
 
     /// The settings allow two attempts of a request to be out at once.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,4 +4,7 @@
 
 pub mod classes;
 pub mod facade;
+pub mod ledger;
 pub mod life;
+#[cfg(test)]
+mod machine;
--- a/crates/core/src/life.rs
+++ b/crates/core/src/life.rs
@@ -8,6 +8,7 @@
     CounterReply, Ending, Facade, Intake, Outcome, Report, RequestKey, RoutedTask, ServiceTable, Settings,
     Tap, Verdict,
 };
+use crate::ledger::{differences, Difference, Whose};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Time before the client's deadline at which a request is answered for good, ms: an answer given at the
@@ -65,6 +66,7 @@
     deadline: f64,
     /// Attempts that are out; each ends once towards the module.
     out: Vec<Out>,
+    franchisee: u64,
     /// A second attempt may go out beside the first, if the settings still allow it then.
     copies: bool,
     /// Where it stands in the order of waking.
@@ -115,9 +117,39 @@
         self.requests.values().map(|request| request.out.len()).sum()
     }
 
-    /// Attempts that are out, by the module's book: the same, or ends were not told.
-    pub fn told_out(&self) -> usize {
-        self.facade.told_out()
+    /// The core's counts of attempts out, by region and franchisee.
+    fn out(&self) -> BTreeMap<Whose, usize> {
+        let mut counts = BTreeMap::new();
+        for request in self.requests.values() {
+            for out in &request.out {
+                *counts.entry(Whose::Region(out.task.region.clone())).or_default() += 1;
+                *counts.entry(Whose::Franchisee(request.franchisee)).or_default() += 1;
+            }
+        }
+        counts
+    }
+
+    /// Compares what is out with what the module believes to be out, and heals what differs: ends that were not told
+    /// are told, counts that still differ are put right. Returns what differed; always nothing, or there is a fault.
+    pub fn audit(&mut self, now: f64) -> Vec<Difference> {
+        let found = differences(&self.out(), &self.facade.believed());
+        if found.is_empty() {
+            return found;
+        }
+        for (key, attempt, region) in self.facade.believed_out() {
+            let entry = self.requests.get(&key);
+            let known = entry.is_some_and(|entry| entry.out.iter().any(|out| out.task.attempt == attempt));
+            if !known {
+                let closed = entry.is_none_or(|entry| entry.content.is_none());
+                let task = RoutedTask { request: key, attempt, region, limit_ms: 0.0 };
+                let out = Out { task, sent: now, until: now };
+                self.settle(now, key, out, Outcome::CalledOff, 0.0, closed);
+            }
+        }
+        for rest in differences(&self.out(), &self.facade.believed()) {
+            self.facade.put_right(&rest.whose, rest.out);
+        }
+        found
     }
 
     /// Takes a request in under a number of its own; the clock of its patience began `age_ms` ago.
@@ -134,7 +166,8 @@
         let wake = deadline.ceil() as u64;
         self.wakes.insert((wake, key));
         let copies = self.facade.copies(&intake);
-        let request = Request { content: Some(content), deadline, out: Vec::new(), copies, wake };
+        let (content, out, franchisee) = (Some(content), Vec::new(), intake.customer);
+        let request = Request { content, deadline, out, franchisee, copies, wake };
         self.requests.insert(key, request);
         if let Some(tap) = self.facade.tap() {
             let content = self.requests.get(&key).and_then(|entry| entry.content.as_ref());
@@ -230,6 +263,12 @@
         self.carry_out(now, verdicts);
     }
 
+    /// A fault put in on purpose: what this request has out is forgotten, and the module not told.
+    #[cfg(test)]
+    pub(crate) fn forget_out(&mut self, key: RequestKey) {
+        self.requests.get_mut(&key).into_iter().for_each(|entry| entry.out.clear());
+    }
+
     fn overdue(&mut self, now: f64, key: RequestKey) {
         let Some(entry) = self.requests.get_mut(&key) else {
             self.wakes.retain(|(_, other)| *other != key);
--- a/crates/core/tests/copies.rs
+++ b/crates/core/tests/copies.rs
@@ -122,17 +122,17 @@
     let mut core = two_out(settings(Repeat::Repeatable, true));
     core.ended(1_310.0, 7, 1, Outcome::Served, 1.0, Some("copy"));
     assert_eq!(since(&mut core), ["served copy", "give up 7.0 CalledOff"]);
-    assert_eq!((core.open(), core.told_out()), (0, 0));
+    assert_eq!((core.open(), core.audit(2_000.0)), (0, Vec::new()));
 }
 
 #[test]
 fn the_copy_answers_and_the_first_runs_on_where_cancelling_is_not_allowed() {
     let mut core = two_out(Settings { may_cancel: false, ..settings(Repeat::Repeatable, true) });
     core.ended(1_310.0, 7, 1, Outcome::Served, 1.0, Some("copy"));
-    assert_eq!((core.open(), core.told_out()), (1, 1), "the first is still out, in both books");
+    assert_eq!((core.open(), core.audit(1_310.0)), (1, Vec::new()), "the first is still out, in both books");
     core.ended(1_400.0, 7, 0, Outcome::Reset, 0.0, None);
     assert_eq!(since(&mut core), ["served copy"], "nothing twice");
-    assert_eq!((core.open(), core.told_out()), (0, 0));
+    assert_eq!((core.open(), core.audit(2_000.0)), (0, Vec::new()));
 }
 
 #[test]
--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -216,8 +216,8 @@
     rng: fastrand::Rng,
     now: f64,
     out: Vec<Action>,
-    accounts: BTreeMap<u64, Account>,
-    requests: BTreeMap<RequestId, Request>,
+    pub(crate) accounts: BTreeMap<u64, Account>,
+    pub(crate) requests: BTreeMap<RequestId, Request>,
     line: Vec<RequestId>,
     pub(crate) servers: BTreeMap<ServerId, Server>,
     /// Those that run, in the order of this gateway's choice.
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod age;
 pub mod api;
+mod book;
 pub mod decide;
 mod state;
 mod tune;
--- a/crates/decide/src/tune.rs
+++ b/crates/decide/src/tune.rs
@@ -46,12 +46,6 @@
         self.settings.second_copies
     }
 
-    /// Servers with attempts out, and how many are out there by the book that the choice goes by.
-    pub fn book(&self) -> impl Iterator<Item = (&str, usize)> {
-        let out = self.servers.iter().filter(|(_, server)| server.out > 0.0);
-        out.map(|(id, server)| (id.as_str(), server.out as usize))
-    }
-
     /// Rebuilds a pool whose window is judged by other figures than those it was made of. What it holds, owes and
     /// was told stays: totals under the name count units, whatever the figures.
     pub(crate) fn fit(&self, pool: &mut Pool) {
--- a/crates/gateway/src/figures.rs
+++ b/crates/gateway/src/figures.rs
@@ -40,6 +40,8 @@
     loads: Cell<u64>,
     /// Files turned down at SIGHUP.
     load_errors: Cell<u64>,
+    /// Counts of attempts out that differed between core and module, and were put right: always 0, or a fault.
+    books_put_right: Cell<u64>,
 }
 
 impl Figures {
@@ -88,6 +90,11 @@
         count.set(count.get() + 1);
     }
 
+    /// So many counts of attempts out differed and were put right.
+    pub fn put_right(&self, counts: usize) {
+        self.books_put_right.set(self.books_put_right.get() + counts as u64);
+    }
+
     /// All figures in the line form of statsd, classes in the order of their names.
     pub fn render(&self) -> String {
         let mut text = String::new();
@@ -103,6 +110,7 @@
             ("skipped_booking_servers", self.skipped.get(), 'g'),
             ("loads", self.loads.get(), 'c'),
             ("load_errors", self.load_errors.get(), 'c'),
+            ("books_put_right", self.books_put_right.get(), 'c'),
         ];
         for (name, value, kind) in counts {
             let _ = writeln!(text, "{PREFIX}.{name}:{value}|{kind}");
@@ -131,11 +139,13 @@
         figures.loaded(true);
         figures.loaded(false);
         figures.loaded(false);
+        figures.put_right(4);
         let text = figures.render();
         let want = "app.passed.once:0|c\napp.dropped.once:0|c\napp.bad_gateway.once:1|c\n\
             app.passed.safe:1|c\napp.dropped.safe:1|c\napp.bad_gateway.safe:0|c\n\
             app.upstream_tries:1|c\napp.in_progress:0|g\napp.known_booking_servers:4|g\n\
-            app.skipped_booking_servers:1|g\napp.loads:1|c\napp.load_errors:2|c\n";
+            app.skipped_booking_servers:1|g\napp.loads:1|c\napp.load_errors:2|c\n\
+            app.books_put_right:4|c\n";
         assert_eq!(text, want);
     }
 }
--- a/crates/gateway/src/net/hub.rs
+++ b/crates/gateway/src/net/hub.rs
@@ -8,6 +8,7 @@
 use crate::tally::Tally;
 use bytes::{Bytes, BytesMut};
 use nickeljunction_core::facade::{Outcome, RequestKey, RoutedTask, Settings, Tap};
+use nickeljunction_core::ledger::{Difference, Whose};
 use nickeljunction_core::life::{Answer, Core, Ports};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -127,9 +128,42 @@
     }
 }
 
+/// Between two checks of the books of attempts out, ms.
+const AUDIT_MS: f64 = 1_000.0;
+/// Most regions and franchisees whose books are named in the log.
+const MOST_NAMED: usize = 100;
+
+/// Compares the core's book of attempts out with the module's, every now and then.
+#[derive(Default)]
+struct Audit {
+    due: f64,
+    named: Vec<Whose>,
+}
+
+impl Audit {
+    /// An end that the module was not told would keep a region out of use for good: healed, counted, and told once
+    /// for each region.
+    fn run(&mut self, core: &mut Core<World>, now: f64) {
+        if now < self.due {
+            return;
+        }
+        self.due = now + AUDIT_MS;
+        let found = core.audit(now);
+        core.ports().regions.figures().put_right(found.len());
+        for Difference { whose, out, believed } in found {
+            if self.named.len() < MOST_NAMED && !self.named.contains(&whose) {
+                tracing::error!(?whose, out, believed, "books of attempts out differed and were put right");
+                self.named.push(whose);
+            }
+        }
+    }
+}
+
 /// Runs the core until the queue ends.
 pub async fn run(mut core: Core<World>, mut inputs: UnboundedReceiver<Input>, wheel: Wheel) {
+    let mut audit = Audit::default();
     loop {
+        audit.run(&mut core, wheel.now());
         let input = match core.next_tick() {
             None => inputs.recv().await,
             Some(due) if wheel.now() >= due => {
--- a/crates/gateway/src/net/region.rs
+++ b/crates/gateway/src/net/region.rs
@@ -95,6 +95,11 @@
         })
     }
 
+    /// The figures of the process.
+    pub fn figures(&self) -> &Figures {
+        &self.figures
+    }
+
     /// Follows the service table: where regions are, and which kept connections are of no more use.
     pub fn follow(&self, table: &ServiceTable) {
         let mut regions = self.regions.borrow_mut();
