Book the counter's answers that come after their time-out

Checked with a probe in the link: of 3,319 answers 1,435 came late, after 50 to 110 ms, and none was missing. The link dropped them, so the units of such calls lay unused until their window ended. Ruled out: the gateway's own delay (p50 0.2 ms to the first attempt), lost connections (none).

--- a/crates/core/src/facade.rs
+++ b/crates/core/src/facade.rs
@@ -80,6 +80,10 @@
     CouldNotConnect,
     /// No answer in time: it may have been added.
     TimedOut,
+    /// After it had timed out: it was added, and this is the total after the call.
+    Late(f64),
+    /// After it had timed out: no more will be known of it.
+    Never,
 }
 
 /// State of a region as the service table tells it.
@@ -341,15 +345,14 @@
                 self.attempts.remove(&request);
                 Event::Gone(request.to_string())
             }
-            Report::Counted(name, reply) => {
-                let (status, total) = match reply {
-                    CounterReply::Total(total) => (Status::Ok, total),
-                    CounterReply::Busy => (Status::QueueFull, 0.0),
-                    CounterReply::CouldNotConnect => (Status::ConnectError, 0.0),
-                    CounterReply::TimedOut => (Status::TimedOut, 0.0),
-                };
-                Event::Counted(name, status, total)
-            }
+            Report::Counted(name, reply) => match reply {
+                CounterReply::Total(total) => Event::Counted(name, Status::Ok, total),
+                CounterReply::Busy => Event::Counted(name, Status::QueueFull, 0.0),
+                CounterReply::CouldNotConnect => Event::Counted(name, Status::ConnectError, 0.0),
+                CounterReply::TimedOut => Event::Counted(name, Status::TimedOut, 0.0),
+                CounterReply::Late(total) => Event::Late(name, Some(total)),
+                CounterReply::Never => Event::Late(name, None),
+            },
             Report::Table { table, saved } => {
                 let kind = match (saved, table.all) {
                     (true, _) => ListKind::Saved,
--- a/crates/decide/src/api.rs
+++ b/crates/decide/src/api.rs
@@ -261,6 +261,8 @@
     Probed(ServerId, Status, f64),
     /// A counter call ended: name, status, total after the call.
     Counted(String, Status, f64),
+    /// A counter call that had timed out was answered after all: name, and the total after it (`None`: never).
+    Late(String, Option<f64>),
     /// A message of another limiter; this module sends none and reads none.
     Peer(usize, Vec<u8>),
 }
--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -167,7 +167,7 @@
 
     /// Books an answered call; true if the name was flushed. What does not fit is handed back, by lot
     /// (`drawn`) where the odds of a fetch are low: a third of all calls did nothing else.
-    fn settle(&mut self, now: f64, flight: &Flight, total: f64, drawn: bool) -> bool {
+    pub(crate) fn settle(&mut self, now: f64, flight: &Flight, total: f64, drawn: bool) -> bool {
         let prior = total - flight.amount();
         // Below this limiter's own adds: the name was forgotten, and fresh leases would overshoot.
         let flushed = prior < self.own - 0.5;
@@ -213,9 +213,9 @@
 pub struct Limiter {
     pub(crate) settings: Settings,
     pub(crate) figures: crate::tune::Figures,
-    rng: fastrand::Rng,
-    now: f64,
-    out: Vec<Action>,
+    pub(crate) rng: fastrand::Rng,
+    pub(crate) now: f64,
+    pub(crate) out: Vec<Action>,
     pub(crate) accounts: BTreeMap<u64, Account>,
     pub(crate) requests: BTreeMap<RequestId, Request>,
     line: Vec<RequestId>,
@@ -237,7 +237,7 @@
     /// The counter's quickest answer, ms.
     brisk: f64,
     quick: f64,
-    misses: u32,
+    pub(crate) misses: u32,
     silent: bool,
     retries: f64,
     /// Part of the fleet's work that the other gateways send, as far as it matters here.
@@ -305,6 +305,7 @@
             Event::Gone(id) => self.end(&id),
             Event::Timer(token) if token == "sweep" => self.sweep(),
             Event::Counted(name, status, total) => self.counted(&name, status, total),
+            Event::Late(name, total) => self.counted_late(&name, total),
             Event::Timer(_) | Event::Probed(..) | Event::Peer(..) => {}
         }
         out.append(&mut self.out);
@@ -389,7 +390,7 @@
     }
 
     /// Serves a customer's waiting requests in turn from its batches; fetches where they fall short.
-    fn serve(&mut self, customer: u64) {
+    pub(crate) fn serve(&mut self, customer: u64) {
         let Some(mut account) = self.accounts.remove(&customer) else { return };
         let (now, mut admitted) = (self.now, Vec::new());
         for pool in account.pool.iter_mut() {
@@ -545,6 +546,7 @@
         } else if status == Status::TimedOut {
             // May have been added: then others see it. Not ours to spend, and not ours to take back.
             pool.own += flight.amount().min(0.0);
+            pool.late.push_back(flight);
         } else {
             (pool.owed, pool.fix) = (pool.owed + flight.owed, pool.fix + flight.fix);
         }
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -92,6 +92,8 @@
     /// Correction of the books that goes with the next call.
     pub(crate) fix: f64,
     pub(crate) flight: Option<Flight>,
+    /// Calls of this window that timed out and may be answered yet, in their order.
+    pub(crate) late: VecDeque<Flight>,
     /// The last call brought no answer: those who waited for it get the local share.
     pub(crate) unanswered: bool,
     pub(crate) recent: f64,
@@ -126,6 +128,7 @@
         self.target = if next { used.max(0.0) } else { 0.0 };
         (self.window, self.fix) = (window, self.target);
         (self.held, self.told, self.own) = (0.0, None, 0.0);
+        self.late.clear();
     }
 }
 
--- a/crates/decide/tests/module.rs
+++ b/crates/decide/tests/module.rs
@@ -1443,3 +1443,22 @@
     }
     assert_eq!(next, [waiting, "fresh".into(), "late".into()]);
 }
+
+#[test]
+fn units_of_a_call_that_was_answered_late_are_spent_and_those_of_one_never_answered_are_not() {
+    for (total, calls) in [(Some(1.0), 0), (None, 1)] {
+        let mut rig = Rig::new(settings(), 3);
+        let (name, add) = counts(&rig.request("a", "safe", "soft")).remove(0);
+        assert_eq!(add, 1.0);
+        let out = rig.counted(&name, Status::TimedOut, 0.0);
+        assert_eq!(sends(&out).len(), 1, "served out of the local share");
+        // News of another window, or of a name that nobody knows, changes nothing.
+        rig.tell(Event::Late("5.1".into(), Some(9.0)));
+        rig.tell(Event::Late("77.1".into(), Some(9.0)));
+        rig.tell(Event::Late(name, total));
+        let out = rig.request("b", "safe", "soft");
+        // What b is covered by, or what it asks for itself; books may be put right besides.
+        let fetched = counts(&out).iter().filter(|(_, add)| *add >= 1.0).count();
+        assert_eq!((fetched, sends(&out).len()), (calls, 1 - calls), "{total:?}: {out:?}");
+    }
+}
--- a/crates/gateway/src/change.rs
+++ b/crates/gateway/src/change.rs
@@ -228,6 +228,8 @@
                         CounterReply::Total(total) => Reply::Total(total),
                         CounterReply::Busy | CounterReply::CouldNotConnect => Reply::Nothing,
                         CounterReply::TimedOut => Reply::Unknown,
+                        // The machine has gone on from there: it asks again by itself.
+                        CounterReply::Late(_) | CounterReply::Never => continue,
                     };
                     self.machine.answered(self.wheel.now(), &name, reply);
                 }
--- a/crates/gateway/src/cli/trace.rs
+++ b/crates/gateway/src/cli/trace.rs
@@ -529,8 +529,10 @@
     let latencies: BTreeMap<&str, f64> =
         parts.into_iter().map(|(name, part)| (name, summary.latency_ms(part))).collect();
     let seconds = (summary.last.saturating_sub(summary.first)).max(0) as f64 / TICKS_PER_MS / 1000.0;
-    let replies: BTreeMap<&str, u64> =
-        ["totals", "busy", "no connection", "timed out"].into_iter().zip(summary.replies).collect();
+    let replies: BTreeMap<&str, u64> = ["totals", "busy", "no connection", "timed out", "answered late"]
+        .into_iter()
+        .zip(summary.replies)
+        .collect();
     let data = json!({"seconds": seconds, "service": rows, "regions": regions, "latency_ms": latencies,
         "counter": {"calls": summary.calls, "replies": replies}, "boots": summary.boots,
         "tunings": summary.tunings, "dropped_events": summary.dropped});
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -356,7 +356,10 @@
         let (inbox, tally) = (inbox.clone(), tally.clone());
         Rc::new(move |name: String, reply| {
             if let Some(tally) = &tally {
-                tally.counted(clock.now(), matches!(reply, CounterReply::Total(_)));
+                let late = matches!(reply, CounterReply::Late(_) | CounterReply::Never);
+                if !late {
+                    tally.counted(clock.now(), matches!(reply, CounterReply::Total(_)));
+                }
                 if name.starts_with(NAMES) {
                     let _ = votes.send((name, reply));
                     return;
--- a/crates/trace/src/event.rs
+++ b/crates/trace/src/event.rs
@@ -254,6 +254,11 @@
                     CounterReply::Busy => to.push(1),
                     CounterReply::CouldNotConnect => to.push(2),
                     CounterReply::TimedOut => to.push(3),
+                    CounterReply::Late(total) => {
+                        to.push(4);
+                        to.real(*total);
+                    }
+                    CounterReply::Never => to.push(5),
                 }
             }
             Event::Table { table, saved } => {
@@ -364,6 +369,8 @@
                     1 => CounterReply::Busy,
                     2 => CounterReply::CouldNotConnect,
                     3 => CounterReply::TimedOut,
+                    4 => CounterReply::Late(from.real()?),
+                    5 => CounterReply::Never,
                     _ => return None,
                 };
                 Event::Counted(name, reply)
--- a/crates/trace/src/summary.rs
+++ b/crates/trace/src/summary.rs
@@ -60,10 +60,10 @@
     service: BTreeMap<(u16, u16), Service>,
     /// Attempts by region.
     pub regions: BTreeMap<String, Attempts>,
-    /// Counter calls made, and replies: totals, busy, no connection, timed out.
+    /// Counter calls made, and replies: totals, busy, no connection, timed out, of those answered late.
     pub calls: u64,
     /// See `calls`.
-    pub replies: [u64; 4],
+    pub replies: [u64; 5],
     /// Latency of served requests, hundredths of a millisecond.
     pub latency: Histogram<u64>,
     /// Processes that began, and changes of figures.
@@ -87,7 +87,7 @@
             service: BTreeMap::new(),
             regions: BTreeMap::new(),
             calls: 0,
-            replies: [0; 4],
+            replies: [0; 5],
             latency: Histogram::new_with_max(MOST, 3).expect("bounds of a histogram"),
             boots: 0,
             tunings: 0,
@@ -152,6 +152,8 @@
                     CounterReply::Busy => 1,
                     CounterReply::CouldNotConnect => 2,
                     CounterReply::TimedOut => 3,
+                    CounterReply::Late(_) => 4,
+                    CounterReply::Never => return,
                 };
                 self.replies[at] += 1;
             }
