Let the call that puts a flushed name right stand

Seen in a new test: a flushed name was put back (+141 units), and the very next call took the difference back (-17: all that this gateway had taken), so a customer got a second quota after every flush: 37 requests out of a store of 20. At fault: settle() reset the target before the call that carries the correction, which was then judged by the window's floor alone.

The target now stands until that call is answered. Tests: a flush without a ceiling (21 at most out of a store of 20), one-off customers freed, slow together at few gateways.

--- a/crates/decide/src/book.rs
+++ b/crates/decide/src/book.rs
@@ -23,6 +23,11 @@
         out.map(|(customer, account)| (*customer, account.open as usize))
     }
 
+    /// Customers that something is kept of.
+    pub fn customers(&self) -> usize {
+        self.accounts.len()
+    }
+
     /// Puts the count of a server right.
     pub fn set_out_at(&mut self, server: &str, out: usize) {
         self.servers.get_mut(server).into_iter().for_each(|server| server.out = out as f64);
--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -203,7 +203,9 @@
         self.own += flight.amount();
         self.fix += fix;
         // Past the cap lies only what others are about to hand back: to trust it would refuse for seconds.
-        (self.target, self.told) = (0.0, Some((total + fix).min(floor + self.cap)));
+        // After a flush the call that puts it right is judged by this: by the floor alone it was undone.
+        self.target = if flushed { total + fix } else { 0.0 };
+        self.told = Some((total + fix).min(floor + self.cap));
         flushed
     }
 }
--- a/crates/decide/tests/module.rs
+++ b/crates/decide/tests/module.rs
@@ -1462,3 +1462,69 @@
         assert_eq!((fetched, sends(&out).len()), (calls, 1 - calls), "{total:?}: {out:?}");
     }
 }
+
+#[test]
+fn slow_together_at_few_gateways_sets_nobody_aside() {
+    let mut rig = Rig::new(settings(), 9);
+    let mut aside = 0;
+    for at in 0..400 {
+        rig.now += 20.0;
+        let mut out = rig.request(&format!("r{at}"), "safe", "free");
+        for (id, to) in sends(&out) {
+            // Something that all of them depend on makes them 2.8 times slower.
+            let latency_ms = if at < 200 { 50.0 } else { 140.0 };
+            out.extend(rig.tell(Event::Outcome(answer(&id, &to, latency_ms))));
+        }
+        out.extend(rig.tell(Event::Timer("sweep".into())));
+        aside += out.iter().filter(|a| matches!(a, Action::Log(text) if text.contains("set aside"))).count();
+    }
+    assert_eq!(aside, 0, "set aside for a slowness of all");
+}
+
+#[test]
+fn customers_that_come_once_are_freed() {
+    let mut rig = Rig::new(settings(), 9);
+    for customer in 0..500 {
+        let once = Arrival { customer, ..arrival(&format!("r{customer}"), "safe", "soft") };
+        let mut out = rig.tell(Event::Request(once));
+        for (name, add) in counts(&out) {
+            out.extend(rig.counted(&name, Status::Ok, add));
+        }
+        for (id, server) in sends(&out) {
+            rig.outcome(&id, 0, &server, Status::Ok);
+        }
+    }
+    assert_eq!(rig.limiter.customers(), 500);
+    rig.run(70_000.0);
+    assert_eq!((rig.limiter.customers(), rig.limiter.open_requests()), (0, 0));
+}
+
+/// The counter loses all counts under a plan without a ceiling: the customer is served on, and what it had taken comes
+/// back onto the books, so that it takes no second quota.
+#[test]
+fn a_flushed_name_without_a_ceiling_shuts_nobody_out_and_is_put_right() {
+    let mut rig = Rig::new(settings(), 30);
+    let (mut total, mut taken, mut sent, mut flushed) = (0.0_f64, 0.0, 0, false);
+    for at in 0..40 {
+        if at == 10 {
+            (taken, total) = (total, 0.0);
+        }
+        let out = rig.request(&format!("r{at}"), "safe", "soft");
+        sent += sends(&out).len();
+        let mut asked = counts(&out);
+        while let Some((name, add)) = asked.pop() {
+            total += add;
+            let out = rig.counted(&name, Status::Ok, total);
+            flushed |= out.iter().any(|a| matches!(a, Action::Log(text) if text.contains("flushed")));
+            asked.extend(counts(&out));
+            sent += sends(&out).len();
+            for (id, server) in sends(&out) {
+                rig.outcome(&id, 0, &server, Status::Ok);
+            }
+        }
+    }
+    assert!(flushed && taken > 5.0, "{taken} taken when the name was flushed");
+    // The store holds 20 and no time passes: at most that is sent, and the books tell of all of it again.
+    assert!((15..=21).contains(&sent), "{sent} sent out of a store of 20");
+    assert!(total >= sent as f64 - 1.0, "{total} on the books for {sent} sent");
+}
