Test second copies over sockets, and end the start with 2 on settings no module can use

Need: no scenario held two regions at once; the new actors first and second stand for whichever region got a request.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -314,7 +314,7 @@
     let (front, strict) = files.front(&config.settings)?;
     // A document may ask for never-twice handling at any time.
     let facade = Facade::new(config.settings.clone(), config.seed, strict || opened.is_some())
-        .map_err(|why| Failure::Failed(format!("configuration: settings: {why}")))?;
+        .map_err(|why| Failure::Bad(vec![format!("configuration: settings: {why}")]))?;
     let regions = Regions::new(
         budget.clone(),
         wheel.clone(),
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -211,11 +211,12 @@
         (r#""AimMs":4000"#, r#""AimMs":"soon""#, "settings.Classes.0.AimMs"),
         (r#""Me":0"#, r#""Me":9"#, "me must be under siblings"),
         (r#""IdleCloseMs":30000"#, r#""IdleCloseMs":0"#, "settings.Permissions.IdleCloseMs"),
+        (r#""MaxAttempts":3"#, r#""MaxAttempts":0"#, "the most attempts must be above 0"),
     ] {
         let mut child = start(&good.replacen(from, to, 1), &[]);
         let mut said = String::new();
         child.stderr.take().expect("its log").read_to_string(&mut said).expect("text");
-        assert!(!child.wait().expect("it ends").success(), "{key}");
+        assert_eq!(child.wait().expect("it ends").code(), Some(2), "{key}");
         assert!(said.contains(key) && said.trim_end().lines().count() == 1, "{key}: {said}");
     }
 }
--- a/crates/gateway/tests/scenario/mod.rs
+++ b/crates/gateway/tests/scenario/mod.rs
@@ -7,6 +7,8 @@
 //!     r1: send 200 hello settled=3       and answers
 //!     a: expect 200 hello                the client has its answer; a last word `retry` wants a Retry-After
 //!     a: raw GET / HTTP/1.1\r\n\r\n       bytes as they are (clients, regions, discovery); none: just connects
+//!     first: expect GET /safe/1          whichever region gets it next; `second`: another one than `first`; both
+//!     first: send 200 hello              then stand for their region
 //!     r1: close | a: expect eof | d: send r1 Terminating | gateway: send TERM | wait 50
 //!     gateway: move counter              a new counter (or discovery), written into the configuration
 //!     gateway: write {}                  a configuration of another text
@@ -141,6 +143,8 @@
     watching: Option<TcpStream>,
     sent: u64,
     called: Option<String>,
+    /// Which regions `first` and `second` stand for.
+    aliases: BTreeMap<String, String>,
 }
 
 /// A directory for this test's files, removed with the rig's files by the system.
@@ -249,6 +253,7 @@
             watching,
             sent: 0,
             called: None,
+            aliases: BTreeMap::new(),
         }
     }
 
@@ -283,6 +288,7 @@
                 "c" => self.count(words),
                 "d" => self.discovery(verb, words),
                 "admin" => self.call(verb, words),
+                "first" | "second" => self.either(actor, verb, words),
                 _ if self.regions.contains_key(actor) => self.region(actor, verb, words),
                 _ => self.client(actor, verb, words),
             };
@@ -359,6 +365,37 @@
         }
     }
 
+    /// Stands for the region that got a request first, or second: a gateway chooses by its own lights.
+    fn either(&mut self, alias: &str, verb: &str, words: &str) -> Result<String, String> {
+        if verb == "expect" && words != "eof" {
+            // With `first` another request begins.
+            if alias == "first" {
+                self.aliases.clear();
+            }
+            let until = std::time::Instant::now() + PATIENCE;
+            let found = 'found: loop {
+                for (name, region) in &mut self.regions {
+                    if self.aliases.values().any(|taken| taken == name) {
+                        continue;
+                    }
+                    if let Ok(Some(message)) = region.from.try_recv() {
+                        let got = message.line.trim_end_matches(" HTTP/1.1").to_string();
+                        region.last = Some(message);
+                        break 'found (name.clone(), got);
+                    }
+                }
+                if std::time::Instant::now() > until {
+                    return Err("nothing came".into());
+                }
+                std::thread::sleep(Duration::from_millis(2));
+            };
+            self.aliases.insert(alias.into(), found.0);
+            return if found.1 == words { Ok(found.1) } else { Err(format!("got {}", found.1)) };
+        }
+        let name = self.aliases.get(alias).ok_or("it got nothing yet")?.clone();
+        self.region(&name, verb, words)
+    }
+
     fn region(&mut self, name: &str, verb: &str, words: &str) -> Result<String, String> {
         let Region { from, last, .. } = self.regions.get_mut(name).expect("looked up");
         match verb {
