Start scenarios clear of the end of a window of their customers' counter names

Seen: a_stop_answers_what_was_taken_and_hands_leases_back failed once in eight runs with '7 1.97' for '7 -1': a window of 30 s ended within the scenario and carried the use into the next name. A rig now waits until the windows of customers 7 and 8 have 2.5 s left.

--- a/crates/gateway/tests/scenario/mod.rs
+++ b/crates/gateway/tests/scenario/mod.rs
@@ -147,6 +147,21 @@
     aliases: BTreeMap<String, String>,
 }
 
+/// Waits until the counter's names of the scenarios' customers, 7 and 8, will not change for a while: a window that ends
+/// within a scenario carries use into the next name, and the amounts of calls differ.
+fn clear_of_windows() {
+    const WINDOW_MS: f64 = 30_000.0;
+    const CLEAR_MS: f64 = 2_500.0;
+    for customer in [7.0, 8.0, 7.0] {
+        let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("after 1970");
+        let phase = (customer * 0.618_033_988_75_f64).fract() * WINDOW_MS;
+        let left = WINDOW_MS - (unix.as_secs_f64() * 1e3 + phase).rem_euclid(WINDOW_MS);
+        if left < CLEAR_MS {
+            std::thread::sleep(Duration::from_millis(left as u64 + 20));
+        }
+    }
+}
+
 /// A directory for this test's files, removed with the rig's files by the system.
 fn file(name: &str, text: &str) -> PathBuf {
     static NUMBER: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(0);
@@ -199,6 +214,7 @@
     }
 
     fn on(regions: usize, files: &[(&str, &str)], socket: Option<&TcpListener>) -> Rig {
+        clear_of_windows();
         let names: Vec<String> = (1..=regions).map(|at| format!("r{at}")).collect();
         let regions: BTreeMap<_, _> = (names.into_iter())
             .map(|name| {
