Refuse a try for its age only where clients mark their retries

Seen on reading again: without marks a try's age is told by a patience that is not the usual one, so a hasty client's first try passed for a late one, and with LateShare 0 was refused at once; a test causes it and fails without the change.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -370,9 +370,10 @@
         let worth = request.value / self.usual(&request);
         self.worth += CLASS_GAIN * (worth - self.worth);
         request.stake = if arrival.retry { 0.0 } else { worth / self.worth };
-        // Worth nothing any more, or too short for any server or for the next sweep, which would answer late.
+        // Worth nothing any more (by a mark: else its age is a guess, and a hasty client's first try would do),
+        // or too short for any server or for the next sweep, which would answer late.
         let least = least.max(self.settings.step_ms * CALM_STEPS);
-        let hopeless = arrival.patience_ms < least || share <= 0.0;
+        let hopeless = arrival.patience_ms < least || share <= 0.0 && marked.is_some();
         if hopeless || self.rng.f64() > self.admit.powf(self.worth / worth.max(1e-9)) {
             self.requests.insert(id.clone(), request);
             return self.refuse(&id, self.settings.max_retry_after_ms);
--- a/crates/decide/tests/module.rs
+++ b/crates/decide/tests/module.rs
@@ -1513,3 +1513,16 @@
     assert!((15..=21).contains(&sent), "{sent} sent out of a store of 20");
     assert!(total >= sent as f64 - 1.0, "{total} on the books for {sent} sent");
 }
+
+#[test]
+fn a_hasty_clients_first_try_is_not_refused_for_an_age_that_is_only_guessed() {
+    let mut rig = Rig::new(settings(), 9);
+    for at in 0..40 {
+        for (id, to) in sends(&rig.request(&format!("r{at}"), "safe", "free")) {
+            rig.outcome(&id, 0, &to, Status::Ok);
+        }
+    }
+    // Half of the usual patience, and late answers earn nothing; nobody marks retries here.
+    let hasty = Arrival { patience_ms: 1000.0, ..arrival("hasty", "safe", "free") };
+    assert_eq!(sends(&rig.tell(Event::Request(hasty))).len(), 1);
+}
