--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -370,7 +370,7 @@
         let worth = request.value / self.usual(&request);
         self.worth += CLASS_GAIN * (worth - self.worth);
         request.stake = if arrival.retry { 0.0 } else { worth / self.worth };
-        // Worth nothing any more (by a mark: else its age is a guess, and a hasty client's first try would do),
+        // Worth nothing any more (by a mark: else its age is a guess, and a hasty first try would do),
         // or too short for any server or for the next sweep, which would answer late.
         let least = least.max(self.settings.step_ms * CALM_STEPS);
         let hopeless = arrival.patience_ms < least || share <= 0.0 && marked.is_some();
