Drive the view of the fleet over UDP, off by default, and show it with nickeljunction fleet

Need: the membership machine had no socket and no user. Change: daemon.fleet of the operators' document binds one UDP socket (its members, or the platform's peer_listen and peers; refused with exit 2 where the settings say MayTell false); bounded datagrams a turn, then requests have theirs; drains and SIGTERM are told as leaving; the epoch in force travels; the waits towards discovery go by this gateway's part of the whole instead of Siblings. nickeljunction fleet status|members|watch over the admin door (GET /v1/fleet) and the control socket; figures app.fleet.* beside the others. What goes by Siblings otherwise: the module's steepness of choice, and the quorum of transactions, which must not shrink.

--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -61,6 +61,43 @@
     /// File of accepted keys, one or two; with it, unsigned documents are refused.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub keys: Option<String>,
+    /// The view of the fleet, kept by messages between gateways; without it no socket for them is opened.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fleet: Option<FleetView>,
+}
+
+/// Messages between gateways. Refused where the settings say that gateways may not tell one another.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct FleetView {
+    /// Address and port to listen on (UDP); else the configuration's `peer_listen`, else this gateway's own of `members`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub listen: Option<String>,
+    /// All gateways, this one among them; else those of the configuration's `peers`, by their place.
+    #[schemars(length(max = 10000))]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub members: Vec<FleetMember>,
+    /// Datagrams a second that a gateway takes in; else the settings' `Extra.MailPerS`, else 100.
+    #[schemars(range(min = 10, max = 100000))]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub mail_per_s: Option<f64>,
+}
+
+/// A gateway of the fleet.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct FleetMember {
+    /// Its number among its siblings, from 0.
+    #[schemars(range(min = 0, max = 65534))]
+    pub number: u32,
+    /// Its name.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub name: String,
+    /// Where its datagrams come from and go to, address and port.
+    pub address: String,
+    /// Its zone.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub zone: String,
 }
 
 /// Routes: a description or a list by hand, not both.
--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -6,6 +6,7 @@
 //! | --- | --- |
 //! | `GET /v1/readyz` | 200 while this process serves; 503 before it knows its booking servers, drained or stopping |
 //! | `GET /v1/metrics` | 200, the [`Figures`] in statsd's line form |
+//! | `GET /v1/fleet` | 200, the view of the fleet as JSON; 404 where none is kept |
 //! | `POST /v1/gateway/drain` | 200; clients are sent away, the process stays |
 //! | `POST /v1/gateway/activate` | 200; the drain ends (409 while the process stops) |
 //!
@@ -17,6 +18,7 @@
 use crate::figures::Figures;
 use crate::net::terminal::{Phase, Terminals};
 use crate::net::wheel::Wheel;
+use crate::peers::Peers;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -103,6 +105,8 @@
     pub terminals: Rc<Terminals>,
     /// Drains.
     pub gate: Rc<Gate>,
+    /// The view of the fleet, where it is on.
+    pub peers: Option<Rc<Peers>>,
     /// Timers.
     pub wheel: Wheel,
     callers: RefCell<BTreeMap<u64, Rc<Notify>>>,
@@ -129,8 +133,15 @@
 
 impl Door {
     /// A door over the process's parts.
-    pub fn new(figures: Rc<Figures>, terminals: Rc<Terminals>, gate: Rc<Gate>, wheel: Wheel) -> Rc<Door> {
-        Rc::new(Door { figures, terminals, gate, wheel, callers: RefCell::default(), last: Cell::new(0) })
+    pub fn new(
+        figures: Rc<Figures>,
+        terminals: Rc<Terminals>,
+        gate: Rc<Gate>,
+        peers: Option<Rc<Peers>>,
+        wheel: Wheel,
+    ) -> Rc<Door> {
+        let (callers, last) = (RefCell::default(), Cell::new(0));
+        Rc::new(Door { figures, terminals, gate, peers, wheel, callers, last })
     }
 
     /// Answers callers for as long as it is polled.
@@ -187,18 +198,26 @@
         let route = match call.path.split('?').next().unwrap_or_default() {
             "/v1/readyz" => Route::Ready,
             "/v1/metrics" => Route::Metrics,
+            "/v1/fleet" if self.peers.is_some() => Route::Fleet,
             "/v1/gateway/drain" => Route::Drain,
             "/v1/gateway/activate" => Route::Activate,
             _ => return answer(404, "no such call\n"),
         };
-        let wanted = if matches!(route, Route::Ready | Route::Metrics) { "GET" } else { "POST" };
+        let wanted =
+            if matches!(route, Route::Ready | Route::Metrics | Route::Fleet) { "GET" } else { "POST" };
         if call.method != wanted && !(wanted == "GET" && call.method == "HEAD") {
             return answer(405, &format!("{wanted} is wanted\n"));
         }
         match route {
             Route::Ready if self.ready() => answer(200, "yes\n"),
             Route::Ready => answer(503, "no\n"),
-            Route::Metrics => answer(200, &self.figures.render()),
+            Route::Metrics => {
+                let fleet = self.peers.as_ref().map(|peers| peers.figures()).unwrap_or_default();
+                answer(200, &(self.figures.render() + fleet.as_str()))
+            }
+            Route::Fleet => {
+                answer(200, &self.peers.as_ref().map_or(String::new(), |peers| peers.status().to_string()))
+            }
             Route::Drain if self.gate.drain() => answer(200, "draining\n"),
             Route::Activate if self.gate.activate() => answer(200, "active\n"),
             Route::Drain | Route::Activate => answer(409, "stopping\n"),
@@ -213,6 +232,7 @@
 enum Route {
     Ready,
     Metrics,
+    Fleet,
     Drain,
     Activate,
 }
--- a/crates/gateway/src/change.rs
+++ b/crates/gateway/src/change.rs
@@ -6,6 +6,7 @@
 use crate::net::counter::Counter;
 use crate::net::inbox::{Inbox, Input};
 use crate::net::wheel::Wheel;
+use crate::peers::Peers;
 use nickeljunction_config::ballot::Reply;
 use nickeljunction_config::bundle::{Bundle, Key, Tag};
 use nickeljunction_config::diff::diff;
@@ -87,6 +88,8 @@
     pub counter: Counter,
     /// Timers.
     pub wheel: Wheel,
+    /// The view of the fleet, where it is on.
+    pub peers: Option<Rc<Peers>>,
 }
 
 /// The driver's task.
@@ -99,6 +102,7 @@
     inbox: Inbox,
     counter: Counter,
     wheel: Wheel,
+    peers: Option<Rc<Peers>>,
     force: Option<InForce>,
     watching: bool,
     /// When the guard last looked, ms.
@@ -187,7 +191,7 @@
 impl Driver {
     /// Puts in force what the gateway came up with. The listener must not be polled before.
     pub async fn start(parts: Parts, boot: Boot) -> Driver {
-        let Parts { live, history, keys, inbox, counter, wheel } = parts;
+        let Parts { live, history, keys, inbox, counter, wheel, peers } = parts;
         let (tried, trials) = mpsc::unbounded_channel();
         let mut driver = Driver {
             live: Rc::new(live),
@@ -198,6 +202,7 @@
             inbox,
             counter,
             wheel,
+            peers,
             force: None,
             watching: false,
             looked: 0.0,
@@ -307,6 +312,9 @@
         if let Ok(took) = swapped.await {
             tracing::info!(sections = force.sections, plans = ?force.plans, ?took, "in force");
         }
+        if let Some(peers) = &self.peers {
+            peers.set_epoch(force.sections as u32);
+        }
         self.force = Some(force);
     }
 
@@ -347,6 +355,16 @@
                 let _ = told.send(Told::done(String::new(), self.status()));
                 return;
             }
+            Ask::Fleet => {
+                let _ = told.send(match &self.peers {
+                    Some(peers) => Told::done(String::new(), peers.status()),
+                    None => Told::bad(
+                        "this gateway keeps no view of the fleet: its document has no daemon.fleet",
+                        Vec::new(),
+                    ),
+                });
+                return;
+            }
             Ask::History => {
                 let steps = self.keeper.ask(Job::Steps).await;
                 let _ = told.send(match steps {
--- a/crates/gateway/src/cli/change.rs
+++ b/crates/gateway/src/cli/change.rs
@@ -134,7 +134,7 @@
     who: String,
     /// Print JSON
     #[arg(long)]
-    json: bool,
+    pub(super) json: bool,
 }
 
 impl Gateway {
@@ -152,7 +152,7 @@
         Ok(crate::serve::beside(&path, &control))
     }
 
-    fn ask(&self, what: &Ask) -> Result<Told, Failure> {
+    pub(super) fn ask(&self, what: &Ask) -> Result<Told, Failure> {
         let told = ask(&self.path()?, what)?;
         match told.exit {
             0 => Ok(told),
--- a/crates/gateway/src/cli/mod.rs
+++ b/crates/gateway/src/cli/mod.rs
@@ -1,6 +1,7 @@
 //! The command line. Exit codes: 0 done, 1 failed, 2 bad use or bad input. Errors go to standard error.
 
 mod change;
+mod fleet;
 mod trace;
 
 use crate::demo;
@@ -35,6 +36,9 @@
     /// Check, compare, sign and apply the operators' document
     #[command(subcommand)]
     Config(change::Config),
+    /// Show the view of the fleet that a gateway keeps: who lives, since when, and how sure that is
+    #[command(subcommand)]
+    Fleet(fleet::Fleet),
     /// Look into trace files: what gateways saw and decided
     #[command(subcommand)]
     Trace(trace::Trace),
@@ -108,6 +112,7 @@
         None => serve(cli.serve),
         Some(Command::Serve(serve_args)) => serve(serve_args),
         Some(Command::Config(config)) => change::run(config),
+        Some(Command::Fleet(fleet)) => fleet::run(fleet),
         Some(Command::Trace(trace)) => trace::run(trace),
         Some(Command::Demo(demo)) => demo::run(&demo).map_err(Failure::Failed),
     };
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -33,6 +33,53 @@
     pub idle_close_ms: f64,
     /// How long a connection may take to come up, ms.
     pub connect_ms: f64,
+    /// What the platform tells of messages between gateways.
+    pub peers: Peers,
+}
+
+/// What the platform tells of messages between gateways: `peer_listen`, `peers`, and the settings' permission.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Peers {
+    /// Where datagrams reach this gateway.
+    pub listen: Option<SocketAddr>,
+    /// The gateways' addresses as this one knows them, by number.
+    pub addresses: Vec<SocketAddr>,
+    /// `Permissions.MayTell`, where the settings say it.
+    pub may_tell: Option<bool>,
+    /// `Extra.MailPerS`: datagrams a second that a gateway takes in; 0: not told.
+    pub mail_per_s: f64,
+}
+
+/// Reads [`Peers`]. `peers` is a list of addresses by number.
+fn peers(root: &Value, settings: &Value) -> Result<Peers, ConfigError> {
+    let listen = match field(root, "peer_listen") {
+        None | Some(Value::Null) => None,
+        Some(Value::String(text)) if text.is_empty() => None,
+        Some(_) => Some(address(root, "peer_listen")?),
+    };
+    let addresses = match field(root, "peers") {
+        None | Some(Value::Null) => Vec::new(),
+        Some(Value::Array(items)) => {
+            let read = |(at, item): (usize, &Value)| match item {
+                Value::String(text) => text.parse().or_else(|_| {
+                    error(&format!("peers.{at}"), format!("'{text}' is no address with a port"))
+                }),
+                _ => error(&format!("peers.{at}"), "not a text"),
+            };
+            items.iter().enumerate().map(read).collect::<Result<_, _>>()?
+        }
+        Some(_) => return error("peers", "must be a list of addresses with a port"),
+    };
+    let inner = |section: &str, key: &str| field(settings, section).and_then(|section| field(section, key));
+    let may_tell = match inner("Permissions", "MayTell") {
+        Some(Value::Bool(may)) => Some(*may),
+        _ => None,
+    };
+    let mail_per_s = match inner("Extra", "MailPerS") {
+        Some(Value::Number(mail)) => number(mail).max(0.0),
+        _ => 0.0,
+    };
+    Ok(Peers { listen, addresses, may_tell, mail_per_s })
 }
 
 /// What is wrong with the configuration: the key and why.
@@ -195,6 +242,7 @@
             settings: line.settings().map_err(fail)?,
             idle_close_ms: positive("Permissions.IdleCloseMs", 30_000.0)?,
             connect_ms: positive("Permissions.ConnectTimeoutMs", 250.0)?,
+            peers: peers(&root, settings)?,
         })
     }
 }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -66,6 +66,8 @@
     },
     /// What is in force and under way.
     Status,
+    /// The view of the fleet.
+    Fleet,
     /// All steps.
     History,
     /// The document of an epoch.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod http;
 pub mod live;
 pub mod net;
+pub mod peers;
 pub mod plugin;
 pub mod reception;
 pub mod record;
--- a/crates/gateway/src/net/backoff.rs
+++ b/crates/gateway/src/net/backoff.rs
@@ -1,5 +1,7 @@
 //! How long to wait before asking again what all gateways ask of one service. Without I/O: the driver sleeps.
 
+use std::rc::Rc;
+
 /// First wait, ms.
 const FIRST_MS: f64 = 50.0;
 /// What the wait doubles to at a gateway among few, ms, and at one among however many.
@@ -18,34 +20,69 @@
 #[derive(Debug, Clone)]
 pub struct Backoff {
     rng: fastrand::Rng,
-    /// How many times a few the gateways are; 1 at least.
-    few: f64,
+    crowd: Crowd,
     next_ms: f64,
 }
 
+/// How many gateways share a service: told at the start, or asked anew each time.
+#[derive(Clone)]
+enum Crowd {
+    Told(f64),
+    Asked(Rc<dyn Fn() -> f64>),
+}
+
+impl std::fmt::Debug for Crowd {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}", self.gateways())
+    }
+}
+
+impl Crowd {
+    fn gateways(&self) -> f64 {
+        match self {
+            Crowd::Told(gateways) => *gateways,
+            Crowd::Asked(gateways) => gateways(),
+        }
+    }
+}
+
 impl Backoff {
     /// For one of so many `gateways`; `seed` should differ between them and between starts.
     pub fn new(gateways: usize, seed: u64) -> Backoff {
-        let few = (gateways as f64 / FEW).max(1.0);
-        Backoff { rng: fastrand::Rng::with_seed(seed), few, next_ms: FIRST_MS }
+        Backoff {
+            rng: fastrand::Rng::with_seed(seed),
+            crowd: Crowd::Told(gateways as f64),
+            next_ms: FIRST_MS,
+        }
+    }
+
+    /// The same, where a view of the fleet tells at each wait how many gateways to reckon with: one over the part of
+    /// the service that this one may use, which over all gateways never adds up to more than the whole.
+    pub fn among(gateways: Rc<dyn Fn() -> f64>, seed: u64) -> Backoff {
+        Backoff { rng: fastrand::Rng::with_seed(seed), crowd: Crowd::Asked(gateways), next_ms: FIRST_MS }
+    }
+
+    /// How many times a few the gateways are; 1 at least.
+    fn few(&self) -> f64 {
+        (self.crowd.gateways() / FEW).max(1.0)
     }
 
     /// Wait before the first call after a start, ms: 0 to 10 for each gateway beyond four, 300 at most.
     pub fn start(&mut self) -> f64 {
-        self.rng.f64() * ((self.few - 1.0) * FEW * APART_MS).min(APART_MOST_MS)
+        self.rng.f64() * ((self.few() - 1.0) * FEW * APART_MS).min(APART_MOST_MS)
     }
 
     /// Wait after a failed call, ms: between a half and one and a half times a figure that doubles from call to call.
     pub fn failed(&mut self) -> f64 {
         let wait = self.next_ms * (0.5 + self.rng.f64());
-        self.next_ms = (self.next_ms * 2.0).min((MOST_MS * self.few).min(MOST_OF_ALL_MS));
+        self.next_ms = (self.next_ms * 2.0).min((MOST_MS * self.few()).min(MOST_OF_ALL_MS));
         wait
     }
 
     /// Wait before the next call after one that was answered and then ended, ms: what broke all watches at once must
     /// not bring all back at once.
     pub fn answered(&mut self) -> f64 {
-        self.next_ms = (FIRST_MS * self.few).min(MOST_MS);
+        self.next_ms = (FIRST_MS * self.few()).min(MOST_MS);
         self.failed()
     }
 }
@@ -74,6 +111,18 @@
         assert!(many.iter().sum::<usize>() < 500 && (30..=50).contains(&few), "{many:?} {few}");
     }
 
+    #[test]
+    fn one_of_a_hundred_that_learns_it_is_one_of_four_asks_as_often_as_one_of_four() {
+        let gateways = Rc::new(std::cell::Cell::new(100.0));
+        let seen = gateways.clone();
+        let mut backoff = Backoff::among(Rc::new(move || seen.get()), 5);
+        let longest = |backoff: &mut Backoff| (0..50).map(|_| backoff.failed()).fold(0.0, f64::max);
+        assert!(longest(&mut backoff) > 4_000.0);
+        gateways.set(4.0);
+        backoff.failed();
+        assert!(longest(&mut backoff) <= 1_500.0);
+    }
+
     #[test]
     fn few_start_at_once_and_many_apart() {
         assert_eq!(Backoff::new(4, 1).start(), 0.0);
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -18,6 +18,7 @@
 use crate::net::roster::{self, Source};
 use crate::net::terminal::{self, Phase, Terminals};
 use crate::net::wheel::Wheel;
+use crate::peers::Peers;
 use crate::record::Recorder;
 use crate::tally::Tally;
 use nickeljunction_config::bundle::{Bundle, Key};
@@ -238,6 +239,7 @@
 /// An operators' document at the start, with what it opens.
 struct Opened {
     bundle: Bundle,
+    daemon: Daemon,
     keys: Vec<Key>,
     history: History,
     control: Option<Control>,
@@ -255,7 +257,7 @@
         tracing::warn!("the history of changes is in memory: it ends with this process");
     }
     let control = daemon.control.as_ref().map(|file| Control::listen(&beside(path, file))).transpose();
-    Ok(Opened { bundle, keys, history, control: control.map_err(bad)? })
+    Ok(Opened { bundle, daemon, keys, history, control: control.map_err(bad)? })
 }
 
 /// Runs the gateway until a signal ends it.
@@ -344,6 +346,10 @@
             (Some(opened), Some(boot))
         }
     };
+    // Bound early, as the door is: a gateway that can't speak to the others must say so before it serves.
+    let view = opened.as_ref().and_then(|opened| opened.daemon.fleet.as_ref()).zip(boot.as_ref());
+    let peers = view.map(|(section, boot)| Peers::start(section, config, wheel.clone(), boot.epoch() as u32));
+    let peers = peers.transpose().map_err(|why| Failure::Bad(vec![why]))?;
     let tally = boot.as_ref().map(|boot| {
         let confirmed = boot.confirmed();
         Rc::new(Tally::new(confirmed.document.guard.clone(), &confirmed.settings, boot.epoch()))
@@ -398,6 +404,20 @@
     let listener = listener(config, inherited)?;
     let listening = listener.local_addr();
     let (gate, phase) = Gate::new(wheel.clone());
+    if let Some(peers) = peers.clone() {
+        spawn_local(peers.clone().run());
+        let mut phase = phase.clone();
+        // Drains and the stop are told to the others, so that nobody suspects a gateway that left.
+        spawn_local(async move {
+            while phase.changed().await.is_ok() {
+                if *phase.borrow_and_update() == Phase::Serving {
+                    peers.stay()
+                } else {
+                    peers.leave()
+                }
+            }
+        });
+    }
     let terminals = Rc::new(Terminals {
         front: RefCell::new(front),
         tally: tally.clone(),
@@ -414,7 +434,9 @@
     });
     if let Some(door) = door {
         tracing::info!(admin = %door.local_addr().map_or_else(|why| why.to_string(), |at| at.to_string()), "admin door");
-        spawn_local(Door::new(figures.clone(), terminals.clone(), gate.clone(), wheel.clone()).run(door));
+        let door_of =
+            Door::new(figures.clone(), terminals.clone(), gate.clone(), peers.clone(), wheel.clone());
+        spawn_local(door_of.run(door));
     }
     let retune = Retune {
         terminals: terminals.clone(),
@@ -441,7 +463,10 @@
             inbox.tell(Input::Table(table));
         }
     };
-    let mut backoff = Backoff::new(config.settings.siblings, config.seed);
+    let mut backoff = match peers.clone() {
+        None => Backoff::new(config.settings.siblings, config.seed),
+        Some(peers) => Backoff::among(Rc::new(move || peers.gateways()), config.seed),
+    };
     let first_ms = if listed { backoff.start() } else { 0.0 };
     spawn_local(roster::watch(sources, rev, wheel.clone(), backoff, first_ms, told));
     if let (Some(opened), Some(boot), Some(tally)) = (opened, boot, tally) {
@@ -457,7 +482,7 @@
             pinned,
         };
         let Opened { keys, history, control, .. } = opened;
-        let parts = Parts { live, history, keys, inbox: inbox.clone(), counter, wheel: wheel.clone() };
+        let parts = Parts { live, history, keys, inbox: inbox.clone(), counter, wheel: wheel.clone(), peers };
         let driver = Driver::start(parts, boot).await;
         let (to, commands) = mpsc::unbounded_channel::<Command>();
         if let Some(control) = control {
