Add the rig: gateways as processes, a faulty network between all of them, storms and checkers

Need: no test starts more than a handful of processes or puts a fault between two of them. Change: testkit gets relays for every directed pair (datagrams and connections: loss, delay, doubling, corruption, cut, reset, drip), timelines drawn from a seed or written, checkers that read the logs of stand-ins and clients alone, each proven by a log that breaks its rule, and nickeljunction-rig storm|play|draw|show with an SVG of faults, views and answers.

--- /dev/null
+++ b/crates/testkit/src/checks.rs
@@ -0,0 +1,387 @@
+//! The rules, checked on what stand-ins and clients logged: nothing here asks a gateway anything. Times are ms since
+//! the run began. Each check is proven by a log that breaks its rule and one that just keeps it.
+
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, HashMap};
+
+/// A request as its client saw it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Asked {
+    /// Its id.
+    pub id: String,
+    /// It must never run twice.
+    pub once: bool,
+    /// The gateway that it was sent to.
+    pub gateway: usize,
+    /// Its franchisee.
+    pub franchisee: u64,
+    /// When it was sent, and when its answer was whole or given up.
+    pub sent: f64,
+    /// See `sent`.
+    pub done: f64,
+    /// Status; `None`: no answer.
+    pub status: Option<u16>,
+    /// More came behind the answer.
+    pub more: bool,
+}
+
+/// A request as a booking server saw it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Ran {
+    /// Its id.
+    pub id: String,
+    /// The server.
+    pub region: usize,
+    /// The gateway that it came from.
+    pub gateway: Option<usize>,
+    /// When its last byte came.
+    pub began: f64,
+    /// When it was answered, or its connection ended.
+    pub ended: Option<f64>,
+}
+
+/// A span of time in which something holds for a gateway, or for its link to a booking server.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Span {
+    /// The gateway.
+    pub gateway: usize,
+    /// The server; `None`: the gateway itself.
+    pub region: Option<usize>,
+    /// From when.
+    pub from: f64,
+    /// Until when.
+    pub to: f64,
+}
+
+/// A gateway was told that a server drains or is gone.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Told {
+    /// The gateway.
+    pub gateway: usize,
+    /// The server.
+    pub region: usize,
+    /// When.
+    pub at: f64,
+}
+
+/// Figures of the rules.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Figures {
+    /// Longest time from telling to the last send, ms.
+    pub drain_grace_ms: f64,
+    /// Franchisees of the plan with a ceiling: from this number up to that one.
+    pub ceiling_of: std::ops::Range<u64>,
+    /// Units a second, units at most, and units below nothing that are let pass.
+    pub ceiling: (f64, f64, f64),
+    /// What a warm server can do, requests a second; what share of it a cold one can at least; when it is warm, ms.
+    pub capacity: (f64, f64, f64),
+    /// Work beyond this multiple of the present capacity over this time, ms, pushes a cold server over.
+    pub fall: (f64, f64),
+}
+
+/// What was logged.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Log {
+    /// By clients.
+    pub asked: Vec<Asked>,
+    /// By booking servers.
+    pub ran: Vec<Ran>,
+    /// Gateways that were down, hung or stopping, and links that were cut.
+    pub spans: Vec<Span>,
+    /// By discovery.
+    pub told: Vec<Told>,
+    /// Cold starts: server and time.
+    pub cold: Vec<(usize, f64)>,
+}
+
+/// A broken rule.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Broken {
+    /// Which.
+    pub rule: String,
+    /// When, ms.
+    pub at: f64,
+    /// What happened.
+    pub what: String,
+}
+
+fn broken(rule: &str, at: f64, what: String) -> Broken {
+    Broken { rule: rule.to_string(), at, what }
+}
+
+/// Late by a machine that is shared, ms.
+const SLACK_MS: f64 = 150.0;
+
+impl Log {
+    fn down(&self, gateway: usize, from: f64, to: f64) -> bool {
+        let own = |span: &&Span| span.gateway == gateway && span.region.is_none();
+        self.spans.iter().filter(own).any(|span| span.from <= to && from <= span.to)
+    }
+
+    fn cut(&self, run: &Ran, until: f64) -> bool {
+        let link = |span: &&Span| Some(span.gateway) == run.gateway && span.region == Some(run.region);
+        self.spans.iter().filter(link).any(|span| span.from <= until && run.began <= span.to)
+    }
+
+    /// All rules that were broken.
+    pub fn check(&self, figures: &Figures) -> Vec<Broken> {
+        let mut found = self.one_answer();
+        found.extend(self.once_twice());
+        found.extend(self.at_once());
+        found.extend(self.drains(figures));
+        found.extend(self.ceiling(figures));
+        found.extend(self.pushed_over(figures));
+        found.sort_by(|a, b| a.at.total_cmp(&b.at));
+        found
+    }
+
+    /// Exactly one final answer, unless the gateway was down or hung meanwhile.
+    pub fn one_answer(&self) -> Vec<Broken> {
+        let mut found = Vec::new();
+        for asked in &self.asked {
+            if asked.more {
+                found.push(broken("one answer", asked.done, format!("{} was answered twice", asked.id)));
+            } else if asked.status.is_none() && !self.down(asked.gateway, asked.sent - SLACK_MS, asked.done) {
+                let what = format!("{} had no answer from gateway {}", asked.id, asked.gateway);
+                found.push(broken("one answer", asked.done, what));
+            }
+        }
+        found
+    }
+
+    fn by_id(&self) -> HashMap<&str, Vec<&Ran>> {
+        let mut by_id: HashMap<&str, Vec<&Ran>> = HashMap::new();
+        for run in &self.ran {
+            by_id.entry(&run.id).or_default().push(run);
+        }
+        by_id.values_mut().for_each(|runs| runs.sort_by(|a, b| a.began.total_cmp(&b.began)));
+        by_id
+    }
+
+    /// What must never run twice did not. A client that lost its gateway sends again by itself, which is no gateway's doing.
+    pub fn once_twice(&self) -> Vec<Broken> {
+        let by_id = self.by_id();
+        let once = self.asked.iter().filter(|asked| asked.once);
+        once.filter(|asked| !self.down(asked.gateway, asked.sent - SLACK_MS, asked.done))
+            .filter_map(|asked| {
+                let runs = by_id.get(asked.id.as_str()).filter(|runs| runs.len() > 1)?;
+                let what = format!("{} ran {} times", asked.id, runs.len());
+                Some(broken("never twice", runs[1].began, what))
+            })
+            .collect()
+    }
+
+    /// Never two attempts out at a time. Over a link that was cut the server can't see that an attempt was given up.
+    pub fn at_once(&self) -> Vec<Broken> {
+        let asked: HashMap<&str, &Asked> =
+            self.asked.iter().map(|asked| (asked.id.as_str(), asked)).collect();
+        let mut found = Vec::new();
+        for (id, runs) in self.by_id() {
+            let excused = |asked: &&Asked| self.down(asked.gateway, asked.sent - SLACK_MS, asked.done);
+            if asked.get(id).copied().filter(excused).is_some() {
+                continue;
+            }
+            for pair in runs.windows(2) {
+                let over = pair[0].ended.is_none_or(|ended| ended > pair[1].began + 1.0);
+                if over && !self.cut(pair[0], pair[1].began) {
+                    found.push(broken(
+                        "two attempts out",
+                        pair[1].began,
+                        format!("{id} was out twice at a time"),
+                    ));
+                }
+            }
+        }
+        found
+    }
+
+    /// Nothing new to a server later than its grace after this gateway was told that it drains or is gone. A gateway
+    /// that hung reads what it was told when it is back.
+    pub fn drains(&self, figures: &Figures) -> Vec<Broken> {
+        let mut found = Vec::new();
+        for told in &self.told {
+            let hung = self.spans.iter().filter(|span| span.gateway == told.gateway && span.region.is_none());
+            let awake = hung.filter(|span| span.from <= told.at && told.at <= span.to);
+            let at = awake.map(|span| span.to).fold(told.at, f64::max);
+            // It may come back under the same number.
+            let back = self.cold.iter().filter(|(region, back)| *region == told.region && *back > told.at);
+            let back = back.map(|(_, back)| *back).fold(f64::INFINITY, f64::min);
+            let late = self.ran.iter().find(|run| {
+                run.gateway == Some(told.gateway)
+                    && run.region == told.region
+                    && run.began > at + figures.drain_grace_ms + SLACK_MS
+                    && run.began < back
+            });
+            if let Some(run) = late {
+                let what = format!(
+                    "gateway {} sent {} to server {} {:.0} ms after it was told",
+                    told.gateway,
+                    run.id,
+                    told.region,
+                    run.began - at
+                );
+                found.push(broken("drain", run.began, what));
+            }
+        }
+        found
+    }
+
+    /// Over all gateways no more than the ceiling: each request's first attempt takes a unit.
+    pub fn ceiling(&self, figures: &Figures) -> Vec<Broken> {
+        let (rate, burst, slack) = figures.ceiling;
+        let by_id = self.by_id();
+        let mut firsts: BTreeMap<u64, Vec<f64>> = BTreeMap::new();
+        for asked in self.asked.iter().filter(|asked| figures.ceiling_of.contains(&asked.franchisee)) {
+            if let Some(run) = by_id.get(asked.id.as_str()).and_then(|runs| runs.first()) {
+                firsts.entry(asked.franchisee).or_default().push(run.began);
+            }
+        }
+        let mut found = Vec::new();
+        for (franchisee, mut times) in firsts {
+            times.sort_by(f64::total_cmp);
+            let (mut held, mut last) = (burst, 0.0);
+            for at in times {
+                held = (held + (at - last) / 1_000.0 * rate).min(burst) - 1.0;
+                last = at;
+                if held < -slack - rate * 0.15 {
+                    let what =
+                        format!("franchisee {franchisee} is {:.1} units below its ceiling's store", -held);
+                    found.push(broken("ceiling", at, what));
+                    break;
+                }
+            }
+        }
+        found
+    }
+
+    /// No cold server got more than a multiple of what it can do, by all gateways together.
+    pub fn pushed_over(&self, figures: &Figures) -> Vec<Broken> {
+        let ((capacity, from, warm_ms), (multiple, span_ms)) = (figures.capacity, figures.fall);
+        let mut found = Vec::new();
+        for (region, start) in &self.cold {
+            let runs = self.ran.iter().filter(|run| run.region == *region);
+            let mut times: Vec<f64> =
+                runs.map(|run| run.began).filter(|at| *at >= *start && *at < start + warm_ms).collect();
+            times.sort_by(f64::total_cmp);
+            for (index, at) in times.iter().enumerate() {
+                let within = times[..=index].iter().filter(|other| **other > at - span_ms).count() as f64;
+                let warmth = from + (1.0 - from) * (at - start) / warm_ms;
+                let budget = multiple * capacity * warmth * span_ms / 1_000.0;
+                // Some slack for chance, as in the rules.
+                if within > budget * 1.1 + 3.0 {
+                    let what = format!(
+                        "server {region} got {within} requests in {span_ms} ms, {budget:.1} are borne"
+                    );
+                    found.push(broken("cold start", *at, what));
+                    break;
+                }
+            }
+        }
+        found
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn figures() -> Figures {
+        Figures {
+            drain_grace_ms: 1_000.0,
+            ceiling_of: 300..320,
+            ceiling: (2.0, 4.0, 1.0),
+            capacity: (20.0, 0.2, 10_000.0),
+            fall: (2.0, 1_500.0),
+        }
+    }
+
+    fn asked(id: &str, franchisee: u64, sent: f64) -> Asked {
+        let (status, more, once) = (Some(200), false, true);
+        Asked { id: id.into(), once, gateway: 0, franchisee, sent, done: sent + 50.0, status, more }
+    }
+
+    fn ran(id: &str, region: usize, began: f64) -> Ran {
+        Ran { id: id.into(), region, gateway: Some(0), began, ended: Some(began + 20.0) }
+    }
+
+    fn rules(log: &Log) -> Vec<String> {
+        log.check(&figures()).into_iter().map(|broken| broken.rule).collect()
+    }
+
+    fn down(from: f64, to: f64) -> Span {
+        Span { gateway: 0, region: None, from, to }
+    }
+
+    #[test]
+    fn a_log_that_keeps_the_rules_breaks_none() {
+        let log = Log { asked: vec![asked("a", 1, 0.0)], ran: vec![ran("a", 0, 5.0)], ..Log::default() };
+        assert_eq!(rules(&log), [""; 0]);
+    }
+
+    #[test]
+    fn no_answer_and_two_answers_are_found_but_not_of_a_gateway_that_was_down() {
+        let none = Asked { status: None, ..asked("a", 1, 0.0) };
+        let twice = Asked { more: true, ..asked("b", 1, 0.0) };
+        let mut log = Log { asked: vec![none, twice], ..Log::default() };
+        assert_eq!(rules(&log), ["one answer", "one answer"]);
+        log.spans.push(down(20.0, 30.0));
+        assert_eq!(rules(&log), ["one answer"], "a second answer has no excuse");
+    }
+
+    #[test]
+    fn a_second_run_and_two_attempts_out_are_found() {
+        let log = Log {
+            asked: vec![asked("a", 1, 0.0)],
+            ran: vec![ran("a", 0, 5.0), ran("a", 1, 40.0)],
+            ..Log::default()
+        };
+        assert_eq!(rules(&log), ["never twice"]);
+        let safe = Asked { once: false, ..asked("a", 1, 0.0) };
+        let ran = vec![ran("a", 0, 5.0), ran("a", 1, 15.0)];
+        let mut log = Log { asked: vec![safe], ran, ..Log::default() };
+        assert_eq!(rules(&log), ["two attempts out"]);
+        log.spans.push(Span { gateway: 0, region: Some(0), from: 0.0, to: 10.0 });
+        assert_eq!(rules(&log), [""; 0], "over a cut link the server can't see the end");
+    }
+
+    #[test]
+    fn a_send_after_the_grace_is_found_but_not_within_it_nor_after_a_hang() {
+        let mut log = Log {
+            asked: vec![asked("a", 1, 2_300.0)],
+            ran: vec![ran("a", 3, 2_310.0)],
+            told: vec![Told { gateway: 0, region: 3, at: 1_000.0 }],
+            ..Log::default()
+        };
+        assert_eq!(rules(&log), ["drain"]);
+        log.spans.push(down(900.0, 2_000.0));
+        assert_eq!(rules(&log), [""; 0]);
+        log.spans.clear();
+        log.told[0].at = 1_400.0;
+        assert_eq!(rules(&log), [""; 0]);
+    }
+
+    #[test]
+    fn units_past_the_ceiling_are_found_over_all_gateways() {
+        let many = |count: usize| {
+            let ids: Vec<String> = (0..count).map(|number| format!("c{number}")).collect();
+            Log {
+                asked: ids.iter().map(|id| asked(id, 300, 0.0)).collect(),
+                ran: ids.iter().enumerate().map(|(at, id)| ran(id, 0, at as f64)).collect(),
+                ..Log::default()
+            }
+        };
+        assert_eq!(rules(&many(5)), [""; 0]);
+        assert_eq!(rules(&many(6)), ["ceiling"]);
+    }
+
+    #[test]
+    fn a_cold_server_that_is_pushed_over_is_found() {
+        let sent = |count: usize| Log {
+            ran: (0..count).map(|at| ran(&format!("{at}"), 2, 100.0 + at as f64)).collect(),
+            cold: vec![(2, 0.0)],
+            ..Log::default()
+        };
+        assert_eq!(rules(&sent(15)), [""; 0]);
+        assert_eq!(rules(&sent(30)), ["cold start"]);
+    }
+}
--- a/crates/testkit/src/gateway.rs
+++ b/crates/testkit/src/gateway.rs
@@ -188,6 +188,13 @@
         assert!(sent.is_ok_and(|sent| sent.success()), "no signal sent");
     }
 
+    /// Sends it a signal by its name, such as `TERM` or `STOP`.
+    pub fn signal(&self, name: &str) {
+        if let Some(process) = &self.process {
+            let _ = Command::new("kill").args(["-s", name, &process.id().to_string()]).status();
+        }
+    }
+
     /// Sends it SIGTERM and waits for its end; its exit code.
     pub fn stop(&mut self) -> Option<i32> {
         let mut process = self.process.take()?;
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,11 +1,14 @@
 //! Stand-ins and rigs for tests and benches, all on loopback and bounded: booking servers that remember what ran,
 //! discovery, a counter that can be cut, gateways as processes, and a steady load that counts its answers.
 
+pub mod checks;
 pub mod counter;
 pub mod discovery;
 pub mod gateway;
 pub mod load;
+pub mod network;
 pub mod region;
+pub mod rig;
 
 use std::net::{SocketAddr, TcpListener, TcpStream};
 
--- a/crates/testkit/src/load.rs
+++ b/crates/testkit/src/load.rs
@@ -29,6 +29,10 @@
     pub id: String,
     /// Index of its shape.
     pub shape: usize,
+    /// Index of the gateway's address.
+    pub gateway: usize,
+    /// Its franchisee.
+    pub franchisee: u64,
     /// When it left.
     pub sent: Instant,
     /// When its answer was whole, or given up.
@@ -46,6 +50,9 @@
     threads: Vec<std::thread::JoinHandle<()>>,
 }
 
+/// Addresses of gateways; `None`: that one is down.
+pub type Addresses = Arc<Mutex<Vec<Option<String>>>>;
+
 /// Time that a client gives its request.
 pub const PATIENCE: Duration = Duration::from_millis(2_000);
 
@@ -53,21 +60,28 @@
     /// Sends `rate` requests a second in all, in turn to these addresses and of these shapes, until it is stopped
     /// or a minute is over.
     pub fn start(addresses: Vec<String>, rate: f64, shapes: Vec<Shape>) -> Load {
+        let addresses = addresses.into_iter().map(Some).collect();
+        Load::over(Arc::new(Mutex::new(addresses)), rate, shapes, 1, Duration::from_secs(60))
+    }
+
+    /// The same, with requests that say they come through so many `doors`, over addresses that may change while it runs; a gateway that has none at a time gets nothing then.
+    /// Ends by itself after `most`.
+    pub fn over(addresses: Addresses, rate: f64, shapes: Vec<Shape>, doors: usize, most: Duration) -> Load {
         let (stop, answers) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Vec::new())));
         let (to, orders) = channel::<(u64, Instant)>();
         let orders = Arc::new(Mutex::new(orders));
-        let (addresses, shapes) = (Arc::new(addresses), Arc::new(shapes));
+        let shapes = Arc::new(shapes);
         // One client a thread: enough that none of them is waited for at these rates and this patience.
         let workers = ((rate * 0.5) as usize).clamp(16, 256);
         let mut threads: Vec<_> = (0..workers)
             .map(|_| {
                 let (orders, answers) = (orders.clone(), answers.clone());
                 let (addresses, shapes) = (addresses.clone(), shapes.clone());
-                std::thread::spawn(move || work(&orders, &addresses, &shapes, &answers))
+                std::thread::spawn(move || work(&orders, &addresses, &shapes, doors, &answers))
             })
             .collect();
         let stopped = stop.clone();
-        threads.push(std::thread::spawn(move || pace(&stopped, rate, &to)));
+        threads.push(std::thread::spawn(move || pace(&stopped, rate, most, &to)));
         Load { stop, answers, threads }
     }
 
@@ -88,12 +102,12 @@
     }
 }
 
-fn pace(stop: &AtomicBool, rate: f64, to: &Sender<(u64, Instant)>) {
+fn pace(stop: &AtomicBool, rate: f64, most: Duration, to: &Sender<(u64, Instant)>) {
     let began = Instant::now();
     for number in 0.. {
         let due = began + Duration::from_secs_f64(number as f64 / rate);
         std::thread::sleep(due.saturating_duration_since(Instant::now()));
-        let over = stop.load(Ordering::Relaxed) || began.elapsed() > Duration::from_secs(60);
+        let over = stop.load(Ordering::Relaxed) || began.elapsed() > most;
         if over || to.send((number, due)).is_err() {
             return;
         }
@@ -102,22 +116,36 @@
 
 fn work(
     orders: &Mutex<Receiver<(u64, Instant)>>,
-    addresses: &[String],
+    addresses: &Mutex<Vec<Option<String>>>,
     shapes: &[Shape],
+    doors: usize,
     answers: &Mutex<Vec<Answer>>,
 ) {
     static RUN: AtomicU64 = AtomicU64::new(1);
     let run = RUN.fetch_add(1, Ordering::Relaxed);
-    let mut connections: Vec<Option<BufReader<TcpStream>>> = addresses.iter().map(|_| None).collect();
+    let count = addresses.lock().expect("addresses").len();
+    let mut connections: Vec<Option<BufReader<TcpStream>>> = (0..count).map(|_| None).collect();
     loop {
         let order = orders.lock().expect("orders").recv();
         let Ok((number, sent)) = order else { return };
-        let at = number as usize % addresses.len();
-        let shape = (number as usize / addresses.len()) % shapes.len();
+        let at = number as usize % count;
+        let shape = (number as usize / count) % shapes.len();
+        let Some(address) = addresses.lock().expect("addresses")[at].clone() else { continue };
         let id = format!("{run:x}-{number:x}");
-        let (status, more) = ask(&mut connections[at], &addresses[at], &shapes[shape], &id, number);
-        let done = Instant::now();
-        answers.lock().expect("answers").push(Answer { id, shape, sent, done, status, more });
+        let range = &shapes[shape].franchisees;
+        let franchisee = range.start + number / 7 % (range.end - range.start).max(1);
+        let (status, more) = ask(&mut connections[at], &address, &shapes[shape], &id, franchisee, doors);
+        let (gateway, done) = (at, Instant::now());
+        answers.lock().expect("answers").push(Answer {
+            id,
+            shape,
+            gateway,
+            franchisee,
+            sent,
+            done,
+            status,
+            more,
+        });
     }
 }
 
@@ -126,15 +154,16 @@
     address: &str,
     shape: &Shape,
     id: &str,
-    number: u64,
+    franchisee: u64,
+    doors: usize,
 ) -> (Option<u16>, bool) {
     let key = if shape.keyed { format!("Idempotency-Key: {id}\r\n") } else { String::new() };
     let request = format!(
         "{} HTTP/1.1\r\nHost: x\r\nRequest-Id: {id}\r\nX-Contract: {}\r\nX-Client-Id: {:016x}\r\n\
-        Request-Timeout: {:.3}\r\n{key}X-Metering: units=1,spread=1,first=0\r\nContent-Length: 0\r\n\r\n",
+        Request-Timeout: {:.3}\r\n{key}X-Metering: units=1,spread={doors},first=0\r\nContent-Length: 0\r\n\r\n",
         shape.line,
         shape.plan,
-        shape.franchisees.start + number / 7 % (shape.franchisees.end - shape.franchisees.start).max(1),
+        franchisee,
         PATIENCE.as_secs_f64(),
     );
     // A connection that the gateway closed between requests is replaced once, as the protocol has it.
--- a/crates/testkit/src/region.rs
+++ b/crates/testkit/src/region.rs
@@ -36,6 +36,8 @@
     pub began: Instant,
     /// When it was answered, or its connection ended.
     pub ended: Option<Instant>,
+    /// Where its connection came from.
+    pub from: Option<std::net::IpAddr>,
 }
 
 #[derive(Default)]
@@ -83,13 +85,14 @@
 }
 
 fn serve(stream: TcpStream, state: &Mutex<State>) {
+    let from = stream.peer_addr().ok().map(|address| address.ip());
     let mut reader = BufReader::new(stream);
     while let Some(message) = read_message(&mut reader) {
         let (number, manner) = {
             let mut state = state.lock().expect("state");
             let id = message.get("request-id").unwrap_or_default().to_string();
             let line = message.line.trim_end_matches(" HTTP/1.1").to_string();
-            state.runs.push(Run { id, line, began: Instant::now(), ended: None });
+            state.runs.push(Run { id, line, began: Instant::now(), ended: None, from });
             (state.runs.len() - 1, state.manner)
         };
         if manner.silent {
@@ -100,8 +103,9 @@
             return;
         }
         let fails = manner.fail_every > 0 && (number as u64).is_multiple_of(manner.fail_every);
-        if !fails {
-            std::thread::sleep(manner.work);
+        if !fails && gave_up(reader.get_ref(), manner.work) {
+            state.lock().expect("state").runs[number].ended = Some(Instant::now());
+            return;
         }
         state.lock().expect("state").runs[number].ended = Some(Instant::now());
         let status = if fails { "500 Failed" } else { "200 OK" };
@@ -112,6 +116,32 @@
     }
 }
 
+/// Works for so long; `true` if the other side ended the connection meanwhile, which gives the attempt up.
+fn gave_up(stream: &TcpStream, work: Duration) -> bool {
+    let ends = Instant::now() + work;
+    loop {
+        let left = ends.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return false;
+        }
+        let _ = stream.set_read_timeout(Some(left.max(Duration::from_millis(1))));
+        let looked = stream.peek(&mut [0; 1]);
+        let _ = stream.set_read_timeout(None);
+        match looked {
+            Ok(0) => return true,
+            // More came behind the request: nothing to wait for.
+            Ok(_) => {
+                std::thread::sleep(left);
+                return false;
+            }
+            Err(why)
+                if why.kind() == std::io::ErrorKind::WouldBlock
+                    || why.kind() == std::io::ErrorKind::TimedOut => {}
+            Err(_) => return true,
+        }
+    }
+}
+
 /// Ids that ran more than once over all regions, and ids that had two attempts out at a time.
 pub fn doubles(regions: &[Region]) -> (Vec<String>, Vec<String>) {
     let mut by_id: HashMap<String, Vec<Run>> = HashMap::new();
