--- a/crates/fleet/src/machine.rs
+++ b/crates/fleet/src/machine.rs
@@ -18,7 +18,7 @@
 /// send comes in evenly, and the rest is room for chance and for datagrams that others add.
 const MAIL_PART: f64 = 0.18;
 const MAIL_LEAST: f64 = 4.0;
-const MAIL_MOST: f64 = 18.0;
+const MAIL_MOST: f64 = 16.0;
 /// A ping unanswered for this part of a slot is sent again and asked of helpers.
 const DIRECT_PART: f64 = 0.3;
 /// Helpers that ping in a gateway's place.
--- a/crates/testkit/src/network.rs
+++ b/crates/testkit/src/network.rs
@@ -180,9 +180,9 @@
         }
         mesh.push(row);
     }
-    for from in 0..gateways {
-        for to in (0..gateways).filter(|to| *to != from) {
-            let (into, out) = (mesh[from][to].clone(), mesh[to][from].clone());
+    for (from, row) in mesh.iter().enumerate() {
+        for (to, into) in row.iter().enumerate().filter(|(to, _)| *to != from) {
+            let (into, out) = (into.clone(), mesh[to][from].clone());
             let (links, listening) = (links.clone(), listening.clone());
             tokio::task::spawn_local(async move {
                 let mut buffer = [0; 2048];
--- a/crates/testkit/src/rig.rs
+++ b/crates/testkit/src/rig.rs
@@ -491,7 +491,7 @@
         let mesh = network.datagrams(line.gateways);
         let mut region_relays = Vec::new();
         let (mut discoveries, mut configs) = (Vec::new(), Vec::new());
-        for me in 0..line.gateways {
+        for (me, row) in mesh.iter().enumerate() {
             let relays: Vec<SocketAddr> = regions
                 .iter()
                 .enumerate()
@@ -507,7 +507,7 @@
             let members: Vec<String> = (0..line.gateways)
                 .map(|other| {
                     let address =
-                        if other == me { "127.0.0.1:1".to_string() } else { mesh[me][other].to_string() };
+                        if other == me { "127.0.0.1:1".to_string() } else { row[other].to_string() };
                     format!(r#"{{"number":{other},"name":"n{other}","address":"{address}","zone":"east"}}"#)
                 })
                 .collect();
