--- a/crates/decide/src/bin/nickeljunction-simhost.rs
+++ b/crates/decide/src/bin/nickeljunction-simhost.rs
@@ -1,16 +1,28 @@
-//! The adapter: hosts limiter instances on the simulator's wire. It translates and decides nothing.
+//! The adapter: hosts limiter instances on the simulator's wire. It translates and decides nothing. With `--fleet` it
+//! also hosts, where the settings allow messages, each instance's view of the fleet over `TELL` and `PEER`.
 
-use nickeljunction_decide::api::{Action, Event, ServerEntry};
+use base64::prelude::{Engine as _, BASE64_STANDARD};
+use nickeljunction_decide::api::{Action, Event, ServerEntry, Settings};
 use nickeljunction_decide::decide::Limiter;
 use nickeljunction_decide::wire::{one_line, print_action, Line, WireError};
+use nickeljunction_fleet::{Config, Fleet, Place};
 use std::any::Any;
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::process::ExitCode;
 
+/// Token of the view's timer, and its longest interval, ms: news wait no longer.
+const VIEW: &str = "fleet";
+const VIEW_MS: f64 = 100.0;
+/// The simulator's clock begins anywhere; incarnations want one that is past 2020, Unix ms.
+const CLOCK_AT: f64 = 1_790_000_000_000.0;
+
 #[derive(Default)]
 struct Host {
+    /// Views are kept, where the settings allow messages.
+    views: bool,
+    fleets: BTreeMap<u64, Fleet>,
     now: f64,
     turn: u64,
     instance: u64,
@@ -58,9 +70,14 @@
                 let (seed, settings) = line.open()?;
                 let limiter = Limiter::new(settings, seed)
                     .map_err(|why| WireError { field: "Env".into(), why: why.to_string() })?;
+                let mail_per_s = line.number_or("Extra.MailPerS", 0.0)?;
+                if self.views && mail_per_s > 0.0 {
+                    self.open_view(limiter.settings(), mail_per_s, seed)?;
+                }
                 self.limiters.insert(self.instance, limiter);
             }
             "KILLED" => {
+                self.fleets.remove(&self.instance);
                 self.limiters.remove(&self.instance);
             }
             "GO" => {
@@ -78,7 +95,62 @@
         Ok(false)
     }
 
+    fn open_view(&mut self, settings: &Settings, mail_per_s: f64, seed: u64) -> Result<(), WireError> {
+        let place = |number: usize| Place {
+            number: number as u16,
+            name: format!("n{number}"),
+            address: None,
+            zone: String::new(),
+        };
+        let roster = (0..settings.siblings).map(place).collect();
+        let config = Config { me: settings.me as u16, roster, mail_per_s, epoch: 0, seed };
+        let fleet = Fleet::new(config, CLOCK_AT + self.now)
+            .map_err(|why| WireError { field: "Siblings".into(), why: why.to_string() })?;
+        self.fleets.insert(self.instance, fleet);
+        self.tell_view(true);
+        Ok(())
+    }
+
+    /// Tells what the view wants told, and sets its next timer if the last one has come.
+    fn tell_view(&mut self, timer: bool) {
+        let Some(fleet) = self.fleets.get_mut(&self.instance) else { return };
+        let mut lines = String::new();
+        while let Some((to, bytes)) = fleet.transmit() {
+            lines.push_str(&format!("TELL\tTo={to}\tBytes={}\n", BASE64_STANDARD.encode(bytes)));
+        }
+        while fleet.change().is_some() {}
+        if timer {
+            let after = (fleet.next_tick() - CLOCK_AT - self.now).clamp(1.0, VIEW_MS);
+            lines.push_str(&format!("SET_TIMER\tKeyBack={VIEW}\tAfterMs={after}\n"));
+        }
+        if !lines.is_empty() {
+            self.speak();
+            self.reply.push_str(&lines);
+        }
+    }
+
+    fn speak(&mut self) {
+        if self.speaker != Some(self.instance) {
+            self.reply.push_str(&format!("SOURCE\tLimiterId={}\n", self.instance));
+            self.speaker = Some(self.instance);
+        }
+    }
+
     fn event(&mut self, event: Event) {
+        if let Some(fleet) = self.fleets.get_mut(&self.instance) {
+            let now = CLOCK_AT + self.now;
+            match &event {
+                Event::Peer(from, bytes) => {
+                    fleet.receive(now, *from as u16, bytes);
+                    return self.tell_view(false);
+                }
+                Event::Timer(token) if token == VIEW => {
+                    fleet.tick(now);
+                    return self.tell_view(true);
+                }
+                _ => {}
+            }
+        }
         let Some(limiter) = self.limiters.get_mut(&self.instance) else {
             return;
         };
@@ -87,10 +159,7 @@
         if run.is_ok() && self.actions.is_empty() {
             return;
         }
-        if self.speaker != Some(self.instance) {
-            self.reply.push_str(&format!("SOURCE\tLimiterId={}\n", self.instance));
-            self.speaker = Some(self.instance);
-        }
+        self.speak();
         for action in self.actions.drain(..) {
             print_action(&action, &mut self.reply);
         }
@@ -108,7 +177,12 @@
 fn run() -> Result<(), String> {
     let mut input = io::stdin().lock();
     let mut output = io::stdout().lock();
-    let mut host = Host::default();
+    let views = match std::env::args().nth(1).as_deref() {
+        None => false,
+        Some("--fleet") => true,
+        Some(other) => return Err(format!("unknown word '{other}': --fleet, or none")),
+    };
+    let mut host = Host { views, ..Host::default() };
     let (mut text, mut number) = (Vec::new(), 0u64);
     loop {
         text.clear();
--- a/crates/decide/src/tune.rs
+++ b/crates/decide/src/tune.rs
@@ -36,6 +36,11 @@
         }
     }
 
+    /// The settings in force.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
     /// Odds, 0 to 1, that a request of mean worth for its time is taken in: below 1 the fleet is thought short.
     pub fn admission(&self) -> f64 {
         self.admit
--- a/crates/fleet/src/machine.rs
+++ b/crates/fleet/src/machine.rs
@@ -34,7 +34,7 @@
 const HEALTH_MOST: u32 = 8;
 /// Silent gateways are asked once in so many slots, so that two halves find one another again.
 const ASK_GONE_SLOTS: i64 = 2;
-/// After a start, those never heard of are asked in turn like the others for so long, ms.
+/// After a start, silent ones are asked each slot for so long, ms.
 const GREEN_MS: f64 = 10_000.0;
 /// News go out this often at most, ms.
 const GOSSIP_MS: f64 = 100.0;
@@ -42,6 +42,8 @@
 const FANOUT: usize = 2;
 /// News are told this many times the logarithm (base ten) of the roster.
 const RETELL: f64 = 4.0;
+/// So many news are much: more than a datagram holds.
+const MUCH_NEWS: usize = 24;
 /// Most numbers whose entries one [`Body::Tell`] holds: they fit a datagram.
 const TELL_SPAN: u32 = 16;
 /// Parts of a range that are compared by digest in one datagram.
@@ -136,6 +138,8 @@
     Version,
     /// From an address, or in the name, of nobody in the roster, or of this gateway itself.
     Stranger,
+    /// Its sender goes by another roster.
+    Roster,
     /// Of an earlier life of its sender.
     Stale,
     /// More than this gateway takes in, of one member or of all.
@@ -144,8 +148,14 @@
 
 impl Dropped {
     /// All reasons.
-    pub const ALL: [Dropped; 5] =
-        [Dropped::Damaged, Dropped::Version, Dropped::Stranger, Dropped::Stale, Dropped::TooMany];
+    pub const ALL: [Dropped; 6] = [
+        Dropped::Damaged,
+        Dropped::Version,
+        Dropped::Stranger,
+        Dropped::Roster,
+        Dropped::Stale,
+        Dropped::TooMany,
+    ];
 
     /// Its name in figures.
     pub fn name(self) -> &'static str {
@@ -153,6 +163,7 @@
             Dropped::Damaged => "damaged",
             Dropped::Version => "version",
             Dropped::Stranger => "stranger",
+            Dropped::Roster => "roster",
             Dropped::Stale => "stale",
             Dropped::TooMany => "too_many",
         }
@@ -169,7 +180,7 @@
     /// Datagrams that were taken in.
     pub received: u64,
     /// Datagrams dropped, in the order of [`Dropped::ALL`].
-    pub dropped: [u64; 5],
+    pub dropped: [u64; 6],
     /// Datagrams that were held back for want of room.
     pub held_back: u64,
     /// Members that this gateway came to suspect by its own probes.
@@ -217,6 +228,7 @@
 pub struct Fleet {
     me: u16,
     at: usize,
+    roster: u16,
     view: View,
     rng: fastrand::Rng,
     slot_ms: f64,
@@ -231,6 +243,8 @@
     yielded: bool,
     started: f64,
     now: f64,
+    /// When anybody was last heard, ms.
+    heard: f64,
     ticked: f64,
     slot: i64,
     pinged: usize,
@@ -292,6 +306,9 @@
         now: f64,
     ) -> Result<Fleet, BadRoster> {
         let (size, most) = (roster.len(), roster.last().map_or(0, |place| place.number));
+        // Numbers alone: addresses may differ between gateways, and names and zones decide nothing.
+        let numbers = roster.iter().fold(size as u64, |print, place| mix(print ^ u64::from(place.number)));
+        let print = numbers as u16;
         let view = View::new(roster, now);
         let at = view.index(me).ok_or_else(|| {
             BadRoster(format!("number {me} is not in the roster: this gateway's own is wanted"))
@@ -306,6 +323,7 @@
         let mut fleet = Fleet {
             me,
             at,
+            roster: print,
             view,
             rng,
             slot_ms,
@@ -320,6 +338,7 @@
             yielded: false,
             started: now,
             now,
+            heard: now,
             ticked: now,
             slot: ((now + phase_ms) / slot_ms).floor() as i64,
             pinged: 0,
@@ -512,6 +531,9 @@
         if packet.from != from {
             return self.drop(Dropped::Stranger);
         }
+        if packet.roster != self.roster {
+            return self.drop(Dropped::Roster);
+        }
         let member = self.view.member(at);
         if packet.incarnation < member.incarnation {
             self.drop(Dropped::Stale);
@@ -526,6 +548,7 @@
             self.settle(at, state, packet.incarnation, packet.epoch, Cause::Heard);
         }
         self.view.contact(at).heard = self.now;
+        self.heard = self.now;
         for entry in &packet.news {
             self.hear(packet.from, entry, packet.incarnation);
         }
@@ -607,7 +630,10 @@
         if !self.leaving {
             self.probe_next();
         }
-        if slot.rem_euclid(ASK_GONE_SLOTS) == 0 {
+        let green = self.now < self.started + GREEN_MS;
+        // So many at once are rather cut off than dead: the sooner they are met again the better.
+        let cut = self.view.count(State::Gone) * 4 > self.view.len();
+        if green || cut || slot.rem_euclid(ASK_GONE_SLOTS) == 0 {
             self.ask_silent();
         }
         if let Some(at) = self.differs.take().and_then(|number| self.view.index(number)) {
@@ -626,17 +652,19 @@
         if size < 2 {
             return;
         }
-        let step = mix(self.slot as u64 ^ ((self.pinged as u64) << 48)) as usize % (size - 1) + 1;
-        let green = self.now < self.started + GREEN_MS;
-        let wanted = |member: &Member| match member.state {
-            State::Alive | State::Suspect => true,
-            State::Unproven => green,
-            State::Leaving | State::Gone => false,
-        };
-        let found = (0..size).map(|on| (self.at + step + on) % size).find(|at| {
-            let busy = self.probes.iter().any(|probe| probe.at == *at);
-            *at != self.at && !busy && wanted(self.view.member(*at))
-        });
+        // Those never heard of are asked apart: they may not be there yet, and each that is not would cost helpers,
+        // health and further pings, until too little was left to answer those that live.
+        let wanted = |member: &Member| matches!(member.state, State::Alive | State::Suspect);
+        // Ranks among those that live, not in the roster: whoever stood behind a run of dead ones got the pings of
+        // them all, more than it could answer, and was suspected for it.
+        let ring: Vec<usize> =
+            (0..size).filter(|at| *at == self.at || wanted(self.view.member(*at))).collect();
+        let rank = ring.partition_point(|at| *at < self.at);
+        let drawn = mix(self.slot as u64 ^ ((self.pinged as u64) << 48)) as f64 / u64::MAX as f64;
+        let step = 1 + (drawn * ring.len().saturating_sub(1) as f64) as usize;
+        let turn = (0..ring.len()).map(|on| ring[(rank + step + on) % ring.len()]);
+        let found =
+            turn.into_iter().find(|at| *at != self.at && self.probes.iter().all(|probe| probe.at != *at));
         let Some(at) = found else { return };
         self.pinged += 1;
         let seq = self.next_seq();
@@ -664,14 +692,17 @@
             self.probes[index].asked_helpers = true;
             self.send(at, Body::Ping(seq), true);
             let number = self.view.place(at).number;
-            for _ in 0..HELPERS {
+            // With many suspected most helpers are dead as well, and what they cost is lacking for the news of it.
+            let helpers = if self.suspicions.len() * 10 > self.view.len() { 1 } else { HELPERS };
+            for _ in 0..helpers {
                 let helper = self.any(|member| member.state == State::Alive);
                 if let Some(helper) = helper.filter(|helper| *helper != at) {
                     self.send(helper, Body::PingFor { number, seq }, true);
                 }
             }
             // Whether it is one or most of the fleet is known sooner if the next is not waited for.
-            if self.pinged < PINGS_MOST && !self.yielded && !self.leaving {
+            let room = self.budget > 0.5 * self.rate;
+            if room && self.pinged < PINGS_MOST && !self.yielded && !self.leaving {
                 self.probe_next();
             }
         }
@@ -679,8 +710,9 @@
             if self.view.member(probe.at).heard >= probe.sent {
                 continue;
             }
-            // No helper said that it heard nothing: perhaps it is this gateway that nobody hears.
-            if !probe.nacked && self.view.count(State::Alive) > 2 {
+            // Nobody was heard meanwhile, not even a helper that heard nothing: perhaps it is this gateway that is cut
+            // off or slow. (Helpers alone don't tell: in a massacre most of them are dead, too.)
+            if !probe.nacked && self.heard < probe.sent && self.view.count(State::Alive) > 2 {
                 self.health = (self.health + 1).min(HEALTH_MOST);
             }
             self.suspect(probe.at, self.me, Cause::NoAnswer);
@@ -704,6 +736,10 @@
     /// A ping to one that is held to be gone, or was never heard of: it may be beyond a cut that has ended.
     fn ask_silent(&mut self) {
         let silent = |member: &Member| matches!(member.state, State::Gone | State::Unproven | State::Leaving);
+        let count = |state| self.view.count(state);
+        if count(State::Gone) + count(State::Unproven) + count(State::Leaving) == 0 {
+            return;
+        }
         if let Some(at) = self.any(silent) {
             let seq = self.next_seq();
             self.send(at, Body::Ping(seq), false);
@@ -728,7 +764,7 @@
                     return;
                 };
                 // Helping is bounded: a flood of wishes must not become one of pings.
-                if self.relays.len() < 32 {
+                if self.relays.len() < 32 && self.budget > 0.0 {
                     let own = self.next_seq();
                     let until = self.now + 0.4 * self.slot_ms;
                     let asker = self.view.place(at).number;
@@ -793,7 +829,12 @@
             self.view.digest_of(first, (first + part).min(to))
         });
         let body = Body::Compare { from: from as u16, span: span as u16, parts: parts.collect() };
-        self.send(at, body, false);
+        self.send(at, body, self.calm());
+    }
+
+    /// Little is to be told: repair goes before news then. With much to tell news repair most of it themselves.
+    fn calm(&self) -> bool {
+        self.news.len() < MUCH_NEWS
     }
 
     fn compared(&mut self, at: usize, from: u16, span: u16, parts: &[u32]) {
@@ -824,7 +865,7 @@
             .filter(|index| self.view.member(*index).state != State::Unproven)
             .collect();
         let body = Body::Tell { from: from as u16, span: (to - from) as u16, back: true };
-        self.send_of(at, body, &known, false);
+        self.send_of(at, body, &known, self.calm());
     }
 
     // ---- Claims ----
@@ -1052,7 +1093,7 @@
         self.gossip_at = self.now;
         for _ in 0..FANOUT {
             // What stands by for pings and answers is not spent on news.
-            if self.budget < 0.3 * self.rate {
+            if self.budget < 0.1 * self.rate {
                 self.counts.held_back += 1;
                 return;
             }
@@ -1078,7 +1119,13 @@
         }
         let mut told = Vec::new();
         for (class, times, at) in &self.news {
-            let Some(found) = entry(&self.view, *at).filter(|_| *at != to) else { continue };
+            // It knows best itself. Counted as told all the same: between two that live, news of each other would else
+            // stay news for ever, and use up all that may be sent.
+            if *at == to {
+                told.push((*class, *times, *at));
+                continue;
+            }
+            let Some(found) = entry(&self.view, *at) else { continue };
             let bytes = found.bytes();
             if bytes > room {
                 break;
@@ -1137,19 +1184,39 @@
         if self.yielded || at == self.at {
             return;
         }
-        let least = if urgent { 1.0 - self.rate } else { 1.0 };
+        // An answer that is not sent passes for a death: answers may use up what the next second brings, pings half.
+        let answer = matches!(body, Body::Ack(_) | Body::Nack(_));
+        let least = if answer {
+            1.0 - self.rate
+        } else if urgent {
+            -0.5 * self.rate
+        } else {
+            1.0
+        };
         if self.budget < least {
             self.counts.held_back += 1;
             return;
         }
-        let (from, incarnation) = (self.me, self.incarnation);
+        let (from, roster, incarnation) = (self.me, self.roster, self.incarnation);
         let digest = self.view.digest() as u32;
         let news = Vec::new();
         let (epoch, leaving) = (self.epoch, self.leaving);
-        let mut packet =
-            Packet { from, incarnation, epoch, leaving, digest, body, ballot: None, grant: None, news };
+        let mut packet = Packet {
+            from,
+            roster,
+            incarnation,
+            epoch,
+            leaving,
+            digest,
+            body,
+            ballot: None,
+            grant: None,
+            news,
+        };
         let small = |bits: &Bits| bits.bytes() <= 50;
-        if of.is_none() {
+        // Votes and grants take a third of a datagram in a fleet of hundreds: with much to tell, one in three has them.
+        let facts = self.calm() || self.counts.sent.is_multiple_of(3);
+        if of.is_none() && facts {
             packet.ballot = self.shares.ballot(self.period).filter(|_| self.vote_told < self.retell);
             packet.grant = self.shares.grant().filter(|_| self.grant_told < self.retell).cloned();
             // Both fit one datagram only in a fleet of some hundreds; the grant ends what the ballot is for.
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -115,6 +115,8 @@
 pub struct View {
     places: std::sync::Arc<[Place]>,
     members: Vec<Member>,
+    /// How many are in each state: asked for each suspicion and each draw, with thousands of members.
+    counts: [usize; 5],
     digest: u64,
     changed: f64,
 }
@@ -122,8 +124,10 @@
 impl View {
     /// Places in the order of their numbers, each once.
     pub(crate) fn new(places: std::sync::Arc<[Place]>, now: f64) -> View {
-        let members = places.iter().map(|_| Member::new(now)).collect();
-        View { places, members, digest: 0, changed: now }
+        let members: Vec<Member> = places.iter().map(|_| Member::new(now)).collect();
+        let mut counts = [0; 5];
+        counts[State::Unproven as usize] = members.len();
+        View { places, members, counts, digest: 0, changed: now }
     }
 
     /// Index of a number.
@@ -163,7 +167,7 @@
 
     /// Members in this state.
     pub fn count(&self, state: State) -> usize {
-        self.members.iter().filter(|member| member.state == state).count()
+        self.counts[state as usize]
     }
 
     /// Equal at two gateways exactly when their views are (but for one chance in 2^64): of each member ever heard
@@ -198,6 +202,8 @@
         if former != state || member.incarnation != incarnation {
             member.since = now;
         }
+        self.counts[former as usize] -= 1;
+        self.counts[state as usize] += 1;
         (member.state, member.incarnation, member.epoch) = (state, incarnation, epoch);
         let after = member.print(number);
         if before != after {
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -83,6 +83,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Packet {
     pub(crate) from: u16,
+    /// Print of the sender's roster: votes and parts mean something only among those that have the same.
+    pub(crate) roster: u16,
     pub(crate) incarnation: u64,
     /// Epoch of its configuration.
     pub(crate) epoch: u32,
@@ -149,6 +151,7 @@
         let (ballot, grant) = (None, None);
         Packet {
             from: 3,
+            roster: 77,
             incarnation: 5_000_000,
             epoch: 1,
             leaving: false,
--- a/crates/fleet/tests/membership.rs
+++ b/crates/fleet/tests/membership.rs
@@ -256,6 +256,38 @@
     }
 }
 
+/// Gateways 0 to 3 go by a roster of four, 4 by one of five that names them, too.
+#[test]
+fn a_gateway_of_another_roster_is_found_out_and_takes_no_part() {
+    let place =
+        |number: u16| Place { number, name: format!("n{number}"), address: None, zone: String::new() };
+    let mut now = START_MS;
+    let mut machines: Vec<Fleet> = (0..5u16)
+        .map(|me| {
+            let size = if me == 4 { 5 } else { 4 };
+            let roster = (0..size).map(place).collect();
+            let config = Config { me, roster, mail_per_s: 100.0, epoch: 1, seed: u64::from(me) };
+            Fleet::new(config, now).expect("a roster")
+        })
+        .collect();
+    for _ in 0..6_000 {
+        now += 5.0;
+        for at in 0..machines.len() {
+            if machines[at].next_tick() <= now {
+                machines[at].tick(now);
+            }
+            while let Some((to, bytes)) = machines[at].transmit() {
+                machines[usize::from(to)].receive(now, at as u16, &bytes);
+            }
+        }
+    }
+    assert_eq!(machines[4].doubt().likely, 1);
+    assert!(machines[4].part(now) < 0.11, "it uses the even half alone: {}", machines[4].part(now));
+    assert!(machines[0].counts().dropped(Dropped::Stranger) > 0, "who is not in the roster is a stranger");
+    assert_eq!(machines[0].doubt().likely, 4);
+    assert!((machines[0].part(now) - 0.25).abs() < 1e-9);
+}
+
 #[test]
 fn noise_floods_and_strangers_are_dropped_and_counted_and_change_nothing() {
     let mut world = World::settled(8, 14);
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -267,8 +267,13 @@
             return false;
         }
         (0..self.machines.len()).all(|at| {
-            let alive = self.state(*first, at) == State::Alive;
-            alive == self.machines[at].is_some()
+            let state = self.state(*first, at);
+            // A suspect is no settled view: it may yet be either.
+            if self.machines[at].is_some() {
+                state == State::Alive
+            } else {
+                !matches!(state, State::Alive | State::Suspect)
+            }
         })
     }
 
@@ -291,7 +296,8 @@
             let view = self.fleet(at).view();
             let states: Vec<String> =
                 view.members().map(|(_, member)| format!("{:.2}", member.state.name())).collect();
-            text += &format!("{at} {:016x} {}\n", view.digest(), states.join(" "));
+            text +=
+                &format!("{at} {:016x} {} {:?}\n", view.digest(), states.join(" "), self.fleet(at).counts());
         }
         text
     }
--- a/crates/gateway/tests/fleet_view.rs
+++ b/crates/gateway/tests/fleet_view.rs
@@ -41,14 +41,14 @@
     line.late = vec![5, 6, 7];
     let line = line
         // A third at once.
-        .at(2_000, Act::Start { gateway: 5 })
-        .at(2_000, Act::Start { gateway: 6 })
-        .at(2_000, Act::Start { gateway: 7 })
+        .at(2_000, Act::Start { gateway: 5, old: false })
+        .at(2_000, Act::Start { gateway: 6, old: false })
+        .at(2_000, Act::Start { gateway: 7, old: false })
         // One crash, while discovery is out of reach; it comes back.
         .at(6_000, Act::Discovery { cut: true })
         .at(6_500, Act::Kill { gateway: 2 })
         .at(11_000, Act::Discovery { cut: false })
-        .at(11_500, Act::Start { gateway: 2 })
+        .at(11_500, Act::Start { gateway: 2, old: false })
         // A hang of a second and one of seven, while the counter is dark.
         .at(12_500, Act::Counter { dark: true })
         .at(13_000, Act::Stop { gateway: 1 })
@@ -112,7 +112,7 @@
     let mut line = Timeline::calm(6, 34);
     for gateway in 0..6 {
         let at = 1_500 + 5_200 * gateway as u64;
-        line = line.at(at, Act::Term { gateway }).at(at + 4_000, Act::Start { gateway });
+        line = line.at(at, Act::Term { gateway }).at(at + 4_000, Act::Start { gateway, old: false });
     }
     let report = plays(line);
     nobody_wrongly_gone(&report);
@@ -122,6 +122,28 @@
     );
 }
 
+/// Restarted on a document of before the last gateway joined, one keeps apart and harms nobody; on the new one it is back.
+#[test]
+fn a_restart_on_an_old_configuration_keeps_apart_and_links_that_drip_or_reset_break_no_rule() {
+    let link = |to, link| Act::Link { from: Party::Gateway(0), to, link };
+    let line = Timeline::calm(5, 24)
+        .at(2_000, Act::Kill { gateway: 1 })
+        .at(6_000, Act::Start { gateway: 1, old: true })
+        .at(8_000, link(Party::Region(0), Link { reset: true, ..Link::default() }))
+        .at(8_000, link(Party::Region(1), Link { drip: 16, delay_ms: 10.0, ..Link::default() }))
+        .at(8_000, link(Party::Counter, Link { drip: 8, delay_ms: 30.0, ..Link::default() }))
+        .at(14_000, Act::Heal)
+        .at(15_000, Act::Kill { gateway: 1 })
+        .at(16_000, Act::Start { gateway: 1, old: false });
+    let report = plays(line);
+    let apart =
+        report.looks.iter().filter(|look| look.gateway == 1 && (8_000.0..15_000.0).contains(&look.at));
+    assert!(
+        apart.clone().count() > 0 && apart.clone().all(|look| look.likely == 1),
+        "another roster was taken in"
+    );
+}
+
 #[test]
 fn a_number_claimed_twice_and_a_flood_of_noise_at_full_load() {
     let line = Timeline::calm(5, 14)
--- a/crates/testkit/src/bin/nickeljunction-rig.rs
+++ b/crates/testkit/src/bin/nickeljunction-rig.rs
@@ -1,7 +1,7 @@
 //! Storms and written timelines of faults over real gateway processes, checked by what stand-ins and clients saw.
 
 use clap::{Parser, Subcommand};
-use nickeljunction_testkit::rig::{play, Report, Timeline, QUIET_MS};
+use nickeljunction_testkit::rig::{play, Act, Report, Timeline, QUIET_MS};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -52,6 +52,15 @@
         #[arg(long, default_value = "1")]
         seed: u64,
     },
+    /// Measure: a crash, a start, halves that part and heal, at some sizes, with the view and without
+    Measure {
+        /// Sizes, 2 to 64 each
+        #[arg(default_values_t = [2, 4, 16])]
+        sizes: Vec<usize>,
+        /// The gateway program
+        #[arg(long, value_name = "FILE", default_value = "target/release/nickeljunction")]
+        program: PathBuf,
+    },
     /// Print the summary of a report, and draw its timeline
     Show {
         /// The report
@@ -110,6 +119,51 @@
     Ok(report.fine())
 }
 
+/// One line of the table over sockets.
+fn measure(program: &str, gateways: usize) -> Result<bool, String> {
+    let stop = AtomicBool::new(false);
+    let half = (0..gateways).map(|at| u8::from(at < gateways / 2)).collect();
+    let line = Timeline::calm(gateways, 44)
+        .at(10_000, Act::Kill { gateway: gateways - 1 })
+        .at(18_000, Act::Start { gateway: gateways - 1, old: false })
+        .at(28_000, Act::Partition { sides: half })
+        .at(44_000, Act::Heal);
+    let with = play(program, &line, &stop, |_| ())?;
+    let without = play(program, &Timeline { view: false, ..line.clone() }, &stop, |_| ())?;
+    let seconds = line.length_ms as f64 / 1_000.0;
+    let mean = |of: &[f64]| of.iter().sum::<f64>() / of.len().max(1) as f64;
+    let cpu = |report: &Report| mean(&report.cpu_s) / seconds * 100.0;
+    let served = |report: &Report| 100.0 * report.served as f64 / report.requests.max(1) as f64;
+    let crash = with.noticed(10_000.0, 18_000.0, gateways as u64 - 1);
+    let cut = with.noticed(28_000.0, 44_000.0, (gateways as u64).div_ceil(2));
+    let at = |times: &[f64], part: f64| {
+        times
+            .get(((times.len().max(1) - 1) as f64 * part).round() as usize)
+            .map_or("-".into(), |ms| format!("{ms:.0}"))
+    };
+    println!(
+        "{gateways:>4} gateways: crash known to half {} all {} ms; cut {} {} ms; heal settled {} ms; {:.1} messages/s \
+        each, {:.1} most; processor {:.2}% of a core each ({:.2}% without); {:.1} MiB ({:.1}); served {:.2}% ({:.2}%); \
+        broken rules {} ({})",
+        at(&crash, 0.5),
+        at(&crash, 1.0),
+        at(&cut, 0.5),
+        at(&cut, 1.0),
+        with.settled_ms.map_or("not".into(), |ms| format!("{ms:.0}")),
+        with.sent_per_s.0,
+        with.sent_per_s.1,
+        cpu(&with),
+        cpu(&without),
+        mean(&with.memory_mb),
+        mean(&without.memory_mb),
+        served(&with),
+        served(&without),
+        with.broken.len(),
+        without.broken.len(),
+    );
+    Ok(with.fine() && without.fine())
+}
+
 fn draw(report: &Report) -> svg::Document {
     let (left, width, row) = (60.0, 1_100.0, 14.0);
     let length = report.timeline.length_ms as f64;
@@ -172,6 +226,14 @@
             println!("{}", serde_json::to_string_pretty(&line).map_err(|why| why.to_string())?);
             Ok(true)
         }
+        Command::Measure { sizes, program } => {
+            let program = program.display().to_string();
+            let mut fine = true;
+            for gateways in sizes {
+                fine &= measure(&program, gateways)?;
+            }
+            Ok(fine)
+        }
         Command::Show { report, svg: to } => {
             let report: Report = read(&report, "a report of 'storm' or 'play'")?;
             print!("{}", report.summary());
--- a/crates/testkit/src/gateway.rs
+++ b/crates/testkit/src/gateway.rs
@@ -203,6 +203,15 @@
         process.wait().ok().and_then(|status| status.code())
     }
 
+    /// Memory that it holds, MiB.
+    pub fn memory_mb(&self) -> f64 {
+        let pid = self.process.as_ref().map_or(0, Child::id);
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kb = line.and_then(|rest| rest.split_whitespace().next()?.parse::<f64>().ok());
+        kb.unwrap_or(0.0) / 1024.0
+    }
+
     /// Processor time that it has used, s.
     pub fn cpu(&self) -> f64 {
         let pid = self.process.as_ref().map_or(0, Child::id);
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -28,19 +28,22 @@
 
 /// A message of HTTP/1.1 with a body of a stated length.
 #[derive(Debug, Clone)]
-pub(crate) struct Message {
-    pub(crate) line: String,
-    pub(crate) head: Vec<(String, String)>,
+pub struct Message {
+    /// The first line.
+    pub line: String,
+    /// Names and values.
+    pub head: Vec<(String, String)>,
 }
 
 impl Message {
-    pub(crate) fn get(&self, name: &str) -> Option<&str> {
+    /// A header's value.
+    pub fn get(&self, name: &str) -> Option<&str> {
         self.head.iter().find(|(known, _)| known.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
     }
 }
 
 /// Reads a message whole; `None` at the connection's end.
-pub(crate) fn read_message(reader: &mut impl std::io::BufRead) -> Option<Message> {
+pub fn read_message(reader: &mut impl std::io::BufRead) -> Option<Message> {
     let mut line = String::new();
     reader.read_line(&mut line).ok().filter(|read| *read > 0)?;
     let mut message = Message { line: line.trim_end().to_string(), head: Vec::new() };
--- a/crates/testkit/src/rig.rs
+++ b/crates/testkit/src/rig.rs
@@ -58,6 +58,9 @@
     Start {
         /// The gateway.
         gateway: usize,
+        /// On an old document, which does not name the last gateway yet.
+        #[serde(default)]
+        old: bool,
     },
     /// Starts a second process of its number.
     Twin {
@@ -159,6 +162,12 @@
     /// The gateways keep a view of the fleet.
     #[serde(default = "yes")]
     pub view: bool,
+    /// Requests a second, for each gateway.
+    #[serde(default = "rate_each")]
+    pub rate_each: f64,
+    /// Franchisees of each kind of request.
+    #[serde(default = "franchisees")]
+    pub franchisees: u64,
     /// What happens, in the order of time.
     pub steps: Vec<Step>,
 }
@@ -167,12 +176,21 @@
     true
 }
 
+fn rate_each() -> f64 {
+    RATE_EACH
+}
+
+fn franchisees() -> u64 {
+    20
+}
+
 impl Timeline {
     /// Nothing happens.
     pub fn calm(gateways: usize, seconds: u64) -> Timeline {
         let length_ms = seconds * 1_000 + QUIET_MS;
         let (regions, seed, late) = ((gateways / 2).clamp(4, 16), 1, Vec::new());
-        Timeline { gateways, late, regions, length_ms, seed, view: true, steps: Vec::new() }
+        let (rate_each, franchisees, steps) = (rate_each(), franchisees(), Vec::new());
+        Timeline { gateways, late, regions, length_ms, seed, view: true, rate_each, franchisees, steps }
     }
 
     /// The same with a further step.
@@ -200,13 +218,13 @@
             match rng.u32(0..14) {
                 0 | 1 if free => {
                     add(at, Act::Kill { gateway });
-                    add(over, Act::Start { gateway });
+                    add(over, Act::Start { gateway, old: false });
                     down.insert(gateway, over + 1_000);
                 }
                 2 if free => {
                     add(at, Act::Term { gateway });
                     let over = (at + 4_500).max(over).min(end);
-                    add(over, Act::Start { gateway });
+                    add(over, Act::Start { gateway, old: false });
                     down.insert(gateway, over + 1_000);
                 }
                 3 | 4 if free => {
@@ -221,7 +239,7 @@
                     for one in up {
                         if rng.f64() < 0.4 {
                             add(at, Act::Kill { gateway: one });
-                            add(over, Act::Start { gateway: one });
+                            add(over, Act::Start { gateway: one, old: false });
                             down.insert(one, over + 1_000);
                         }
                     }
@@ -334,6 +352,8 @@
     pub sent_per_s: (f64, f64),
     /// Processor time of gateways, s, by number.
     pub cpu_s: Vec<f64>,
+    /// Their memory at the end, MiB.
+    pub memory_mb: Vec<f64>,
     /// Looks at the views.
     pub looks: Vec<Look>,
     /// Requests by second: served, and others.
@@ -343,6 +363,20 @@
 }
 
 impl Report {
+    /// When each gateway's looks first told no more than `living` after `from`, ms since then, in order of time; looks
+    /// come each quarter of a second.
+    pub fn noticed(&self, from: f64, until: f64, living: u64) -> Vec<f64> {
+        let mut times: Vec<f64> = (0..self.timeline.gateways)
+            .filter_map(|gateway| {
+                let own = self.looks.iter().filter(|look| look.gateway == gateway);
+                let mut after = own.filter(|look| look.at >= from && look.at < until);
+                after.find(|look| look.likely <= living).map(|look| look.at - from)
+            })
+            .collect();
+        times.sort_by(f64::total_cmp);
+        times
+    }
+
     /// The rules held and the views came to agree.
     pub fn fine(&self) -> bool {
         self.broken.is_empty() && (self.settled_ms.is_some() || !self.timeline.view)
@@ -545,7 +579,7 @@
             line: line.clone(),
         };
         for at in (0..count).filter(|at| !line.late.contains(at)) {
-            world.rise(at)?;
+            world.rise(at, false)?;
         }
         world.since.extend(line.late.iter().map(|at| (*at, 0.0)));
         world.began = Instant::now();
@@ -553,11 +587,16 @@
     }
 
     /// Starts a gateway, and tells all who must know where it is.
-    fn rise(&mut self, at: usize) -> Result<(), String> {
+    fn rise(&mut self, at: usize, old: bool) -> Result<(), String> {
         if let Some(mut old) = self.gateways[at].take() {
             old.kill();
         }
         let (config, document) = &self.configs[at];
+        let last = format!(r#"{{"number":{}"#, self.line.gateways - 1);
+        let document = document.as_ref().map(|document| match document.find(&last).filter(|_| old) {
+            Some(from) => format!("{}]}}}}}}", document[..from].trim_end_matches(',')),
+            None => document.clone(),
+        });
         let gateway = Gateway::start(&self.program, config, document.as_deref());
         if let Some(listens) = logged(&gateway, "peer_listen") {
             self.network.listening.lock().expect("places").insert(at, vec![listens]);
@@ -586,7 +625,7 @@
             line: line.into(),
             plan: plan.into(),
             keyed,
-            franchisees: from..from + 20,
+            franchisees: from..from + self.line.franchisees.clamp(1, 20),
         };
         let shapes = vec![
             shape("GET /slot-lookup/1", "standard", false, 100),
@@ -596,13 +635,8 @@
             shape("POST /donor-checkin/2", "standard", false, 100),
         ];
         let most = Duration::from_millis(self.line.length_ms + 60_000);
-        Load::over(
-            self.addresses.clone(),
-            RATE_EACH * self.line.gateways as f64,
-            shapes,
-            self.line.gateways,
-            most,
-        )
+        let rate = self.line.rate_each.clamp(0.1, 500.0) * self.line.gateways as f64;
+        Load::over(self.addresses.clone(), rate, shapes, self.line.gateways, most)
     }
 
     fn told(&mut self) {
@@ -704,9 +738,9 @@
                     self.up(*gateway);
                 }
             }
-            Act::Start { gateway } => {
+            Act::Start { gateway, old } => {
                 self.gateway(*gateway)?;
-                self.rise(*gateway)?;
+                self.rise(*gateway, *old)?;
             }
             Act::Twin { gateway } => {
                 self.gateway(*gateway)?;
@@ -860,6 +894,7 @@
             most_parts,
             sent_per_s: rates(&looks),
             cpu_s: self.cpu.clone(),
+            memory_mb: self.gateways.iter().flatten().map(Gateway::memory_mb).collect(),
             looks,
             by_second,
             done: std::mem::take(&mut self.done),
