--- a/crates/gateway/src/cli/fleet.rs
+++ b/crates/gateway/src/cli/fleet.rs
@@ -169,13 +169,13 @@
         let _ = writeln!(
             out,
             "{:>6} {:<16} {:<10} {:<9} {:>9} {:>9} {:>6}  {}{own}",
-            member["number"],
+            text(&member["number"]),
             text(&member["name"]),
             text(&member["zone"]),
             text(&member["state"]),
             ago(&member["since_s"]),
             if own.is_empty() { ago(&member["heard_s"]) } else { "-".into() },
-            member["epoch"],
+            text(&member["epoch"]),
             text(&member["address"]),
         );
     }
--- a/crates/testkit/src/network.rs
+++ b/crates/testkit/src/network.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
 use tokio::sync::mpsc;
@@ -49,6 +49,10 @@
 
 type Links = Arc<Mutex<HashMap<(Party, Party), Link>>>;
 
+/// When gateways ended their connections, by the address that the other side sees them come from. A server's own
+/// thread sees it later, and what the gateway sent elsewhere afterwards sooner.
+pub type Closings = Arc<Mutex<HashMap<SocketAddr, Instant>>>;
+
 enum Order {
     Connections {
         gateway: usize,
@@ -71,6 +75,8 @@
 pub struct Network {
     links: Links,
     orders: mpsc::UnboundedSender<Order>,
+    /// When connections were ended by gateways.
+    pub closings: Closings,
     /// Where each gateway's processes listen for datagrams: one, or two that claim its number.
     pub listening: Arc<Mutex<BTreeMap<usize, Vec<SocketAddr>>>>,
 }
@@ -96,7 +102,8 @@
         let links = Links::default();
         let listening: Arc<Mutex<BTreeMap<usize, Vec<SocketAddr>>>> = Arc::default();
         let (orders, mut taken) = mpsc::unbounded_channel();
-        let (shared, places) = (links.clone(), listening.clone());
+        let closings = Closings::default();
+        let (shared, places, ended) = (links.clone(), listening.clone(), closings.clone());
         std::thread::spawn(move || {
             let runtime =
                 tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
@@ -110,7 +117,10 @@
                                 TcpListener::bind("127.0.0.1:0").await.expect("a port of loopback");
                             let _ = bound.send(listener.local_addr().expect("its address"));
                             let links = shared.clone();
-                            tokio::task::spawn_local(connections(listener, gateway, to, upstream, links));
+                            let ended = ended.clone();
+                            tokio::task::spawn_local(connections(
+                                listener, gateway, to, upstream, links, ended,
+                            ));
                         }
                         Order::Datagrams { gateways, bound } => {
                             mesh = datagrams(gateways, &shared, &places).await;
@@ -125,7 +135,7 @@
                 }
             });
         });
-        Network { links, orders, listening }
+        Network { links, orders, closings, listening }
     }
 
     /// Relays for the datagrams of so many gateways: `[i][j]` is where gateway `i` reaches `j`, and where what `j`
@@ -241,10 +251,17 @@
     }
 }
 
-async fn connections(listener: TcpListener, gateway: usize, to: Party, upstream: SocketAddr, links: Links) {
+async fn connections(
+    listener: TcpListener,
+    gateway: usize,
+    to: Party,
+    upstream: SocketAddr,
+    links: Links,
+    ended: Closings,
+) {
     while let Ok((client, _)) = listener.accept().await {
         let _ = client.set_nodelay(true);
-        tokio::task::spawn_local(connection(client, gateway, to, upstream, links.clone()));
+        tokio::task::spawn_local(connection(client, gateway, to, upstream, links.clone(), ended.clone()));
     }
 }
 
@@ -253,7 +270,14 @@
     let _ = stream.set_zero_linger();
 }
 
-async fn connection(client: TcpStream, gateway: usize, to: Party, upstream: SocketAddr, links: Links) {
+async fn connection(
+    client: TcpStream,
+    gateway: usize,
+    to: Party,
+    upstream: SocketAddr,
+    links: Links,
+    ended: Closings,
+) {
     let (here, there) = (Party::Gateway(gateway), to);
     let lost = |way: Link| way.cut;
     if link(&links, here, there).reset {
@@ -279,7 +303,14 @@
     let _ = server.set_nodelay(true);
     let (mut from_client, mut to_client) = client.into_split();
     let (mut from_server, mut to_server) = server.into_split();
-    let up = pass(&mut from_client, &mut to_server, &links, here, there);
+    let seen_as = from_server.local_addr().ok();
+    let up = async {
+        let fine = pass(&mut from_client, &mut to_server, &links, here, there).await;
+        if let Some(address) = seen_as {
+            ended.lock().expect("closings").insert(address, Instant::now());
+        }
+        fine
+    };
     let down = pass(&mut from_server, &mut to_client, &links, there, here);
     let (up, down) = tokio::join!(up, down);
     if !(up && down) {
--- a/crates/testkit/src/region.rs
+++ b/crates/testkit/src/region.rs
@@ -37,7 +37,7 @@
     /// When it was answered, or its connection ended.
     pub ended: Option<Instant>,
     /// Where its connection came from.
-    pub from: Option<std::net::IpAddr>,
+    pub from: Option<SocketAddr>,
 }
 
 #[derive(Default)]
@@ -85,7 +85,7 @@
 }
 
 fn serve(stream: TcpStream, state: &Mutex<State>) {
-    let from = stream.peer_addr().ok().map(|address| address.ip());
+    let from = stream.peer_addr().ok();
     let mut reader = BufReader::new(stream);
     while let Some(message) = read_message(&mut reader) {
         let (number, manner) = {
--- a/crates/testkit/src/rig.rs
+++ b/crates/testkit/src/rig.rs
@@ -251,13 +251,10 @@
                     linked_until = over;
                 }
                 8 if linked_until < at => {
-                    let link = Link {
-                        loss: rng.f64() * 0.3,
-                        double: rng.f64() * 0.2,
-                        corrupt: rng.f64() * 0.05,
-                        spread_ms: rng.f64() * 60.0,
-                        ..Link::default()
-                    };
+                    // In thousandths: a timeline that is written down and read again is the same.
+                    let mut part = |most: f64| (rng.f64() * most * 1_000.0).round() / 1_000.0;
+                    let (loss, double, corrupt, spread_ms) = (part(0.3), part(0.2), part(0.05), part(60.0));
+                    let link = Link { loss, double, corrupt, spread_ms, ..Link::default() };
                     add(at, Act::Mesh { link });
                     add(over, Act::Heal);
                     linked_until = over;
@@ -844,13 +841,16 @@
                 id: answer.id,
             });
         }
+        let closings = self.network.closings.lock().expect("closings").clone();
         for (region, stand_in) in self.regions.iter().enumerate() {
             for run in stand_in.runs() {
+                let closed = run.from.and_then(|from| closings.get(&from)).filter(|at| **at >= run.began);
+                let ended = [run.ended, closed.copied()].into_iter().flatten().min();
                 self.log.ran.push(Ran {
                     region,
-                    gateway: run.from.and_then(gateway_of),
+                    gateway: run.from.and_then(|from| gateway_of(from.ip())),
                     began: ms(run.began),
-                    ended: run.ended.map(ms),
+                    ended: ended.map(ms),
                     id: run.id,
                 });
             }
