Let the test of a number claimed twice fail on a flap, and hang a process for ten seconds

It held for 4 of 5 alive, which one number going to and fro would have passed; now all others hold five to live and nobody for gone while both processes run. The hang was seven seconds, the issue asks for ten.

--- a/crates/gateway/tests/fleet_view.rs
+++ b/crates/gateway/tests/fleet_view.rs
@@ -53,10 +53,10 @@
         .at(6_500, Act::Kill { gateway: 2 })
         .at(11_000, Act::Discovery { cut: false })
         .at(11_500, Act::Start { gateway: 2, old: false })
-        // A hang of a second and one of seven, while the counter is dark.
+        // A hang of a second and one of ten, while the counter is dark.
         .at(12_500, Act::Counter { dark: true })
+        .at(10_000, Act::Stop { gateway: 3 })
         .at(13_000, Act::Stop { gateway: 1 })
-        .at(13_000, Act::Stop { gateway: 3 })
         .at(14_000, Act::Continue { gateway: 1 })
         .at(16_000, Act::Counter { dark: false })
         .at(20_000, Act::Continue { gateway: 3 })
@@ -164,9 +164,14 @@
     assert!(report.broken.is_empty(), "{:?}", report.broken);
     // The flood costs nobody its life.
     assert_eq!(fewest(&report, 2_000.0, 5_000.0), 5);
-    // Whichever of the two yields, the others hold one member of that number to live, all along.
-    let others = |look: &&nickeljunction_testkit::rig::Look| look.gateway != 3 && look.at > 2_000.0;
-    assert!(report.looks.iter().filter(others).all(|look| look.likely >= 4), "they flap");
+    // Whichever of the two yields, the others hold one member of that number to live while both run, and nobody for gone.
+    let both = |look: &&nickeljunction_testkit::rig::Look| {
+        look.gateway != 3 && (5_000.0..12_000.0).contains(&look.at)
+    };
+    assert!(report.looks.iter().filter(both).count() > 0, "no looks");
+    let flaps: Vec<_> =
+        report.looks.iter().filter(both).filter(|look| look.likely != 5 || look.gone > 0).collect();
+    assert!(flaps.is_empty(), "they flap: {flaps:?}");
 }
 
 #[test]
