--- a/crates/fleet/src/share.rs
+++ b/crates/fleet/src/share.rs
@@ -125,7 +125,9 @@
     /// Takes a grant that another told; whether it was new.
     pub fn hear_grant(&mut self, period: u32, grant: &Grant) -> bool {
         let near = grant.period <= period + 1 && grant.period + 1 >= period;
-        let fine = grant.divisor > 0 && grant.leader <= self.most && !self.poolless();
+        // Fewer parts than members: no gateway of ours grants that, and believed it would pass the whole.
+        let even = usize::from(grant.divisor) >= grant.members.count().max(1);
+        let fine = even && grant.leader <= self.most && !self.poolless();
         if !near || !fine || self.grants.contains_key(&grant.period) {
             return false;
         }
@@ -175,3 +177,16 @@
         self.grants.values().next_back()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_grant_of_fewer_parts_than_members_is_not_believed() {
+        let grant = |divisor| Grant { period: 9, leader: 1, divisor, members: Bits::of([0, 1, 2]) };
+        let mut shares = Shares::new(0, 4, 3, 0);
+        assert!(!shares.hear_grant(9, &grant(2)) && !shares.hear_grant(9, &grant(0)));
+        assert!(shares.hear_grant(9, &grant(3)));
+    }
+}
