Let the rig's output end early, and read a storm's options in one place

Tried: 'draw | head' panicked on the closed pipe. Storm and draw now share their three options. Measured: draw | head -2 prints two lines and ends quietly; clippy is clean.

--- a/crates/testkit/src/bin/nickeljunction-rig.rs
+++ b/crates/testkit/src/bin/nickeljunction-rig.rs
@@ -2,6 +2,7 @@
 
 use clap::{Parser, Subcommand};
 use nickeljunction_testkit::rig::{play, Act, Report, Timeline, QUIET_MS};
+use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -21,15 +22,8 @@
 enum Command {
     /// Play a storm that a seed draws
     Storm {
-        /// Gateways, 2 to 64
-        #[arg(long, default_value = "8", value_parser = clap::value_parser!(u16).range(2..=64))]
-        gateways: u16,
-        /// Length of the faults, s; quiet follows
-        #[arg(long, default_value = "30", value_parser = clap::value_parser!(u16).range(10..=800))]
-        seconds: u16,
-        /// The seed
-        #[arg(long, default_value = "1")]
-        seed: u64,
+        #[command(flatten)]
+        drawn: Drawn,
         #[command(flatten)]
         run: Run,
     },
@@ -41,17 +35,7 @@
         run: Run,
     },
     /// Print the timeline that a seed draws, to be edited and played
-    Draw {
-        /// Gateways, 2 to 64
-        #[arg(long, default_value = "8", value_parser = clap::value_parser!(u16).range(2..=64))]
-        gateways: u16,
-        /// Length of the faults, s
-        #[arg(long, default_value = "30", value_parser = clap::value_parser!(u16).range(10..=800))]
-        seconds: u16,
-        /// The seed
-        #[arg(long, default_value = "1")]
-        seed: u64,
-    },
+    Draw(Drawn),
     /// Measure: a crash, a start, halves that part and heal, at some sizes, with the view and without
     Measure {
         /// Sizes, 2 to 64 each
@@ -71,6 +55,26 @@
     },
 }
 
+/// What a storm is drawn from.
+#[derive(Debug, clap::Args)]
+struct Drawn {
+    /// Gateways, 2 to 64
+    #[arg(long, default_value = "8", value_parser = clap::value_parser!(u16).range(2..=64))]
+    gateways: u16,
+    /// Length of the faults, s; quiet follows
+    #[arg(long, default_value = "30", value_parser = clap::value_parser!(u16).range(10..=800))]
+    seconds: u16,
+    /// The seed
+    #[arg(long, default_value = "1")]
+    seed: u64,
+}
+
+impl Drawn {
+    fn timeline(&self) -> Timeline {
+        Timeline::storm(self.gateways.into(), self.seconds.into(), self.seed)
+    }
+}
+
 #[derive(Debug, clap::Args)]
 struct Run {
     /// The gateway program
@@ -92,6 +96,11 @@
     serde_json::from_str(&text).map_err(|why| format!("{}: {why}; {wanted} is wanted", file.display()))
 }
 
+fn print(text: &str) {
+    // A reader that has gone away, as `| head` does, is no failure.
+    let _ = std::io::stdout().write_all(text.as_bytes());
+}
+
 fn run(mut line: Timeline, with: &Run) -> Result<bool, String> {
     if !with.program.is_file() {
         return Err(format!("--program: {} is not there: build it first", with.program.display()));
@@ -108,7 +117,7 @@
             eprintln!("{text}");
         }
     })?;
-    print!("{}", report.summary());
+    print(&report.summary());
     if let Some(file) = &with.report {
         let text = serde_json::to_string(&report).map_err(|why| why.to_string())?;
         std::fs::write(file, text).map_err(|why| format!("--report: {}: {why}", file.display()))?;
@@ -217,13 +226,11 @@
 
 fn command(command: Command) -> Result<bool, String> {
     match command {
-        Command::Storm { gateways, seconds, seed, run: with } => {
-            run(Timeline::storm(gateways.into(), seconds.into(), seed), &with)
-        }
+        Command::Storm { drawn, run: with } => run(drawn.timeline(), &with),
         Command::Play { file, run: with } => run(read(&file, "a timeline such as 'draw' prints")?, &with),
-        Command::Draw { gateways, seconds, seed } => {
-            let line = Timeline::storm(gateways.into(), seconds.into(), seed);
-            println!("{}", serde_json::to_string_pretty(&line).map_err(|why| why.to_string())?);
+        Command::Draw(drawn) => {
+            let line = drawn.timeline();
+            print(&(serde_json::to_string_pretty(&line).map_err(|why| why.to_string())? + "\n"));
             Ok(true)
         }
         Command::Measure { sizes, program } => {
@@ -236,7 +243,7 @@
         }
         Command::Show { report, svg: to } => {
             let report: Report = read(&report, "a report of 'storm' or 'play'")?;
-            print!("{}", report.summary());
+            print(&report.summary());
             if let Some(to) = to {
                 svg::save(&to, &draw(&report)).map_err(|why| format!("--svg: {}: {why}", to.display()))?;
             }
