--- a/crates/gateway/src/cli/change.rs
+++ b/crates/gateway/src/cli/change.rs
@@ -121,23 +121,31 @@
     },
 }
 
+/// Which gateway is meant, and who speaks to it.
 #[derive(Debug, Args)]
 pub(super) struct Gateway {
+    #[command(flatten)]
+    at: At,
+    /// Who gives the command
+    #[arg(long, env = "USER", default_value = "operator")]
+    who: String,
+}
+
+/// Which gateway is meant.
+#[derive(Debug, Args)]
+pub(super) struct At {
     /// The gateway's socket; by default that of the document
     #[arg(long, value_name = "PATH", env = "NICKELJUNCTION_SOCKET")]
     socket: Option<PathBuf>,
     /// The document that the gateway was started with; its daemon.control is the socket
     #[arg(long, value_name = "FILE", env = "NICKELJUNCTION_DOCUMENT", value_parser = may_be_empty())]
     document: Option<OsString>,
-    /// Who gives the command
-    #[arg(long, env = "USER", default_value = "operator")]
-    who: String,
     /// Print JSON
     #[arg(long)]
     pub(super) json: bool,
 }
 
-impl Gateway {
+impl At {
     fn path(&self) -> Result<PathBuf, Failure> {
         if let Some(path) = &self.socket {
             return Ok(path.clone());
@@ -260,8 +268,8 @@
             let (bundle, _) = read_document(&file, None)?;
             let tag = read_tag(&file)?;
             let who = gateway.who.clone();
-            let told = gateway.ask(&Ask::Stage { bundle, tag, who, why, replace })?;
-            print(gateway.json, &told.data, || {
+            let told = gateway.at.ask(&Ask::Stage { bundle, tag, who, why, replace })?;
+            print(gateway.at.json, &told.data, || {
                 let differences: Vec<Difference> =
                     serde_json::from_value(told.data["differences"].clone()).unwrap_or_default();
                 let shared = match told.data["shared"].as_bool() {
@@ -275,10 +283,10 @@
         Config::Apply { epoch, confirm_within, gather_within, wait, no_wait, gateway } => {
             let who = gateway.who.clone();
             let (confirm_within_ms, gather_within_ms) = (ms(confirm_within), ms(gather_within));
-            let told = gateway.ask(&Ask::Apply { epoch, who, confirm_within_ms, gather_within_ms })?;
+            let told = gateway.at.ask(&Ask::Apply { epoch, who, confirm_within_ms, gather_within_ms })?;
             let terminal = std::io::stdout().is_terminal();
             if no_wait || !(wait || terminal) {
-                print(gateway.json, &told.data, || format!("{}\n{}", told.text, status_text(&told.data)));
+                print(gateway.at.json, &told.data, || format!("{}\n{}", told.text, status_text(&told.data)));
                 return Ok(());
             }
             follow(&gateway, &told, terminal)
@@ -288,18 +296,18 @@
             simple(&gateway, &Ask::Rollback { who: gateway.who.clone(), why })
         }
         Config::Status { gateway } => {
-            let told = gateway.ask(&Ask::Status)?;
-            print(gateway.json, &told.data, || status_text(&told.data));
+            let told = gateway.at.ask(&Ask::Status)?;
+            print(gateway.at.json, &told.data, || status_text(&told.data));
             Ok(())
         }
         Config::History { gateway } => {
-            let told = gateway.ask(&Ask::History)?;
-            print(gateway.json, &told.data, || history_text(&told.data));
+            let told = gateway.at.ask(&Ask::History)?;
+            print(gateway.at.json, &told.data, || history_text(&told.data));
             Ok(())
         }
         Config::Show { epoch, gateway } => {
-            let told = gateway.ask(&Ask::Show { epoch })?;
-            print(gateway.json, &told.data, || {
+            let told = gateway.at.ask(&Ask::Show { epoch })?;
+            print(gateway.at.json, &told.data, || {
                 let mut text = told.data["bundle"]["text"].as_str().unwrap_or_default().to_string();
                 if !text.ends_with('\n') {
                     text.push('\n');
@@ -344,8 +352,8 @@
 }
 
 fn simple(gateway: &Gateway, what: &Ask) -> Result<(), Failure> {
-    let told = gateway.ask(what)?;
-    print(gateway.json, &told.data, || format!("{}\n{}", told.text, status_text(&told.data)));
+    let told = gateway.at.ask(what)?;
+    print(gateway.at.json, &told.data, || format!("{}\n{}", told.text, status_text(&told.data)));
     Ok(())
 }
 
@@ -448,10 +456,10 @@
 fn follow(gateway: &Gateway, begun: &Told, terminal: bool) -> Result<(), Failure> {
     let epoch = begun.data["change"]["epoch"].clone();
     loop {
-        let told = gateway.ask(&Ask::Status)?;
+        let told = gateway.at.ask(&Ask::Status)?;
         let phase = told.data["phase"].as_str().unwrap_or_default();
         if matches!(phase, "voting" | "armed" | "trial") && told.data["change"]["epoch"] == epoch {
-            if terminal && !gateway.json {
+            if terminal && !gateway.at.json {
                 let line = status_text(&told.data);
                 let line = line.lines().next().unwrap_or_default().to_string();
                 eprint!("\r\x1b[K{line}");
@@ -459,10 +467,10 @@
             std::thread::sleep(LOOK_EVERY);
             continue;
         }
-        if terminal && !gateway.json {
+        if terminal && !gateway.at.json {
             eprint!("\r\x1b[K");
         }
-        let history = gateway.ask(&Ask::History)?;
+        let history = gateway.at.ask(&Ask::History)?;
         let steps: Vec<Record> = serde_json::from_value(history.data["steps"].clone()).unwrap_or_default();
         let ours = |record: &&Record| json!(record.epoch) == epoch;
         let ended = steps.iter().rev().filter(ours).find_map(|record| match &record.step {
@@ -475,7 +483,7 @@
         });
         return match ended {
             Some(Ok(text)) => {
-                print(gateway.json, &told.data, || format!("{text}\n"));
+                print(gateway.at.json, &told.data, || format!("{text}\n"));
                 Ok(())
             }
             Some(Err(why)) => Err(Failure::Failed(why)),
--- a/crates/gateway/src/cli/fleet.rs
+++ b/crates/gateway/src/cli/fleet.rs
@@ -1,6 +1,6 @@
 //! `nickeljunction fleet ...`: the view of the fleet as one gateway has it, over its admin door or its Unix socket.
 
-use super::change::Gateway;
+use super::change::At;
 use crate::control::Ask;
 use crate::serve::Failure;
 use clap::{Args, Subcommand};
@@ -45,13 +45,13 @@
     #[arg(long, value_name = "ADDRESS", env = "EDGE_ADMIN_ADDR")]
     admin: Option<String>,
     #[command(flatten)]
-    gateway: Gateway,
+    at: At,
 }
 
 impl Source {
     fn status(&self) -> Result<Value, Failure> {
         let Some(admin) = self.admin.as_ref().filter(|admin| !admin.is_empty()) else {
-            return Ok(self.gateway.ask(&Ask::Fleet)?.data);
+            return Ok(self.at.ask(&Ask::Fleet)?.data);
         };
         let address: SocketAddr = admin.parse().map_err(|_| {
             Failure::Bad(vec![format!("--admin: '{admin}' is no address with a port such as 127.0.0.1:9000")])
@@ -93,7 +93,7 @@
 
 fn show(source: &Source, text: fn(&Value) -> String) -> Result<(), Failure> {
     let status = source.status()?;
-    print(&if source.gateway.json { format!("{status:#}\n") } else { text(&status) });
+    print(&if source.at.json { format!("{status:#}\n") } else { text(&status) });
     Ok(())
 }
 
@@ -197,7 +197,7 @@
                 continue;
             }
             last = nr;
-            print(&if source.gateway.json {
+            print(&if source.at.json {
                 format!("{change}\n")
             } else {
                 format!(
