--- a/crates/fleet/src/share.rs
+++ b/crates/fleet/src/share.rs
@@ -1,5 +1,5 @@
 //! What part of a whole this gateway may use now. The rule: over all gateways, parts never add up to more than the
-//! whole, in any view, settled or not.
+//! whole, in any view, settled or not, as long as all go by one roster.
 //!
 //! Half of the whole is split evenly over the roster, for good. The other half, the pool, is granted anew for each
 //! period of the common clock, split over those that live, by a leader that most of the roster voted for:
