Let a model of the tests copy a logbook and take its guards out one at a time

The feature `model`, of the tests alone, makes a logbook copyable, hashable and its clock settable, and names 35 guards; without it a guard is the bare expression, and no switch is built. The states of a new term are now entered in one place.

--- a/crates/logbook/src/disk.rs
+++ b/crates/logbook/src/disk.rs
@@ -6,7 +6,7 @@
 use std::collections::VecDeque;
 
 /// What a disk holds, in the order in which it was told.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Hash)]
 struct Held {
     me: bool,
     hard: Hard,
@@ -17,7 +17,7 @@
 }
 
 /// A write that is under way: what holds once it is done, and from where on it deleted entries.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Hash)]
 struct Underway {
     ticket: u64,
     cut: Option<u64>,
@@ -25,7 +25,7 @@
 }
 
 /// The machine's view of its disk.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Hash)]
 pub(crate) struct Disk {
     /// Known to be synced.
     safe: Held,
@@ -38,7 +38,7 @@
     /// The newest write that counts, done or under way; 0: none.
     newest: u64,
     /// When a failed write is tried again.
-    sick: Option<u64>,
+    pub(crate) sick: Option<u64>,
 }
 
 impl Disk {
@@ -61,7 +61,7 @@
 
     /// This term and vote, and who casts it, would survive a loss of power.
     pub(crate) fn keeps(&self, hard: Hard) -> bool {
-        self.safe.me && self.safe.hard == hard && self.sick.is_none()
+        self.safe.me && self.safe.hard == hard && guard!(SickIsSilent, self.sick.is_none(), true)
     }
 
     /// A write failed, and none has succeeded since.
@@ -80,14 +80,14 @@
             self.cut = Some(self.cut.map_or(index, |cut| cut.min(index)));
             self.told.last = index - 1;
         }
-        self.safe.last = self.safe.last.min(index - 1);
+        guard!(CutIsUnsafe, self.safe.last = self.safe.last.min(index - 1), ());
     }
 
     /// A leader's snapshot up to `index` took the place of the log; `stays`: entries after it remained. `commit`: up to
     /// there the log was and is the leader's.
     pub(crate) fn installed(&mut self, index: u64, stays: bool, commit: u64) {
         if !stays {
-            self.truncated(commit + 1);
+            guard!(SnapshotCuts, self.truncated(commit + 1), ());
         }
         self.told.last = self.told.last.max(index);
     }
@@ -136,7 +136,8 @@
             self.underway.pop_front();
             // What a later write deletes was still there at this one: it is not the log in memory any more.
             let cuts = self.underway.iter().filter_map(|write| write.cut).chain(self.cut);
-            let last = cuts.map(|cut| cut - 1).fold(done.then.last, u64::min);
+            let cuts = cuts.map(|cut| cut - 1);
+            let last = guard!(LaterCuts, cuts.fold(done.then.last, u64::min), done.then.last);
             self.safe = Held { last: last.max(self.safe.last), ..done.then };
             any = true;
         }
@@ -156,7 +157,7 @@
         self.underway.clear();
         self.told = self.safe;
         self.newest = 0;
-        self.cut = Some(self.safe.last + 1);
+        guard!(FailureCuts, self.cut = Some(self.safe.last + 1), ());
         self.sick = Some(retry_at);
         true
     }
--- a/crates/logbook/src/election.rs
+++ b/crates/logbook/src/election.rs
@@ -27,11 +27,11 @@
             Msg::Point { leader } => return self.on_point(&leader),
             _ => {}
         }
-        if term < self.hard.term {
+        if !guard!(OldTermRefused, term >= self.hard.term, true) {
             return self.refuse_old(&from, msg);
         }
         if term > self.hard.term {
-            if matches!(msg, Msg::Vote { .. }) && self.has_leader() {
+            if matches!(msg, Msg::Vote { .. }) && guard!(LeaderHeard, self.has_leader(), false) {
                 // It asked before this member heard of the leader, or can't hear it itself.
                 return;
             }
@@ -69,13 +69,7 @@
     /// Follows, in `term`; a leader's open proposals and reads are given up.
     pub(crate) fn follow(&mut self, term: u64) {
         if term > self.hard.term {
-            self.hard = Hard { term, vote: None };
-            self.leader = None;
-            self.heard_at = None;
-            self.verified = 0;
-            self.round = 0;
-            self.owed = Owed::Nothing;
-            self.owed_vote = None;
+            self.enter(Hard { term, vote: None });
         }
         if let Role::Leading(lead) = std::mem::replace(&mut self.role, Role::Following) {
             self.leader = None;
@@ -88,6 +82,17 @@
         }
     }
 
+    /// A new term begins here: what was known of the last one's leader, and owed to it, counts no more.
+    fn enter(&mut self, hard: Hard) {
+        self.hard = hard;
+        self.leader = None;
+        self.heard_at = None;
+        guard!(VerifiedByTerm, self.verified = 0, ());
+        guard!(RoundByTerm, self.round = 0, ());
+        self.owed = Owed::Nothing;
+        guard!(OwedVoteByTerm, self.owed_vote = None, ());
+    }
+
     /// Heeds the leader of this term.
     fn heed(&mut self, from: &Member, round: u64) {
         if !matches!(self.role, Role::Following) {
@@ -160,13 +165,7 @@
     fn count_asked(&mut self) {
         let Role::Asking(said) = &self.role else { return };
         if self.has_majority(said) {
-            self.hard = Hard { term: self.hard.term + 1, vote: Some(self.me.id) };
-            self.leader = None;
-            self.heard_at = None;
-            self.verified = 0;
-            self.round = 0;
-            self.owed = Owed::Nothing;
-            self.owed_vote = None;
+            self.enter(Hard { term: self.hard.term + 1, vote: Some(self.me.id) });
             self.role = Role::Standing { yes: Vec::new(), since: self.now, sent: false };
             self.put_off_election();
         }
@@ -174,13 +173,14 @@
 
     /// Of the members, these are more than half.
     fn has_majority(&self, ids: &[MemberId]) -> bool {
-        self.log.members().iter().filter(|member| ids.contains(&member.id)).count() >= self.majority()
+        self.log.members().iter().filter(|member| ids.contains(&member.id)).count()
+            >= guard!(VotesOfMajority, self.majority(), 1)
     }
 
     /// Asks for votes once its own, and the log that it stands with, would survive a loss of power: else it might come
     /// back with less and be elected by votes for more.
     pub(crate) fn send_candidacy(&mut self) {
-        let safe = self.disk.stable() >= self.log.last();
+        let safe = guard!(CandidacySynced, self.disk.stable() >= self.log.last(), true);
         let Role::Standing { yes, since, sent } = &mut self.role else { return };
         if *sent || !safe {
             return;
@@ -196,8 +196,9 @@
     }
 
     fn on_vote(&mut self, from: &Member, last: u64, last_term: u64) {
-        let free = self.hard.vote.is_none_or(|vote| vote == from.id);
+        let free = guard!(OneVote, self.hard.vote.is_none_or(|vote| vote == from.id), true);
         let as_good = (last_term, last) >= (self.log.last_term(), self.log.last());
+        let as_good = guard!(LogAsGood, as_good, true);
         if !free || !as_good || self.disk.sick() {
             return self.say(from, Msg::Voted { yes: false });
         }
--- a/crates/logbook/src/lib.rs
+++ b/crates/logbook/src/lib.rs
@@ -25,12 +25,33 @@
 //! is its disk: its number is drawn when the disk is first written, so that a wiped machine comes back as somebody else,
 //! who neither votes nor counts before the leader has made it a member.
 
+/// `guard!(Name, with, without)` is `with`. Where the model is built (feature `model`, of the tests alone) a test may take
+/// the guard `Name` out, and then it is `without`: so each guard is shown to be needed.
+#[cfg(not(feature = "model"))]
+macro_rules! guard {
+    ($name:ident, $with:expr, $without:expr) => {
+        $with
+    };
+}
+#[cfg(feature = "model")]
+macro_rules! guard {
+    ($name:ident, $with:expr, $without:expr) => {
+        if crate::model::is_out(crate::model::Guard::$name) {
+            $without
+        } else {
+            $with
+        }
+    };
+}
+
 mod disk;
 mod election;
 mod log;
 mod machine;
 mod membership;
 mod messages;
+#[cfg(feature = "model")]
+pub mod model;
 mod replication;
 
 pub use machine::Logbook;
--- a/crates/logbook/src/log.rs
+++ b/crates/logbook/src/log.rs
@@ -8,7 +8,7 @@
 const HELD_BYTES: usize = 256 * 1024;
 
 /// Entries `base + 1` to `last`; all up to `base` are committed.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Hash)]
 pub(crate) struct Log {
     base: u64,
     base_term: u64,
--- a/crates/logbook/src/machine.rs
+++ b/crates/logbook/src/machine.rs
@@ -11,7 +11,7 @@
 const WAITING_MAX: usize = 256;
 
 /// What a member is at the moment.
-#[derive(Debug)]
+#[derive(Debug, Clone, Hash)]
 pub(crate) enum Role {
     /// It follows a leader, or waits for one.
     Following,
@@ -24,7 +24,7 @@
 }
 
 /// What a follower owes its leader, once the disk allows.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub(crate) enum Owed {
     /// Nothing.
     Nothing,
@@ -36,6 +36,7 @@
 
 /// A member of the core's agreement. See the crate's page for how it is driven.
 #[derive(Debug)]
+#[cfg_attr(feature = "model", derive(Clone))]
 pub struct Logbook {
     pub(crate) me: Member,
     pub(crate) tuning: Tuning,
@@ -78,7 +79,7 @@
         let disk = Disk::new(restored.new, restored.hard, &log);
         let snapshot = log.snapshot_index();
         // One that comes back may have answered a leader just before, whose lease counts on it for so long.
-        let heard_at = (!restored.new).then_some(now);
+        let heard_at = guard!(RestartWaits, (!restored.new).then_some(now), None);
         let mut logbook = Logbook {
             me: restored.me,
             tuning,
@@ -179,8 +180,12 @@
         let ticket = self.next_read;
         self.next_read += 1;
         // A leader learns with the first commit of its own term what its predecessors committed.
-        let index = commit.max(lead.start);
-        lead.reads.push_back(PendingRead { ticket, index, round: lead.round + 1 });
+        let index = guard!(ReadOwnTerm, commit.max(lead.start), commit);
+        lead.reads.push_back(PendingRead {
+            ticket,
+            index,
+            round: guard!(ReadNextRound, lead.round + 1, lead.round),
+        });
         lead.want_round = true;
         Ok(ticket)
     }
@@ -341,7 +346,7 @@
 
     /// What had to wait for the disk and may go out now.
     fn send_owed(&mut self) {
-        if !self.disk.keeps(self.hard) {
+        if !guard!(VoteSynced, self.disk.keeps(self.hard), true) {
             return;
         }
         if let Some(candidate) = self.owed_vote.take() {
@@ -349,7 +354,8 @@
         }
         self.send_candidacy();
         let Some(leader) = self.leader.clone().filter(|leader| leader.id != self.me.id) else { return };
-        let kept = self.disk.stable().min(self.verified);
+        let stable = guard!(EntriesSynced, self.disk.stable(), self.log.last());
+        let kept = guard!(KeptVerified, stable.min(self.verified), stable);
         let round = self.round;
         match std::mem::replace(&mut self.owed, Owed::Nothing) {
             Owed::Nothing => {}
--- a/crates/logbook/src/membership.rs
+++ b/crates/logbook/src/membership.rs
@@ -112,7 +112,8 @@
             lead.peers.retain(|peer| !peer.learner || now <= peer.heard_at() + longest * LEARNER_TIMES);
         }
         // One change at a time, and none before this term has an entry that is committed.
-        if !self.ready() || self.log.members_since() > self.commit {
+        let ready = guard!(ChangeReady, self.ready(), true);
+        if !ready || guard!(OneChange, self.log.members_since() > self.commit, false) {
             return;
         }
         if let Some(members) = self.next_members() {
@@ -140,7 +141,11 @@
         let without = |id| members.iter().filter(|member| member.id != id).cloned().collect::<Vec<_>>();
         let caught_up = |peer: &&Peer| {
             peer.learner
-                && peer.keeps(self.commit.max(self.log.last().saturating_sub(CAUGHT_UP)))
+                && guard!(
+                    CaughtUp,
+                    peer.keeps(self.commit.max(self.log.last().saturating_sub(CAUGHT_UP))),
+                    true
+                )
                 && self.now <= peer.heard_at() + self.tuning.election_max_ms
         };
         for peer in lead.peers.iter().filter(caught_up) {
--- a/crates/logbook/src/messages.rs
+++ b/crates/logbook/src/messages.rs
@@ -26,7 +26,7 @@
 }
 
 /// What an entry holds.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Body {
     /// Nothing: a new leader's first entry, which commits what its predecessors left.
     #[serde(rename = "n")]
@@ -40,7 +40,7 @@
 }
 
 /// One entry of the log.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Entry {
     /// Its place, from 1, without gaps.
     #[serde(rename = "i")]
@@ -73,7 +73,7 @@
 }
 
 /// The embedding program's whole state after an entry, in place of all entries up to it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Snapshot {
     /// The last entry that it covers; 0: none, it only names the first members.
     #[serde(rename = "i")]
@@ -90,7 +90,7 @@
 }
 
 /// What a member must never forget: its term, and whom it voted for in it.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Hard {
     /// The newest term that it knows of.
     #[serde(rename = "t")]
@@ -102,7 +102,7 @@
 
 /// What is to be on the disk before the member says so to others. Done whole and in this order: `me`, `hard`,
 /// `truncate_from`, `snapshot`, `entries`; all of one write or none of it should survive a loss of power.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct Write {
     /// To be named to [`crate::Logbook::written`]; rises by one with each write.
     pub ticket: u64,
@@ -151,7 +151,7 @@
 }
 
 /// A message to one member, or to whoever is at a host.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Envelope {
     /// Who says it.
     #[serde(rename = "f")]
@@ -168,7 +168,7 @@
 }
 
 /// What members say to each other.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Msg {
     /// "Would you vote for me in the term after mine?" Changes nothing.
     #[serde(rename = "p")]
@@ -299,7 +299,7 @@
 pub type ReadTicket = u64;
 
 /// What is to be done, in the order that the crate's page names.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct Outputs {
     /// Replaces the whole state; comes before `committed`. Also given once after a start with a snapshot on disk.
     pub restored_state: Option<Snapshot>,
--- a/crates/logbook/src/replication.rs
+++ b/crates/logbook/src/replication.rs
@@ -16,7 +16,7 @@
 const SNAPSHOT_AGAIN_MS: u64 = 500;
 
 /// How entries go out to a member.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 enum Mode {
     /// As they come, without waiting for answers.
     Flow,
@@ -27,7 +27,7 @@
 }
 
 /// Another member, or one that would be, as its leader sees it.
-#[derive(Debug)]
+#[derive(Debug, Clone, Hash)]
 pub(crate) struct Peer {
     pub(crate) member: Member,
     /// It isn't a member and doesn't count.
@@ -101,7 +101,7 @@
                     self.unanswered.clear();
                     break;
                 };
-                let entries = log.some(self.next, log.last(), BATCH_BYTES);
+                let entries = log.some(self.next, log.last(), guard!(LargeBatches, BATCH_BYTES, 1));
                 self.next += entries.len() as u64;
                 self.unanswered.push_back(self.next - 1);
                 due.push(Msg::Append { prev, prev_term, entries, commit, round });
@@ -150,7 +150,7 @@
 }
 
 /// A read that waits.
-#[derive(Debug)]
+#[derive(Debug, Clone, Hash)]
 pub(crate) struct PendingRead {
     pub(crate) ticket: ReadTicket,
     /// What must be committed.
@@ -160,7 +160,7 @@
 }
 
 /// What only a leader knows.
-#[derive(Debug)]
+#[derive(Debug, Clone, Hash)]
 pub(crate) struct Lead {
     /// When it asked for the votes that it leads by.
     since: u64,
@@ -304,7 +304,7 @@
 
     /// Entries from the leader of this term.
     pub(crate) fn on_append(&mut self, prev: u64, prev_term: u64, entries: Vec<Entry>, commit: u64) {
-        if self.disk.sick() {
+        if guard!(SickTakesNothing, self.disk.sick(), false) {
             return;
         }
         let base = self.log.base();
@@ -313,7 +313,7 @@
             return;
         }
         // What is committed every leader's log has.
-        if prev > self.commit && self.log.term(prev) != Some(prev_term) {
+        if prev > self.commit && guard!(LogsMatch, self.log.term(prev) != Some(prev_term), false) {
             let hint = match self.log.term(prev) {
                 None => self.log.last(),
                 Some(_) => self.log.run_start(prev, self.commit) - 1,
@@ -328,8 +328,8 @@
                 continue;
             }
             match self.log.term(entry.index) {
-                Some(term) if term == entry.term => {}
-                Some(_) if entry.index <= self.commit => return,
+                Some(term) if guard!(TermsMatch, term == entry.term, true) => {}
+                Some(_) if guard!(CommittedStays, entry.index <= self.commit, false) => return,
                 known => {
                     if known.is_some() {
                         self.log.truncate(entry.index);
@@ -347,7 +347,7 @@
             upto = upto.max(entry.index);
         }
         self.verified = self.verified.max(upto);
-        self.commit = self.commit.max(commit.min(self.verified));
+        self.commit = self.commit.max(guard!(CommitVerified, commit.min(self.verified), commit));
         // New entries are answered for when they are on the disk.
         if !added {
             self.owed = Owed::Kept;
@@ -362,7 +362,7 @@
             return;
         }
         let index = snapshot.index;
-        if index > self.commit {
+        if guard!(SnapshotAhead, index > self.commit, true) {
             let stays = self.log.install(snapshot.clone());
             self.disk.installed(index, stays, self.commit);
             self.commit = index;
@@ -381,10 +381,10 @@
         let begun = lead.rounds.iter().find(|(number, _)| *number == round).map(|(_, at)| *at);
         let Some(peer) = lead.peers.iter_mut().find(|peer| peer.member.id == from) else { return };
         peer.round = peer.round.max(round);
-        peer.acked_at = peer.acked_at.max(begun);
+        peer.acked_at = peer.acked_at.max(guard!(RoundBegun, begun, Some(self.now)));
         match refused {
             Some(prev) => peer.refused(prev, index),
-            None => peer.accepted(index.min(last), base),
+            None => peer.accepted(guard!(KeptWithinLog, index.min(last), index), base),
         }
         self.advance();
         self.govern();
@@ -392,8 +392,10 @@
 
     /// Commits what a majority's disks have, from the first entry of its own term on.
     pub(crate) fn advance(&mut self) {
-        let kept = self.by_majority(self.disk.stable(), 0, |peer| peer.matched);
-        if kept > self.commit && self.log.term(kept) == Some(self.hard.term) {
+        let mine = guard!(LeaderSynced, self.disk.stable(), self.log.last());
+        let kept = self.by_majority(mine, 0, |peer| peer.matched);
+        let own = guard!(OwnTermCommits, self.log.term(kept) == Some(self.hard.term), true);
+        if kept > self.commit && own {
             self.commit = kept;
         }
         let commit = self.commit;
@@ -410,8 +412,26 @@
         let answered = self.by_majority(lead.round, 0, |peer| peer.round);
         let commit = self.commit;
         let Role::Leading(lead) = &mut self.role else { return };
-        while lead.reads.front().is_some_and(|read| read.round <= answered && read.index <= commit) {
+        let fresh = |read: &PendingRead| guard!(ReadConfirmed, read.round <= answered, true);
+        while lead.reads.front().is_some_and(|read| fresh(read) && read.index <= commit) {
             self.out.reads.extend(lead.reads.pop_front().map(|read| (read.ticket, true)));
         }
     }
 }
+
+/// Of the model's worlds, where a member's clock may be set back as long as all that it remembers goes with it.
+#[cfg(feature = "model")]
+impl Lead {
+    pub(crate) fn map_times(&mut self, to: impl Fn(u64) -> u64) {
+        self.since = to(self.since);
+        self.beat_at = to(self.beat_at);
+        self.rounds.iter_mut().for_each(|(_, at)| *at = to(*at));
+        for peer in &mut self.peers {
+            peer.since = to(peer.since);
+            peer.acked_at = peer.acked_at.map(&to);
+            if let Mode::Snapshot(Some(at)) = &mut peer.mode {
+                *at = to(*at);
+            }
+        }
+    }
+}
