Let operators keep hosts out of the core's members

Who is a member followed from who asked and who was silent alone: a machine taken out of service came back by itself within 300 ms, and none could be replaced before it had been silent for 6 s.

The machine of agreement now takes a list of hosts that are to stay away, each with a host that has to be a member first. A member on it is removed once a majority of the rest answers, three at least remain, and no other change is under way; one that asks isn't taken in. A leader carries out its own removal by the others' disks alone and then makes way. What a leader sees of the others (kept, silence, learner) can be read. Without a list nothing changes, but for the first change of a lead, which waits until the program has been told the entries before it.

--- a/crates/logbook/src/lib.rs
+++ b/crates/logbook/src/lib.rs
@@ -16,6 +16,7 @@
 //!   .propose(now, String) -> Result<u64, NotLeader>        .read(now) -> Result<ReadTicket, NotLeader>
 //!   .written(now, ticket)           .write_failed(now, ticket)
 //!   .snapshot(now, index, state)    .seek(hosts)           .resign(now)
+//!   .away(Vec<Away>)                .seen(now) -> Vec<Seen>
 //!   .take() -> Outputs
 //!   .leader() .is_leader() .ready() .term() .members() .me() .commit() .quorum_age(now) .everywhere(now, index) .sick()
 //! ```
@@ -55,8 +56,9 @@
 mod replication;
 
 pub use machine::Logbook;
+pub use membership::{MEMBERS_MAX, MEMBERS_MIN};
 pub use messages::{
-    draw_id, first_id, Body, Entry, Envelope, Hard, Msg, NotLeader, Outputs, ReadTicket, Restored, Snapshot,
-    Tuning, Write, HELD_BACK,
+    draw_id, first_id, Away, Body, Entry, Envelope, Hard, Msg, NotLeader, Outputs, ReadTicket, Restored,
+    Seen, Snapshot, Tuning, Write, HELD_BACK,
 };
 pub use nickeljunction_signals::{Member, MemberId};
--- a/crates/logbook/src/machine.rs
+++ b/crates/logbook/src/machine.rs
@@ -2,7 +2,9 @@
 
 use crate::disk::Disk;
 use crate::log::Log;
-use crate::messages::{Body, Entry, Envelope, Hard, Msg, NotLeader, Outputs, ReadTicket, Restored, Tuning};
+use crate::messages::{
+    Away, Body, Entry, Envelope, Hard, Msg, NotLeader, Outputs, ReadTicket, Restored, Tuning,
+};
 use crate::replication::{Lead, PendingRead};
 use nickeljunction_signals::{Member, MemberId};
 use std::collections::VecDeque;
@@ -65,6 +67,8 @@
     /// Hosts where the core may be, and when to ask there next to be taken in.
     pub(crate) hosts: VecDeque<String>,
     pub(crate) join_at: u64,
+    /// Who is not to be a member, by operators' word.
+    pub(crate) away: Vec<Away>,
     /// When a hint to a leader was last followed.
     pub(crate) pointed_at: Option<u64>,
     pub(crate) next_read: ReadTicket,
@@ -100,6 +104,7 @@
             owed_vote: None,
             hosts: VecDeque::new(),
             join_at: now,
+            away: Vec::new(),
             pointed_at: None,
             next_read: 1,
             out: Outputs {
--- a/crates/logbook/src/membership.rs
+++ b/crates/logbook/src/membership.rs
@@ -1,14 +1,15 @@
-//! Who is a member: machines that ask are taught and added, silent ones are removed, one change at a time.
+//! Who is a member: machines that ask are taught and added, silent ones and those that operators take away are removed, one
+//! change at a time.
 
 use crate::machine::{Logbook, Role};
-use crate::messages::{Body, Envelope, Msg};
+use crate::messages::{Away, Body, Envelope, Msg, Seen};
 use crate::replication::Peer;
 use nickeljunction_signals::Member;
 
 /// No more members than this.
-const MEMBERS_MAX: usize = 7;
-/// Silent members are removed while at least so many remain.
-const MEMBERS_MIN: usize = 3;
+pub const MEMBERS_MAX: usize = 7;
+/// Members are removed while at least so many remain.
+pub const MEMBERS_MIN: usize = 3;
 /// Machines that are taught at a time.
 const LEARNERS_MAX: usize = 4;
 /// A learner that was silent for so many longest election times is let go; it asks again.
@@ -22,11 +23,45 @@
 const LONELY_TIMES: u64 = 3;
 
 impl Logbook {
+    /// Operators' word on who is not to be a member, in the place of what was told before: a member is removed once `after`
+    /// is one and a majority of the rest answers, a machine that asks is not taken in. To be told from the log, the same at
+    /// every member; it is carried out by the one that leads.
+    pub fn away(&mut self, away: Vec<Away>) {
+        self.away = away;
+    }
+
+    /// The others as their leader sees them, members first, then those that are taught; nobody where this member doesn't
+    /// lead.
+    pub fn seen(&self, now: u64) -> Vec<Seen> {
+        let Role::Leading(lead) = &self.role else { return Vec::new() };
+        let seen = |peer: &Peer| Seen {
+            member: peer.member.clone(),
+            learner: peer.learner,
+            kept: peer.matched(),
+            silent_ms: now.saturating_sub(peer.heard_at()),
+            reachable: self.answers(peer, now),
+        };
+        let mut all: Vec<Seen> = lead.peers.iter().map(seen).collect();
+        all.sort_by_key(|seen| seen.learner);
+        all
+    }
+
+    /// This host is on operators' list.
+    fn is_away(&self, host: &str) -> bool {
+        self.away.iter().any(|away| away.host == host)
+    }
+
+    /// It is, and nobody has to come before it goes.
+    fn is_to_go(&self, member: &Member) -> bool {
+        let is_there = |host: &String| self.log.members().iter().any(|member| member.host == *host);
+        self.away.iter().any(|away| away.host == member.host && away.after.as_ref().is_none_or(is_there))
+    }
+
     /// "Take me in."
     pub(crate) fn on_join(&mut self, from: &Member) {
         let (now, last, known) = (self.now, self.log.last(), self.knows(from.id));
         let Role::Leading(lead) = &mut self.role else { return self.point(from) };
-        if from.host == self.me.host {
+        if from.host == self.me.host || (!known && self.away.iter().any(|away| away.host == from.host)) {
             return;
         }
         if let Some(peer) = lead.peers.iter_mut().find(|peer| peer.member.id == from.id) {
@@ -109,13 +144,25 @@
     pub(crate) fn govern(&mut self) {
         let (now, longest) = (self.now, self.tuning.election_max_ms);
         if let Role::Leading(lead) = &mut self.role {
-            lead.peers.retain(|peer| !peer.learner || now <= peer.heard_at() + longest * LEARNER_TIMES);
+            let away = &self.away;
+            lead.peers.retain(|peer| {
+                !peer.learner
+                    || (now <= peer.heard_at() + longest * LEARNER_TIMES
+                        && !away.iter().any(|away| away.host == peer.member.host))
+            });
         }
-        // One change at a time, and none before this term has an entry that is committed.
-        let ready = guard!(ChangeReady, self.ready(), true);
-        if !ready || guard!(OneChange, self.log.members_since() > self.commit, false) {
+        // One change at a time, and none before this term has an entry that is committed, and told to the program: it may
+        // be the one by which operators keep a host away.
+        let told = matches!(&self.role, Role::Leading(lead) if self.delivered >= lead.start);
+        let told = guard!(ChangeReady, told, true);
+        if !told || guard!(OneChange, self.log.members_since() > self.commit, false) {
             return;
         }
+        // It led its own removal to the end, with the votes of the others alone: now one of them leads.
+        if !self.is_member() {
+            self.hand_over();
+            return self.follow(self.hard.term);
+        }
         if let Some(members) = self.next_members() {
             self.append(Body::Members(members.clone()));
             if let Role::Leading(lead) = &mut self.role {
@@ -148,7 +195,8 @@
                 )
                 && self.now <= peer.heard_at() + self.tuning.election_max_ms
         };
-        for peer in lead.peers.iter().filter(caught_up) {
+        // Who comes is taken in before anybody goes.
+        for peer in lead.peers.iter().filter(caught_up).filter(|peer| !self.is_away(&peer.member.host)) {
             let before = members.iter().find(|member| member.host == peer.member.host);
             let next = match before {
                 // Its old self has to be silent: else two programs share a host, and the first one stays.
@@ -161,6 +209,12 @@
                 return Some(next);
             }
         }
+        if let Some(leaving) = members.iter().find(|member| self.is_to_go(member)) {
+            let next = without(leaving.id);
+            if next.len() >= MEMBERS_MIN && self.in_touch(&next) {
+                return Some(next);
+            }
+        }
         // The longest silent one first.
         let mut gone: Vec<&Member> =
             members.iter().filter(|member| silent(member, self.tuning.gone_ms)).collect();
@@ -173,11 +227,13 @@
     fn in_touch(&self, members: &[Member]) -> bool {
         let Role::Leading(lead) = &self.role else { return false };
         let answers = |member: &&Member| {
-            member.id == self.me.id
-                || lead.peer(member.id).is_some_and(|peer| {
-                    peer.keeps(0) && self.now <= peer.heard_at() + self.tuning.election_max_ms
-                })
+            member.id == self.me.id || lead.peer(member.id).is_some_and(|peer| self.answers(peer, self.now))
         };
         members.iter().filter(answers).count() > members.len() / 2
     }
+
+    /// It answered within the longest election time.
+    fn answers(&self, peer: &Peer, now: u64) -> bool {
+        peer.keeps(0) && now <= peer.heard_at() + self.tuning.election_max_ms
+    }
 }
--- a/crates/logbook/src/messages.rs
+++ b/crates/logbook/src/messages.rs
@@ -264,6 +264,31 @@
     Resign,
 }
 
+/// A host that is not to be a member, by operators' word.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Away {
+    /// It, as in [`Member::host`].
+    pub host: String,
+    /// It stays until this host is a member.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub after: Option<String>,
+}
+
+/// How a leader sees another machine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Seen {
+    /// Which.
+    pub member: Member,
+    /// It is taught and doesn't count yet.
+    pub learner: bool,
+    /// Its disk has the log up to this index, as far as it said so.
+    pub kept: u64,
+    /// Since its last answer, or since it was first asked, ms.
+    pub silent_ms: u64,
+    /// It answered within the longest election time.
+    pub reachable: bool,
+}
+
 /// Times of the agreement, ms.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Tuning {
--- a/crates/logbook/src/replication.rs
+++ b/crates/logbook/src/replication.rs
@@ -72,6 +72,11 @@
         self.acked_at.unwrap_or(self.since)
     }
 
+    /// Its disk has the leader's log up to here, as far as it said so.
+    pub(crate) fn matched(&self) -> u64 {
+        self.matched
+    }
+
     /// It answered, and keeps all up to `index`.
     pub(crate) fn keeps(&self, index: u64) -> bool {
         self.acked_at.is_some() && self.matched >= index
--- a/crates/logbook/tests/harbour/mod.rs
+++ b/crates/logbook/tests/harbour/mod.rs
@@ -5,10 +5,13 @@
 
 use nickeljunction_hold::{Hold, MemoryHold};
 use nickeljunction_logbook::{
-    draw_id, first_id, Body, Envelope, Logbook, Member, MemberId, ReadTicket, Restored, Tuning, Write,
+    draw_id, first_id, Away, Body, Envelope, Logbook, Member, MemberId, ReadTicket, Restored, Tuning, Write,
 };
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
+/// Begins a value that says who is to stay away.
+const AWAY: &str = "away ";
+
 /// What happens to a machine at a time.
 enum Event {
     Deliver(Envelope),
@@ -220,10 +223,14 @@
 
     /// Proposes a new value.
     pub fn propose(&mut self, number: usize) -> Option<String> {
+        let value = format!("v{}", self.next_value);
+        self.propose_value(number, value)
+    }
+
+    fn propose_value(&mut self, number: usize, value: String) -> Option<String> {
         let now = self.now;
         let machine = &mut self.machines[number];
         let book = machine.book.as_mut().filter(|_| !machine.frozen)?;
-        let value = format!("v{}", self.next_value);
         let proposed = book.propose(now, value.clone()).ok();
         if let Some(index) = proposed {
             self.next_value += 1;
@@ -286,6 +293,10 @@
                 );
             }
         }
+        // The last word on the log says who is to stay away, as operators' orders do.
+        let word = machine.state.iter().rev().find_map(|(_, value)| value.strip_prefix(AWAY));
+        let away: Vec<Away> = word.map_or_else(Vec::new, |word| serde_json::from_str(word).unwrap());
+        book.away(away);
         if machine.applied % 40 == 39 {
             let state = serde_json::to_string(&machine.state).unwrap();
             book.snapshot(self.now, machine.applied, state);
@@ -433,6 +444,46 @@
         panic!("nothing committed within {ms} ms");
     }
 
+    /// Puts on the log who is to stay away: each a machine, and the one that has to be a member first.
+    pub fn order_away(&mut self, away: &[(usize, Option<usize>)]) {
+        let host = |number: usize| self.machines[number].host.clone();
+        let away: Vec<Away> =
+            away.iter().map(|(gone, after)| Away { host: host(*gone), after: after.map(host) }).collect();
+        let word = format!("{AWAY}{}", serde_json::to_string(&away).unwrap());
+        for _ in 0..40 {
+            let leader = self.settle(3_000);
+            if self.propose_value(leader, word.clone()).is_some() {
+                self.run(100);
+                // The same word twice says the same.
+                if self.acked.contains(&word) {
+                    return;
+                }
+            }
+            self.run(20);
+        }
+        panic!("nobody takes the order: {}", self.views());
+    }
+
+    /// The members by number, as their leader has them, once all of it is committed.
+    pub fn members(&self) -> Vec<usize> {
+        let Some(leader) = self.leader() else { return Vec::new() };
+        let number = |member: &Member| self.machines.iter().position(|m| m.host == member.host).unwrap();
+        let mut members: Vec<usize> = self.book(leader).members().iter().map(number).collect();
+        members.sort_unstable();
+        members
+    }
+
+    /// Waits until these, and no others, are members, and one of them leads.
+    pub fn members_within(&mut self, ms: u64, wanted: &[usize]) {
+        for _ in 0..ms / 20 {
+            if self.members() == wanted && self.leader().is_some_and(|leader| wanted.contains(&leader)) {
+                return;
+            }
+            self.run(20);
+        }
+        panic!("{wanted:?} are not the members within {ms} ms: {}", self.views());
+    }
+
     /// All that was acknowledged is in this machine's state, in one order.
     pub fn check(&self, number: usize) {
         let seen: HashSet<&String> = self.machines[number].state.iter().map(|(_, value)| value).collect();
