Teach a member again whose disk forgot what it had vouched for

A leader took any refusal at or below what a member had vouched for as a late one and dropped it. A member whose store had lost its end said so with each append, was never sent what it lacked, stayed where it was (at commit 0, had it lost all), and went on counting for entries that it no longer had. Rounds tell the two apart: a refusal of a later round than the last vouching was said after it. Then the member counts for no more than it has, and is probed from there.

--- a/crates/logbook/src/replication.rs
+++ b/crates/logbook/src/replication.rs
@@ -38,6 +38,8 @@
     guess: u64,
     /// Its disk has the leader's log up to here.
     matched: u64,
+    /// The newest round in which it said so.
+    vouched: u64,
     mode: Mode,
     /// Last entry of each message that is unanswered.
     unanswered: VecDeque<u64>,
@@ -58,6 +60,7 @@
             next,
             guess: next,
             matched: 0,
+            vouched: 0,
             mode: if learner { Mode::Probe } else { Mode::Flow },
             unanswered: VecDeque::new(),
             round: 0,
@@ -130,9 +133,10 @@
         due
     }
 
-    /// It has (on its disk) all up to `index`.
-    fn accepted(&mut self, index: u64, base: u64) {
+    /// It has (on its disk) all up to `index`, it said in `round`.
+    fn accepted(&mut self, index: u64, round: u64, base: u64) {
         self.matched = self.matched.max(index);
+        self.vouched = self.vouched.max(round);
         while self.unanswered.front().is_some_and(|last| *last <= self.matched) {
             self.unanswered.pop_front();
         }
@@ -142,8 +146,13 @@
         self.next = self.next.max(self.matched + 1);
     }
 
-    /// It hasn't the entry `prev`; the logs may agree at `hint`.
-    fn refused(&mut self, prev: u64, hint: u64) {
+    /// It hasn't the entry `prev`, it said in `round`; the logs may agree at `hint`.
+    fn refused(&mut self, prev: u64, hint: u64, round: u64) {
+        if prev <= self.matched && round > self.vouched {
+            // Said after it had vouched for this very entry: its disk forgot. It counts for what it has now, and is
+            // taught the rest again.
+            self.matched = hint.min(prev - 1);
+        }
         let stale = prev <= self.matched
             || matches!(self.mode, Mode::Snapshot(_))
             || (self.mode == Mode::Probe && prev != self.next - 1);
@@ -388,8 +397,8 @@
         peer.round = peer.round.max(round);
         peer.acked_at = peer.acked_at.max(guard!(RoundBegun, begun, Some(self.now)));
         match refused {
-            Some(prev) => peer.refused(prev, index),
-            None => peer.accepted(guard!(KeptWithinLog, index.min(last), index), base),
+            Some(prev) => peer.refused(prev, index, round),
+            None => peer.accepted(guard!(KeptWithinLog, index.min(last), index), round, base),
         }
         self.advance();
         self.govern();
--- a/crates/logbook/tests/cases.rs
+++ b/crates/logbook/tests/cases.rs
@@ -3,6 +3,8 @@
 mod harbour;
 
 use harbour::Harbour;
+use nickeljunction_hold::Hold;
+use nickeljunction_logbook::Write;
 
 const SEEDS: u64 = 20;
 
@@ -279,3 +281,33 @@
         harbour.commit(100);
     });
 }
+
+#[test]
+fn a_member_whose_disk_forgot_is_taught_again() {
+    each(3, |harbour, leader| {
+        let forgetful = others(harbour, leader)[0];
+        harbour.run(300);
+        // Its disk as it is now is what is left of it after more was acknowledged.
+        let early = harbour.machines[forgetful].disk.load().unwrap().unwrap();
+        for _ in 0..5 {
+            harbour.commit(500);
+        }
+        harbour.run(300);
+        harbour.kill(forgetful);
+        harbour.machines[forgetful].disk.wipe();
+        let write = Write {
+            ticket: 1,
+            me: Some(early.me),
+            hard: Some(early.hard),
+            snapshot: early.snapshot,
+            entries: early.entries,
+            ..Write::default()
+        };
+        harbour.machines[forgetful].disk.save(&write).unwrap();
+        harbour.start(forgetful);
+        harbour.run(1_000);
+        let commit = |number: usize| harbour.machines[number].book.as_ref().unwrap().commit();
+        assert_eq!(commit(forgetful), commit(leader));
+        check_all(harbour);
+    });
+}
