Show the whole system in status, and its changes in watch

Operators saw the members and counts of servers; which gateway had which version, whose units were held back and who was away was in no answer. The leader now tells gateways' versions (by their watch calls), lives of servers with their silence, and units lent and held back; bosun puts it together, names what is doubtful in a line each (--strict ends with 1 on any), and watch prints a line for each change. Machines are asked at once.

--- a/crates/berths/src/gateways.rs
+++ b/crates/berths/src/gateways.rs
@@ -24,6 +24,17 @@
     Core,
 }
 
+/// How a gateway stands, for operators.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GatewayStanding {
+    /// As published.
+    pub line: GatewayLine,
+    /// Version of the configuration that it had at its last call; `None`: it has not called this leader yet.
+    pub version: Option<u64>,
+    /// It was last surely there so long ago, ms; `None`: it is there.
+    pub away_ms: Option<u64>,
+}
+
 /// One gateway, by the name of its machine.
 #[derive(Debug)]
 struct Gateway {
@@ -36,6 +47,8 @@
     broken: Option<u64>,
     /// Number up to which it has what was told, in the own term.
     has: u64,
+    /// Version of the configuration that its last call named.
+    version: Option<u64>,
 }
 
 impl Gateway {
@@ -78,6 +91,7 @@
             until: now + tuning.takeover_ms,
             broken: None,
             has: 0,
+            version: None,
         };
         let known = roster.iter().map(|line| (line.name.clone(), heard(line))).collect();
         let mut gateways = Gateways {
@@ -112,6 +126,7 @@
             until,
             broken: None,
             has,
+            version: None,
         });
         match gateway.life {
             Some(life) if life != call.life => {
@@ -130,6 +145,7 @@
         }
         let was_ready = gateway.ready(now);
         gateway.life = Some(call.life);
+        gateway.version = Some(call.version);
         gateway.until = until;
         gateway.broken = None;
         let mut changed = false;
@@ -213,6 +229,16 @@
         (there().filter(|gateway| gateway.has >= seq).count(), there().count())
     }
 
+    /// How each stands that has told its line.
+    pub(crate) fn standings(&self, now: u64) -> Vec<GatewayStanding> {
+        let standing = |gateway: &Gateway| {
+            let line = GatewayLine { ready: gateway.ready(now), ..gateway.line.clone()? };
+            let away_ms = now.checked_sub(gateway.there_until());
+            Some(GatewayStanding { line, version: gateway.version, away_ms })
+        };
+        self.known.values().filter_map(standing).collect()
+    }
+
     /// It may keep the permit of a cold server: a broken connection is soon made anew, and moving a permit leaves the
     /// server idle for a while.
     pub(crate) fn keeps_permit(&self, now: u64, tuning: &Tuning, name: &str) -> bool {
--- a/crates/berths/src/lib.rs
+++ b/crates/berths/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub use chart::{Applied, Chart, Copy, Leave, Refused};
 pub use directory::{directory, MOST_ADDRESSES};
-pub use gateways::Seen;
+pub use gateways::{GatewayStanding, Seen};
 pub use register::{Reach, Register, Tuning, PERMIT_LIFE_MS};
-pub use servers::{Beat, BeatKind, BeatOutcome};
-pub use tally::{tally, Tally};
+pub use servers::{Beat, BeatKind, BeatOutcome, ServerStanding};
+pub use tally::{state, tally, Tally};
--- a/crates/berths/src/register.rs
+++ b/crates/berths/src/register.rs
@@ -1,8 +1,8 @@
 //! The leader's registers as one: what comes in, what is new for whom.
 
 use crate::chart::Copy;
-use crate::gateways::{Gateways, Seen};
-use crate::servers::{Beat, BeatKind, BeatOutcome, Servers};
+use crate::gateways::{GatewayStanding, Gateways, Seen};
+use crate::servers::{Beat, BeatKind, BeatOutcome, ServerStanding, Servers};
 use crate::tally::{tally, Tally};
 use nickeljunction_signals::{Caller, ConfigLine, GatewayLine, WatchAnswer, WatchCall};
 use std::collections::{BTreeMap, BTreeSet};
@@ -66,6 +66,11 @@
             zones,
         }
     }
+
+    /// A life that was silent for longer, ms, is missed; it may still be back before it is withdrawn.
+    pub(crate) fn missing_ms(&self) -> u64 {
+        self.silence_ms.saturating_sub(self.heartbeat_ms * 6 / 5)
+    }
 }
 
 /// Numbers of changes within a term.
@@ -131,6 +136,8 @@
     before: BTreeSet<String>,
     core: Told<Vec<String>>,
     config: Option<Rc<ConfigLine>>,
+    /// When `config` came, to the tick.
+    config_at: u64,
     /// The table is not whole before that.
     gathering: Option<Gathering>,
     /// Answers from before this number can't be continued by differences.
@@ -160,6 +167,7 @@
             before: BTreeSet::clone(&chart.evacuated),
             core: None,
             config: None,
+            config_at: now,
             whole_at: 0,
             ticked: now,
         }
@@ -257,6 +265,21 @@
         tally(self.servers.lines())
     }
 
+    /// How each gateway stands that has told its line.
+    pub fn gateway_standings(&self, now: u64) -> Vec<GatewayStanding> {
+        self.gateways.standings(now)
+    }
+
+    /// How each life of a server stands.
+    pub fn server_standings(&self, now: u64) -> Vec<ServerStanding> {
+        self.servers.standings(now, &self.tuning)
+    }
+
+    /// So long ago, ms, give or take a tick, the configuration came under this leader.
+    pub fn config_age(&self, now: u64) -> u64 {
+        now.saturating_sub(self.config_at)
+    }
+
     /// Zones that are evacuated, all of them, by the agreed log. Servers of a zone whose evacuation is withdrawn are
     /// held until each has beaten, for they may have turned cold.
     pub fn evacuated(&mut self, now: u64, zones: BTreeSet<String>) {
@@ -281,6 +304,7 @@
     pub fn config(&mut self, config: Rc<ConfigLine>) {
         if self.config.as_ref().is_none_or(|held| held.version < config.version) {
             self.config = Some(config);
+            self.config_at = self.ticked;
             self.numbers.next();
         }
     }
--- a/crates/berths/src/servers.rs
+++ b/crates/berths/src/servers.rs
@@ -60,6 +60,15 @@
     Doubted,
 }
 
+/// How a server stands, for operators.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServerStanding {
+    /// As published.
+    pub line: ServerLine,
+    /// Its last beat came so long ago, ms, which is longer than servers take; `None`: it beats.
+    pub silent_ms: Option<u64>,
+}
+
 /// How warm a server is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Warmth {
@@ -356,7 +365,7 @@
         self.past.retain(|_, past| now < past.until);
         let silence = |life: &Life| now.saturating_sub(life.heard);
         // Lives that fell silent together are up to a heartbeat apart.
-        let missing = tuning.silence_ms.saturating_sub(tuning.heartbeat_ms * 6 / 5);
+        let missing = tuning.missing_ms();
         let silent = self.lives.values().filter(|life| silence(life) > missing).count();
         if silent * 2 > self.lives.len() {
             // When the first are back the others get their time, too.
@@ -458,6 +467,16 @@
         self.lives.values().map(|life| &life.line)
     }
 
+    /// How each stands.
+    pub(crate) fn standings(&self, now: u64, tuning: &Tuning) -> Vec<ServerStanding> {
+        let standing = |life: &Life| {
+            let silent_ms = now.saturating_sub(life.heard);
+            let silent_ms = (silent_ms > tuning.missing_ms()).then_some(silent_ms);
+            ServerStanding { line: life.line.clone(), silent_ms }
+        };
+        self.lives.values().map(standing).collect()
+    }
+
     /// Differences from `since` on can be told.
     pub(crate) fn follows(&self, since: u64) -> bool {
         since >= self.floor
--- a/crates/berths/src/tally.rs
+++ b/crates/berths/src/tally.rs
@@ -6,18 +6,21 @@
 /// How many lives there are by service and state.
 pub type Tally = BTreeMap<String, BTreeMap<&'static str, usize>>;
 
-/// How many of these lives are in which state: `in_service`, `cold` (in service, at its rate) or `draining`. A service
-/// without a life is not in it.
+/// A life's state in a word: `in_service`, `cold` (in service, at its rate) or `draining`.
+pub fn state(line: &ServerLine) -> &'static str {
+    // One that leaves gets nothing, however cold it is.
+    match (line.state, &line.cold) {
+        (ServerState::Draining, _) => "draining",
+        (ServerState::InService, Some(_)) => "cold",
+        (ServerState::InService, None) => "in_service",
+    }
+}
+
+/// How many of these lives are in which [`state`]. A service without a life is not in it.
 pub fn tally<'a>(lines: impl IntoIterator<Item = &'a ServerLine>) -> Tally {
     let mut tally = Tally::new();
     for line in lines {
-        // One that leaves gets nothing, however cold it is.
-        let state = match (line.state, &line.cold) {
-            (ServerState::Draining, _) => "draining",
-            (ServerState::InService, Some(_)) => "cold",
-            (ServerState::InService, None) => "in_service",
-        };
-        *tally.entry(line.backend.clone()).or_default().entry(state).or_default() += 1;
+        *tally.entry(line.backend.clone()).or_default().entry(state(line)).or_default() += 1;
     }
     tally
 }
--- a/crates/berths/tests/watching.rs
+++ b/crates/berths/tests/watching.rs
@@ -4,7 +4,7 @@
 
 use common::*;
 use nickeljunction_berths::{Copy, Leave, Refused, Seen};
-use nickeljunction_signals::{Caller, ConfigLine, ServerState, WatchAnswer};
+use nickeljunction_signals::{Caller, ConfigLine, ServerState, WatchAnswer, WatchCall};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::rc::Rc;
@@ -32,6 +32,36 @@
     assert_eq!((ready(&harbour), harbour.register.gateways()), (vec![false], 1), "it may come back");
 }
 
+#[test]
+fn operators_see_who_is_away_who_is_silent_and_who_has_which_version() {
+    let mut harbour = Harbour::new();
+    let call = |version| WatchCall { version, ..hello("g", "a1", 1, true) };
+    let standing = |harbour: &Harbour| {
+        let gateway = harbour.register.gateway_standings(harbour.now).remove(0);
+        (gateway.version, gateway.away_ms, gateway.line.ready)
+    };
+    harbour.register.called(harbour.now, &call(3));
+    assert_eq!(standing(&harbour), (Some(3), None, true));
+    harbour.register.called(harbour.now, &call(5));
+    harbour.register.gateway_left(harbour.now, "g", 1);
+    harbour.wait(1_000);
+    assert_eq!(standing(&harbour), (Some(5), Some(1_000), false));
+    harbour.register.called(harbour.now, &call(5));
+    assert_eq!(standing(&harbour), (Some(5), None, true));
+
+    let silent = |harbour: &Harbour| {
+        let lives = harbour.register.server_standings(harbour.now);
+        lives.iter().map(|life| life.silent_ms).collect::<Vec<_>>()
+    };
+    harbour.register.beat(harbour.now, "s", &beat("s:1", "a1", 1));
+    harbour.wait(HEARTBEAT_MS * 2);
+    assert_eq!(silent(&harbour), [None], "one beat may be lost");
+    harbour.wait(HEARTBEAT_MS);
+    assert_eq!(silent(&harbour), [Some(HEARTBEAT_MS * 3)]);
+    harbour.register.beat(harbour.now, "s", &beat("s:1", "a1", 2));
+    assert_eq!(silent(&harbour), [None]);
+}
+
 #[test]
 fn a_replaced_life_says_nothing_more() {
     let mut harbour = Harbour::new();
--- a/crates/bosun/src/demo/mod.rs
+++ b/crates/bosun/src/demo/mod.rs
@@ -250,8 +250,7 @@
     /// What each core process that answers says of itself.
     fn statuses(&self) -> Vec<Value> {
         let lines = status::ask(&self.controls(), SILENCE, Instant::now() + SILENCE);
-        let Value::Array(lines) = status::as_json(&lines) else { return Vec::new() };
-        lines.into_iter().filter_map(|mut line| line.get_mut("status").map(Value::take)).collect()
+        lines.into_iter().filter_map(|line| line.told.ok()).collect()
     }
 
     fn leading(&self) -> Option<Value> {
--- a/crates/bosun/src/flags.rs
+++ b/crates/bosun/src/flags.rs
@@ -50,7 +50,17 @@
             required zone: String
         }
         /// Asks every machine of control how it stands: those of --at and the members that they name.
-        cmd status {}
+        cmd status {
+            /// Ends with 1 if anything is doubtful.
+            optional --strict
+        }
+        /// Asks as 'status' does, again and again, and prints a line for each change.
+        cmd watch {
+            /// Seconds between two looks (default: 0.5).
+            optional --every seconds: f64
+            /// Seconds after which it ends (default: when interrupted).
+            optional --during seconds: f64
+        }
         /// Stands in for a server on loopback until interrupted: answers with its seal, and says to control that it lives.
         cmd stand-in {
             /// The service.
--- a/crates/bosun/src/lib.rs
+++ b/crates/bosun/src/lib.rs
@@ -3,14 +3,17 @@
 
 mod demo;
 mod flags;
+mod standing;
 mod status;
 mod tour;
+mod watch;
 mod wire;
 
 use flags::{Bosun, BosunCmd};
 use nickeljunction_manifest::{Document, Patch, Problem};
 use quick_error::quick_error;
 use serde_json::{json, Value};
+use standing::Standing;
 use std::ffi::OsString;
 use std::io::{self, Read, Write};
 use std::path::Path;
@@ -37,6 +40,8 @@
 const USUAL_TIMEOUT_S: f64 = 10.0;
 /// Seconds of silence after which the next address is tried, where none are given.
 const USUAL_SILENCE_S: f64 = 1.0;
+/// Seconds between two looks of `watch`, where none are given.
+const USUAL_EVERY_S: f64 = 0.5;
 
 quick_error! {
     /// Why an order ends without being carried out.
@@ -72,6 +77,10 @@
         NoLeader {
             display("no machine that leads has answered")
         }
+        /// There are so many doubts, and none was wanted.
+        Doubts(count: usize) {
+            display("doubts: {}", count)
+        }
     }
 }
 
@@ -127,6 +136,14 @@
             Ok(server) => return demo::stand_in(server, out, err),
             Err(trouble) => Err(trouble),
         },
+        BosunCmd::Watch(told) => match order.watch(told) {
+            Ok((tour, pace)) => {
+                // It ends early where nobody reads it.
+                let _ = watch::run(&tour, &pace, json, out);
+                return DONE;
+            }
+            Err(trouble) => Err(trouble),
+        },
         _ => order.carry_out(),
     };
     let shown = shown.unwrap_or_else(|trouble| Shown {
@@ -174,9 +191,11 @@
             BosunCmd::Get(_) => self.get(),
             BosunCmd::Evacuate(evacuate) => self.evacuation("POST", &evacuate.zone),
             BosunCmd::Return(back) => self.evacuation("DELETE", &back.zone),
-            BosunCmd::Status(_) => self.status(),
+            BosunCmd::Status(status) => self.status(status.strict),
             // They stay instead of carrying out an order: see `run`.
-            BosunCmd::StandIn(_) | BosunCmd::Demo(_) => Err(Trouble::Use("no order".into())),
+            BosunCmd::StandIn(_) | BosunCmd::Demo(_) | BosunCmd::Watch(_) => {
+                Err(Trouble::Use("no order".into()))
+            }
         }
     }
 
@@ -293,12 +312,25 @@
         Ok(demo::Server::start(told.id.clone(), &told.service, &told.zone, control, STAND_IN_BEAT))
     }
 
-    fn status(&mut self) -> Result<Shown, Trouble> {
+    /// Where `watch` asks, and how often.
+    fn watch(&self, told: &flags::Watch) -> Result<(Tour, watch::Pace), Trouble> {
+        let every = seconds("--every", told.every, USUAL_EVERY_S)?;
+        let length = told.during.map(|time| seconds("--during", Some(time), time)).transpose()?;
+        Ok((self.tour()?, watch::Pace { every, length }))
+    }
+
+    fn status(&mut self, strict: bool) -> Result<Shown, Trouble> {
         let tour = self.tour()?;
         let lines = status::ask(&tour.addresses, tour.silence, tour.deadline);
+        let standing = Standing::of(&lines);
+        let doubts = standing.doubts();
         // What the others say is worth seeing when nobody leads.
-        let trouble = (!status::led(&lines)).then_some(Trouble::NoLeader);
-        Ok(Shown { text: status::as_text(&lines), json: status::as_json(&lines), trouble })
+        let trouble = match &standing.known {
+            None => Some(Trouble::NoLeader),
+            Some(_) => (strict && !doubts.is_empty()).then_some(Trouble::Doubts(doubts.len())),
+        };
+        let text = status::as_text(&lines, &standing, &doubts);
+        Ok(Shown { text, json: status::as_json(&lines, &standing, &doubts), trouble })
     }
 
     fn file(&mut self, file: &Path) -> Result<(String, Vec<u8>), Trouble> {
--- a/crates/bosun/src/status.rs
+++ b/crates/bosun/src/status.rs
@@ -1,20 +1,24 @@
 //! How the machines of control stand, as a table.
 
+use crate::standing::{leads, seconds, Doubt, Known, Standing};
 use crate::wire::{self, Answer, Request};
 use serde_json::{json, Value};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
 use std::time::{Duration, Instant};
 
 /// What one machine says, or why it says nothing.
 pub struct Line {
-    at: String,
-    told: Result<Value, String>,
+    /// Its address.
+    pub at: String,
+    /// Its word, a JSON object, or the error.
+    pub told: Result<Value, String>,
 }
 
-/// Asks each address once, then the members that they name, on the same port.
+/// Asks each address once, then the members that they name, on the same port; all at once, so that a dark machine costs
+/// one silence.
 pub fn ask(addresses: &[String], silence: Duration, deadline: Instant) -> Vec<Line> {
-    let mut lines: Vec<Line> = addresses.iter().map(|at| ask_one(at, silence, deadline)).collect();
+    let mut lines = ask_all(addresses, silence, deadline);
     let mut asked: BTreeSet<String> = addresses.iter().cloned().collect();
     let mut others = Vec::new();
     for line in &lines {
@@ -26,30 +30,44 @@
         }
         others.extend(hosts(told).map(|host| joined(host, port)));
     }
-    for other in others {
-        if asked.insert(other.clone()) {
-            lines.push(ask_one(&other, silence, deadline));
-        }
-    }
+    others.retain(|other| asked.insert(other.clone()));
+    lines.extend(ask_all(&others, silence, deadline));
     lines
 }
 
-/// Somebody that leads has answered.
-pub fn led(lines: &[Line]) -> bool {
-    lines.iter().any(|line| line.told.as_ref().is_ok_and(leads))
+fn ask_all(addresses: &[String], silence: Duration, deadline: Instant) -> Vec<Line> {
+    std::thread::scope(|scope| {
+        let ask = |at: &String| {
+            (
+                at.clone(),
+                scope.spawn({
+                    let at = at.clone();
+                    move || ask_one(&at, silence, deadline)
+                }),
+            )
+        };
+        let asked: Vec<_> = addresses.iter().map(ask).collect();
+        let heard = asked.into_iter().map(|(at, line)| {
+            // It panics nowhere that is known; then the others' words still count.
+            line.join().unwrap_or_else(|_| Line { at, told: Err("asking failed".into()) })
+        });
+        heard.collect()
+    })
 }
 
-/// All of it as JSON: a list of `{at, status}` or `{at, error}`.
-pub fn as_json(lines: &[Line]) -> Value {
+/// All of it as JSON: `{ok, members, doubts}` with a list of `{at, status}` or `{at, error}`.
+pub fn as_json(lines: &[Line], standing: &Standing, doubts: &[Doubt]) -> Value {
     let lines = lines.iter().map(|line| match &line.told {
         Ok(told) => json!({"at": line.at, "status": told}),
         Err(error) => json!({"at": line.at, "error": error}),
     });
-    lines.collect()
+    let members: Value = lines.collect();
+    let doubts: Value = doubts.iter().map(Doubt::as_json).collect();
+    json!({"ok": standing.known.is_some(), "members": members, "doubts": doubts})
 }
 
 /// All of it as text: a row for each machine, then what the leader (else the one with the highest commit) knows.
-pub fn as_text(lines: &[Line]) -> String {
+pub fn as_text(lines: &[Line], standing: &Standing, doubts: &[Doubt]) -> String {
     let mut rows = vec![["AT", "NODE", "PART", "TERM", "COMMIT", "CONFIG", "MEMBERS"].map(String::from)];
     let mut best: Option<&Value> = None;
     for line in lines {
@@ -83,43 +101,87 @@
         ]);
     }
     let mut text = table(&rows);
-    for (at, error) in lines.iter().filter_map(|line| Some((&line.at, line.told.as_ref().err()?))) {
-        let _ = writeln!(text, "{at} gives no answer: {error}");
+    match (&standing.known, best) {
+        (Some(known), _) => text += &all(known),
+        (None, Some(told)) => text += &some(told),
+        (None, None) => (),
     }
-    if let Some(told) = best {
-        text += &known(told);
+    text += if doubts.is_empty() { "\ndoubts: none\n" } else { "\ndoubts:\n" };
+    for doubt in doubts {
+        let _ = writeln!(text, "  {}", doubt.line());
     }
     text
 }
 
-fn known(told: &Value) -> String {
+/// What a leader knows.
+fn all(known: &Known) -> String {
+    let mut text = String::new();
+    let majority = known.majority_ms.map_or("unknown".to_string(), |ms| format!("{} ago", seconds(ms)));
+    let (has, there) = known.reached();
+    let _ = writeln!(text, "\na majority agreed: {majority}");
+    let _ = writeln!(text, "version {} reached {has} of {there} gateways", known.version);
+    let zones: Vec<&str> = known.evacuated.iter().map(String::as_str).collect();
+    let zones = if zones.is_empty() { "none".to_string() } else { zones.join(", ") };
+    let _ = writeln!(text, "evacuated zones: {zones}");
+    let mut counts: BTreeMap<&str, [usize; 4]> = BTreeMap::new();
+    for life in known.lives.values() {
+        let states = ["in service", "cold", "draining", "silent"];
+        let place = states.iter().position(|state| *state == life.state());
+        counts.entry(&life.service).or_default()[place.unwrap_or(0)] += 1;
+    }
+    let mut rows = vec![["SERVICE", "IN SERVICE", "COLD", "DRAINING", "SILENT"].map(String::from)];
+    rows.extend(counts.iter().map(|(service, count)| {
+        let [serves, cold, leaves, silent] = count.map(|count| count.to_string());
+        [service.to_string(), serves, cold, leaves, silent]
+    }));
+    text += &section(&rows);
+    let mut rows = vec![["GATEWAY", "ZONE", "FRONT", "READY", "VERSION"].map(String::from)];
+    rows.extend(known.gateways.iter().map(|(name, gateway)| {
+        let ready = match gateway.away_ms {
+            Some(_) => "away",
+            None if gateway.ready => "yes",
+            None => "no",
+        };
+        let version = gateway.version.map_or("-".to_string(), |version| version.to_string());
+        [name.clone(), gateway.zone.clone(), gateway.front.clone(), ready.into(), version]
+    }));
+    text += &section(&rows);
+    let mut rows = vec![["TENANT", "CAP", "LENT", "HELD BACK", "USED"].map(String::from)];
+    rows.extend(known.units.iter().map(|(tenant, units)| {
+        let [cap, lent, held, used] =
+            [units.cap, units.lent, units.held, units.used].map(|units| units.to_string());
+        [tenant.clone(), cap, lent, held, used]
+    }));
+    text + &section(&rows)
+}
+
+/// What a follower knows.
+fn some(told: &Value) -> String {
     let zones: Vec<&str> =
         told["evacuated"].as_array().into_iter().flatten().filter_map(Value::as_str).collect();
     let zones = if zones.is_empty() { "none".to_string() } else { zones.join(", ") };
     let mut text = format!("\nevacuated zones: {zones}\n");
-    // By service and state, or their count alone.
-    if let Some(count) = told["servers"].as_u64() {
-        let _ = writeln!(text, "servers: {count}");
-    }
     let mut rows = vec![["SERVICE", "STATE", "SERVERS"].map(String::from)];
     for (service, states) in told["servers"].as_object().into_iter().flatten() {
         for (state, count) in states.as_object().into_iter().flatten() {
             rows.push([service.clone(), state.clone(), count.to_string()]);
         }
     }
-    if rows.len() > 1 {
-        let _ = write!(text, "\n{}", table(&rows));
-    }
-    let mut rows = vec![["GATEWAY", "ZONE", "FRONT", "READY"].map(String::from)];
+    text += &section(&rows);
+    let mut rows = vec![["GATEWAY", "ZONE", "FRONT"].map(String::from)];
     for gateway in told["gateways"].as_array().into_iter().flatten() {
         let word = |name: &str| gateway[name].as_str().unwrap_or("-").to_string();
-        let ready = if gateway["ready"].as_bool().unwrap_or_default() { "yes" } else { "no" };
-        rows.push([word("name"), word("zone"), word("front"), ready.to_string()]);
+        rows.push([word("name"), word("zone"), word("front")]);
     }
-    if rows.len() > 1 {
-        let _ = write!(text, "\n{}", table(&rows));
+    text + &section(&rows)
+}
+
+/// A table with a line in front; nothing where it has only its heads.
+fn section<const N: usize>(rows: &[[String; N]]) -> String {
+    if rows.len() < 2 {
+        return String::new();
     }
-    text
+    format!("\n{}", table(rows))
 }
 
 fn ask_one(at: &str, silence: Duration, deadline: Instant) -> Line {
@@ -135,12 +197,6 @@
     Line { at: at.into(), told }
 }
 
-/// It says so itself; else the leader that it names has its own host.
-fn leads(told: &Value) -> bool {
-    let named = || told["leader"].as_str().is_some_and(|leader| told["host"].as_str() == Some(leader));
-    told["leads"].as_bool().unwrap_or_else(named)
-}
-
 /// Hosts of the members, which are named alone or in an object.
 fn hosts(told: &Value) -> impl Iterator<Item = &str> {
     let members = told["members"].as_array().into_iter().flatten();
@@ -154,7 +210,7 @@
     format!("{host}:{port}")
 }
 
-fn table<const N: usize>(rows: &[[String; N]]) -> String {
+pub fn table<const N: usize>(rows: &[[String; N]]) -> String {
     let width = |column: usize| rows.iter().map(|row| row[column].chars().count()).max().unwrap_or_default();
     let widths: Vec<usize> = (0..N).map(width).collect();
     let mut text = String::new();
--- a/crates/bunker/src/counter.rs
+++ b/crates/bunker/src/counter.rs
@@ -19,6 +19,28 @@
     pub gone: Vec<u64>,
 }
 
+/// How a tenant's units stand.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TenantStanding {
+    /// Most that may be spent in a window.
+    pub cap: u64,
+    /// Lent to gateways that live.
+    pub lent: u64,
+    /// Held back for lives that have ended.
+    pub ended: u64,
+    /// Held back for lives that an older counter may have lent to and that have not told.
+    pub unheard: u64,
+    /// The first of what is held back is so since then, ms ago; `None`: nothing is.
+    pub held_ms: Option<u64>,
+}
+
+impl TenantStanding {
+    /// Units in force: lent or held back.
+    pub fn used(&self) -> u64 {
+        self.lent + self.ended + self.unheard
+    }
+}
+
 /// What a life has of a tenant.
 #[derive(Debug)]
 struct Lent {
@@ -220,18 +242,27 @@
     }
 
     fn used_now(&self, now: u64, tenant: &str) -> u64 {
-        let Some(book) = self.books.get(tenant) else { return 0 };
+        self.books.get(tenant).map_or(0, |book| self.standing(now, tenant, book).used())
+    }
+
+    /// How each tenant's units stand, for operators; of books that were aged lately.
+    pub fn standings(&self, now: u64) -> BTreeMap<String, TenantStanding> {
+        let books = self.books.iter();
+        books.map(|(tenant, book)| (tenant.clone(), self.standing(now, tenant, book))).collect()
+    }
+
+    fn standing(&self, now: u64, tenant: &str, book: &Book) -> TenantStanding {
         let (cap, tuning) = (book.limit.cap, &self.tuning);
         let lock = |lock: &Lock| {
             let paced = tuning.in_force(cap, 1, lock.pace, now.saturating_sub(lock.ended));
             lock.units.min(paced + lock.boosts)
         };
-        let locked: u64 = book.locks.iter().map(lock).sum();
-        let unknown = self
-            .takeover
-            .as_ref()
-            .map_or(0, |takeover| takeover.units(now, tenant, book.limit.cap, &self.tuning));
-        book.out + locked + unknown
+        let ended = book.locks.iter().map(lock).sum();
+        let unheard = self.takeover.as_ref().map_or(0, |takeover| takeover.units(now, tenant, cap, tuning));
+        let since = book.locks.iter().filter(|held| lock(held) > 0).map(|lock| lock.ended);
+        let takeover = self.takeover.as_ref().filter(|_| unheard > 0).map(Takeover::started);
+        let held_ms = since.chain(takeover).min().map(|since| now.saturating_sub(since));
+        TenantStanding { cap, lent: book.out, ended, unheard, held_ms }
     }
 
     /// Sum of all paces at which may be spent now.
--- a/crates/bunker/src/lib.rs
+++ b/crates/bunker/src/lib.rs
@@ -28,6 +28,6 @@
 mod takeover;
 mod tuning;
 
-pub use counter::{Counter, Roll};
+pub use counter::{Counter, Roll, TenantStanding};
 pub use purse::{Purse, Spend};
 pub use tuning::{Limit, Tuning};
--- a/crates/bunker/src/takeover.rs
+++ b/crates/bunker/src/takeover.rs
@@ -32,6 +32,11 @@
         Takeover { started: now, rest: logged, born: BTreeMap::new(), told: BTreeMap::new(), ends }
     }
 
+    /// When the counter began.
+    pub(crate) fn started(&self) -> u64 {
+        self.started
+    }
+
     /// Nothing of the rest is in force any more.
     pub(crate) fn over(&self, now: u64, tuning: &Tuning) -> bool {
         self.rest.is_empty() || now >= self.ends + tuning.span_ms()
--- a/crates/bunker/tests/calls.rs
+++ b/crates/bunker/tests/calls.rs
@@ -1,6 +1,6 @@
 //! Single calls, by hand.
 
-use nickeljunction_bunker::{Counter, Limit, Purse, Spend, Tuning};
+use nickeljunction_bunker::{Counter, Limit, Purse, Spend, TenantStanding, Tuning};
 use nickeljunction_signals::{UnitsAnswer, UnitsCall};
 use std::collections::BTreeMap;
 
@@ -112,6 +112,8 @@
     assert_eq!(counter.used(8_004, "t"), 10);
     // At its pace it can have spent as much in the rest of the window.
     assert_eq!(counter.used(8_005 + 4_100, "t"), 4 + 2);
+    let held = TenantStanding { cap: 80, lent: 0, ended: 4 + 2, unheard: 0, held_ms: Some(4_100) };
+    assert_eq!(counter.standings(8_005 + 4_100)["t"], held);
     assert_eq!(counter.used(8_005 + 5_099, "t"), 4 + 1);
     assert_eq!(counter.used(8_005 + 5_100, "t"), 0);
     assert_eq!(counter.after(13_105).unwrap().gone, [7], "it may leave the log");
@@ -127,6 +129,8 @@
     (0..4).for_each(|_| assert!(matches!(purse.spend(20, "t"), Spend::Done { .. })));
     let mut counter = counter(900, 2, 80, &log);
     assert_eq!(counter.used(900, "t"), 80);
+    let held = TenantStanding { cap: 80, lent: 0, ended: 0, unheard: 80, held_ms: Some(30) };
+    assert_eq!(counter.standings(930)["t"], held);
     purse.moved(950);
     let all = purse.poll(950).unwrap();
     assert!(all.all);
--- a/crates/harbourmaster/src/helm.rs
+++ b/crates/harbourmaster/src/helm.rs
@@ -528,7 +528,7 @@
             Some(lead) => lead.register.tally(),
             None => nickeljunction_berths::tally(chart.servers.values().map(|line| &**line)),
         };
-        serde_json::json!({
+        let mut shown = serde_json::json!({
             "node_name": self.place.name,
             "host": self.place.host,
             "leads": leads,
@@ -544,6 +544,11 @@
             "gateways": roster.iter().map(|line| serde_json::json!({
                 "name": line.name, "front": line.front, "zone": line.zone, "ready": line.ready,
             })).collect::<Vec<_>>(),
-        })
+            "zones": self.place.zones,
+        });
+        if let Some(lead) = &inner.lead {
+            crate::resources::status::add_lead(&mut shown, &lead.register, &lead.counter, self.now());
+        }
+        shown
     }
 }
