Move what a core member decides into a machine without I/O

harbourmaster::helm mixed decisions with driving, so drydock had to mirror some 400 lines of it, and storms tested the mirror. crates/wheelhouse now takes the time, messages, completed writes and calls, and gives back what is to be sent, written, answered, logged and kept; helm turns it and carries that out. Only the last 10 ms of a round are told apart: its end looks at the lease as well.

--- a/crates/drydock/src/audit.rs
+++ b/crates/drydock/src/audit.rs
@@ -1,8 +1,8 @@
 //! Checks on all that comes out of the machines, as it comes. A fault panics with the world's seed and time.
 
 use crate::{Answer, Fact, Node, Question};
-use nickeljunction_harbourmaster::statutes::{Entry, Statutes};
 use nickeljunction_manifest::Bounds;
+use nickeljunction_wheelhouse::statutes::{Entry, Statutes};
 use std::collections::{BTreeMap, HashMap};
 
 /// A configuration that was acknowledged.
--- a/crates/drydock/src/member.rs
+++ b/crates/drydock/src/member.rs
@@ -4,11 +4,11 @@
 use crate::{host, node_of, Answer, Fact, Node, Out, Packet, Question, WINDOW_MS};
 use nickeljunction_berths::{Copy, Register, Seen};
 use nickeljunction_bunker::{Counter, Limit, Roll};
-use nickeljunction_harbourmaster::statutes::{Entry, Outcome, Statutes};
 use nickeljunction_hold::{Hold, MemoryHold};
 use nickeljunction_logbook::{Logbook, Outputs, ReadTicket, Restored, Tuning, Write};
 use nickeljunction_manifest::{Bounds, Document};
 use nickeljunction_signals::{Caller, ConfigLine, Elsewhere, ServerState, UnitsCall, WatchAnswer, WatchCall};
+use nickeljunction_wheelhouse::statutes::{Entry, Outcome, Statutes};
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
--- a/crates/harbourmaster/src/follow.rs
+++ b/crates/harbourmaster/src/follow.rs
@@ -22,8 +22,8 @@
 }
 
 async fn once(helm: &Helm, caller: &Caller, life: u64) -> bool {
-    let Some(ip) = helm.leader_to_watch().and_then(|host| host.parse::<IpAddr>().ok()) else { return false };
-    let to = SocketAddr::new(ip, helm.place.inner_port);
+    let Some(ip) = helm.elsewhere().leader.and_then(|host| host.parse::<IpAddr>().ok()) else { return false };
+    let to = SocketAddr::new(ip, helm.ports.inner);
     let ask = helm.ask(life, HOLD_MS);
     let body = serde_json::to_vec(&ask).unwrap_or_default();
     let reply = match caller.call(to, "POST", path::WATCH, &[], &body, HOLD_MS as f64 + SLACK_MS).await {
--- a/crates/harbourmaster/src/lib.rs
+++ b/crates/harbourmaster/src/lib.rs
@@ -9,4 +9,4 @@
 pub mod peers;
 pub mod resources;
 pub mod serve;
-pub mod statutes;
+pub mod tell;
--- a/crates/harbourmaster/src/resources/inner.rs
+++ b/crates/harbourmaster/src/resources/inner.rs
@@ -2,16 +2,12 @@
 
 use super::json;
 use crate::helm::Helm;
-use nickeljunction_berths::Seen;
 use nickeljunction_chandler::desk::{Answering, Call, Resource, Response};
 use nickeljunction_logbook::Envelope;
-use nickeljunction_signals::{Caller, Elsewhere, UnitsCall, WatchAnswer, WatchCall};
+use nickeljunction_signals::{Elsewhere, UnitsCall, WatchAnswer, WatchCall};
 use serde::de::DeserializeOwned;
 use std::rc::Rc;
 
-/// Longest hold of a watch call, ms.
-const MOST_HOLD_MS: u64 = 5_000;
-
 fn read<T: DeserializeOwned>(call: &Call) -> Result<T, Response> {
     if call.method != "POST" {
         return Err(Response::error(405, "wants POST").with("Allow", "POST"));
@@ -70,11 +66,8 @@
 
 impl Drop for Held<'_> {
     fn drop(&mut self) {
-        if !self.answered && self.call.who == Caller::Gateway {
-            log::info!("event=gateway_away name={}", self.call.name);
-            let (name, life) = (&self.call.name, self.call.life);
-            // Whoever leads by then has a watch of its own.
-            let _ = self.helm.register(|register, now| register.gateway_left(now, name, life));
+        if !self.answered {
+            self.helm.hung_up(self.call);
         }
     }
 }
@@ -82,18 +75,15 @@
 impl Watch {
     async fn answer(&self, call: &WatchCall) -> Result<WatchAnswer, Elsewhere> {
         let helm = &self.0;
-        let end = helm.now() + call.wait_ms.min(MOST_HOLD_MS);
-        let seen = helm.register(|register, now| register.called(now, call))?;
-        // It is to come again with its line, or it was replaced: nothing to hold it for.
-        let brief = matches!(seen, Seen::NoLine | Seen::Replaced);
+        let held = helm.called(call)?;
         loop {
             let changed = helm.changed.notified();
             tokio::pin!(changed);
             changed.as_mut().enable();
-            let left = end.saturating_sub(helm.now());
-            if let Some(answer) = helm.watch(call, brief || left == 0)? {
+            if let Some(answer) = helm.watch(call, &held)? {
                 return Ok(answer);
             }
+            let left = held.end().saturating_sub(helm.now());
             helm.wheel().timeout(left as f64, changed).await;
         }
     }
--- a/crates/harbourmaster/src/resources/instances.rs
+++ b/crates/harbourmaster/src/resources/instances.rs
@@ -2,15 +2,12 @@
 
 use super::{go_to, json, name_under, INSTANCES};
 use crate::helm::Helm;
-use nickeljunction_berths::{Beat, BeatKind};
+use nickeljunction_berths::Beat;
 use nickeljunction_chandler::desk::{Answering, Call, Resource, Response};
 use nickeljunction_signals::{Elsewhere, ServerState};
 use serde::Deserialize;
 use std::rc::Rc;
 
-/// How long an acknowledgement waits for a follower to know the change, ms: a server that is told that it may leave
-/// must not be sent to by a successor who never heard of it. A server takes another one after a second.
-const ROUND_MS: f64 = 250.0;
 /// Longest name of a life, bytes.
 const MOST_ID: usize = 128;
 
@@ -94,50 +91,19 @@
             Ok(beat) => beat,
             Err(error) => return Ok(Response::error(400, &error)),
         };
-        let outcome = self.0.register(|register, now| register.beat(now, id, &beat))?;
-        if matches!(outcome.kind, BeatKind::Came | BeatKind::Changed) {
-            log::info!(
-                "event=server life={id} backend={} zone={} state={:?} cold_ms={}",
-                beat.backend,
-                beat.zone,
-                beat.state,
-                beat.warmup_left_ms
-            );
-        }
-        if beat.state == ServerState::Draining {
-            self.come_round(outcome.at).await?;
+        if let Some(round) = self.0.beat(id, &beat)? {
+            self.0.come_round(&round).await?;
         }
         // Later beats come here at once: the leader takes them.
-        let target = format!("{}:{}", self.0.place.host, self.0.place.control_port);
+        let target = format!("{}:{}", self.0.place.host, self.0.ports.control);
         Ok(json(200, &serde_json::json!({ "heartbeat_target": target })))
     }
 
     async fn leave(&self, id: &str) -> Result<Response, Elsewhere> {
-        let seq = self.0.register(|register, now| register.leave(now, id))?;
-        log::info!("event=server_gone life={id}");
-        self.come_round(seq).await?;
+        let round = self.0.gone(id)?;
+        self.0.come_round(&round).await?;
         Ok(Response::empty(200))
     }
-
-    /// Waits until a follower and all gateways that are there have a change; not for long.
-    async fn come_round(&self, seq: u64) -> Result<(), Elsewhere> {
-        let helm = &self.0;
-        let round = async {
-            loop {
-                let changed = helm.changed.notified();
-                let reach = helm.register(|register, now| register.reach(now, seq))?;
-                if (reach.core > 0 || helm.core().len() < 2) && reach.gateways >= reach.gateways_there {
-                    return Ok(());
-                }
-                // Watch calls that say what their sender has don't count as changes: look again soon.
-                helm.wheel().timeout(10.0, changed).await;
-            }
-        };
-        match helm.wheel().timeout(ROUND_MS, round).await {
-            Some(ended) => ended,
-            None => Ok(()),
-        }
-    }
 }
 
 #[cfg(test)]
--- a/crates/harbourmaster/src/resources/mod.rs
+++ b/crates/harbourmaster/src/resources/mod.rs
@@ -26,7 +26,7 @@
 /// Sends who called control on to the leader.
 pub(crate) fn go_to(helm: &Helm, call: &Call, elsewhere: &Elsewhere) -> Response {
     match &elsewhere.leader {
-        Some(host) => Response::redirect(format!("http://{host}:{}{}", helm.place.control_port, call.target)),
+        Some(host) => Response::redirect(format!("http://{host}:{}{}", helm.ports.control, call.target)),
         None => Response::error(503, "no leader is known here: ask another one").with("Retry-After", SOON_S),
     }
 }
--- a/crates/harbourmaster/src/serve.rs
+++ b/crates/harbourmaster/src/serve.rs
@@ -1,6 +1,6 @@
 //! Brings the parts up and down.
 
-use crate::helm::{Helm, Place};
+use crate::helm::{Helm, Ports};
 use crate::peers::Peers;
 use crate::resources::{self, config, evacuations, inner, instances, status};
 use crate::{disk, follow, hint};
@@ -10,9 +10,10 @@
 use nickeljunction_chandler::start::{listen, Order, Orders, StartError};
 use nickeljunction_chandler::wheel::Wheel;
 use nickeljunction_hold::{Hold, HoldError, SledHold};
-use nickeljunction_logbook::{draw_id, first_id, Logbook, Restored, Tuning};
+use nickeljunction_logbook::{draw_id, first_id, Restored, Tuning};
 use nickeljunction_manifest::{CoreAddresses, Settings, SettingsError};
 use nickeljunction_signals::{path, Member};
+use nickeljunction_wheelhouse::{Place, Wheelhouse};
 use quick_error::quick_error;
 use std::rc::Rc;
 use tokio::sync::mpsc;
@@ -111,21 +112,19 @@
     disk::start(hold, hint::place(&addresses.data), to_write, done)
         .map_err(|cause| StartError::System("starting the disk's thread", cause))?;
 
-    let tuning = Tuning::default();
-    let place = Place {
+    let place = Rc::new(Place {
         name: settings.node_name.clone(),
         host: addresses.ip.to_string(),
-        control_port: addresses.control.port(),
-        inner_port: addresses.inner.port(),
         zones: settings.zones.clone(),
         bounds: settings.bounds.clone(),
         heartbeat_ms: (settings.heartbeat_s * 1_000.0) as u64,
-        lease_ms: tuning.election_min_ms,
-    };
+    });
+    let ports = Ports { control: addresses.control.port(), inner: addresses.inner.port() };
     let caller = Caller::new(wheel.clone());
-    let peers = Peers::new(caller.clone(), place.inner_port);
-    let book = Logbook::new(restored, tuning, dice.u64(..), wheel.now() as u64);
-    let helm = Helm::new(place, wheel.clone(), book, writes, peers);
+    let peers = Peers::new(caller.clone(), ports.inner);
+    let now = wheel.now() as u64;
+    let house = Wheelhouse::new(place.clone(), restored, Tuning::default(), dice.u64(..), now);
+    let helm = Helm::new(place, ports, wheel.clone(), house, writes, peers);
     if let Some(copy) = hint::load(&addresses.data) {
         helm.remember(copy);
     }
@@ -152,8 +151,6 @@
     tokio::task::spawn_local(wheel.clone().run());
     tokio::task::spawn_local(disk::listen(helm.clone(), to_tell));
     tokio::task::spawn_local(helm.clone().run());
-    tokio::task::spawn_local(helm.clone().age());
-    tokio::task::spawn_local(helm.clone().note_down());
     tokio::task::spawn_local(follow::run(helm.clone(), caller, dice.u64(..)));
     log::info!(
         "event=serving name={} control={} inner={}",
--- /dev/null
+++ b/crates/wheelhouse/src/calls.rs
@@ -0,0 +1,181 @@
+//! Calls that wait for the agreement: reads, changes, zones, and gateways' processes that are new.
+
+use crate::change::{Change, Fit};
+use crate::effects::{Answer, Event, Ticket};
+use crate::machine::Wheelhouse;
+use crate::statutes::{Entry, Outcome};
+use nickeljunction_bunker::Roll;
+use nickeljunction_logbook::NotLeader;
+use nickeljunction_signals::UnitsCall;
+
+/// A proposal that is not on a majority's disks by then is answered as open, ms; the operator repeats it unchanged.
+const PROPOSAL_MS: u64 = 2_500;
+/// A read that no majority confirms by then is given up, ms.
+const READ_MS: u64 = 800;
+/// How long a gateway's counted add waits for the log, ms: below its own time-out.
+const ENROLL_MS: u64 = 250;
+
+/// A call that a majority is to confirm.
+#[derive(Debug)]
+pub(crate) enum Reading {
+    Get(Ticket),
+    Change(Ticket, Change),
+}
+
+/// A call whose entry is on its way.
+#[derive(Debug)]
+pub(crate) enum Proposed {
+    /// The counter's own wish.
+    Forget,
+    /// Counted adds of a gateway's process that is new.
+    Lend(Ticket, UnitsCall),
+    /// A configuration on a base, with its version.
+    Put { ticket: Ticket, patch: bool, base: u64, version: u64 },
+    /// A zone is evacuated, or taken back.
+    Zone { ticket: Ticket, zone: String, back: bool },
+}
+
+/// A call that can go on.
+#[derive(Debug)]
+pub(crate) enum Settled {
+    /// Whether a majority has confirmed the lead.
+    Read(Reading, bool),
+    /// What the entry came to; `None`: not known to be taken.
+    Entry(Proposed, Option<Outcome>),
+}
+
+impl Wheelhouse {
+    fn ticket(&mut self) -> Ticket {
+        self.next_ticket += 1;
+        self.next_ticket
+    }
+
+    /// An operator reads: [`Answer::Confirmed`] once a majority has confirmed this member's lead after now.
+    pub fn read(&mut self, now: u64) -> Ticket {
+        let ticket = self.ticket();
+        self.confirm(now, Reading::Get(ticket));
+        ticket
+    }
+
+    /// An operator changes the configuration.
+    pub fn change(&mut self, now: u64, change: Change) -> Ticket {
+        let ticket = self.ticket();
+        // A member that doesn't lead sends it on before it reads: the leader looks.
+        self.confirm(now, Reading::Change(ticket, change));
+        ticket
+    }
+
+    /// An operator evacuates a zone, or takes it `back`.
+    pub fn zone(&mut self, now: u64, zone: String, back: bool) -> Ticket {
+        let ticket = self.ticket();
+        let entry = if back { Entry::Return(zone.clone()) } else { Entry::Evacuate(zone.clone()) };
+        self.propose(now, &entry, now + PROPOSAL_MS, Proposed::Zone { ticket, zone, back });
+        self.turn(now, |_| ());
+        ticket
+    }
+
+    /// Nobody waits for this answer any more: what was not begun for it is not done.
+    pub fn leave_off(&mut self, ticket: Ticket) {
+        self.reads.retain(|_, (_, reading)| match reading {
+            Reading::Get(of) | Reading::Change(of, _) => *of != ticket,
+        });
+        self.waits.retain(|_, (.., proposed)| match proposed {
+            Proposed::Forget => true,
+            Proposed::Lend(of, _) | Proposed::Put { ticket: of, .. } | Proposed::Zone { ticket: of, .. } => {
+                *of != ticket
+            }
+        });
+    }
+
+    fn confirm(&mut self, now: u64, reading: Reading) {
+        match self.book.read(now) {
+            Ok(ticket) => drop(self.reads.insert(ticket, (now + READ_MS, reading))),
+            Err(_) => self.settled.push(Settled::Read(reading, false)),
+        }
+        self.turn(now, |_| ());
+    }
+
+    /// Puts an entry on the log, if that takes it; to be followed by a turn.
+    fn propose(&mut self, now: u64, entry: &Entry, until: u64, proposed: Proposed) {
+        let index = match serde_json::to_string(entry) {
+            Ok(data) => self.book.propose(now, data),
+            Err(_) => Err(NotLeader::Elsewhere(None)),
+        };
+        match index {
+            Ok(index) => {
+                let term = self.book.term();
+                self.waits.insert(index, (term, until, proposed));
+            }
+            Err(error) => {
+                if !matches!(error, NotLeader::Elsewhere(_)) {
+                    self.out.events.push(Event::ProposalRefused { error: error.to_string() });
+                }
+                self.settled.push(Settled::Entry(proposed, None));
+            }
+        }
+    }
+
+    fn enroll(&mut self, now: u64, roll: Roll, until: u64, proposed: Proposed) {
+        let Roll { come, gone } = roll;
+        let names = come.values().cloned().collect();
+        self.out.events.push(Event::GatewaysEnrolled { come: names, gone: gone.len() });
+        self.propose(now, &Entry::Gateways { come, gone }, until, proposed);
+        self.turn(now, |_| ());
+    }
+
+    /// Puts a gateway's process on the log before anything is lent to it.
+    pub(crate) fn enroll_first(&mut self, now: u64, roll: Roll, call: UnitsCall) -> Ticket {
+        let ticket = self.ticket();
+        self.enroll(now, roll, now + ENROLL_MS, Proposed::Lend(ticket, call));
+        ticket
+    }
+
+    /// Takes processes off the log that have nothing in force.
+    pub(crate) fn forget(&mut self, now: u64, roll: Roll) {
+        self.enroll(now, roll, u64::MAX, Proposed::Forget);
+    }
+
+    /// Goes on with a call.
+    pub(crate) fn go_on(&mut self, now: u64, settled: Settled) {
+        let (ticket, answer) = match settled {
+            Settled::Read(Reading::Get(ticket), true) => (ticket, Answer::Confirmed),
+            Settled::Read(Reading::Change(ticket, change), true) => match change.check(&self.statutes) {
+                Ok(Fit { base, version, entry }) => {
+                    let proposed = Proposed::Put { ticket, patch: change.patch, base, version };
+                    return self.propose(now, &entry, now + PROPOSAL_MS, proposed);
+                }
+                Err(answer) => (ticket, answer),
+            },
+            Settled::Read(Reading::Get(ticket) | Reading::Change(ticket, _), false) => {
+                (ticket, Answer::Elsewhere(self.elsewhere()))
+            }
+            Settled::Entry(Proposed::Forget, _) => {
+                if let Some(lead) = &mut self.lead {
+                    lead.forgets = false;
+                }
+                return;
+            }
+            Settled::Entry(Proposed::Lend(ticket, call), Some(_)) => {
+                (ticket, self.lend_to_new(now, &call).map_or_else(Answer::Elsewhere, Answer::Units))
+            }
+            Settled::Entry(Proposed::Put { ticket, patch, base, version }, outcome) => {
+                self.out.events.push(Event::ConfigChange { patch, base, version, outcome });
+                let answer = match outcome {
+                    Some(Outcome::Taken) => Answer::Taken,
+                    Some(Outcome::Conflict) => Answer::Conflict(None),
+                    None => Answer::Unknown,
+                };
+                (ticket, answer)
+            }
+            Settled::Entry(Proposed::Zone { ticket, zone, back }, Some(_)) => {
+                self.out.events.push(Event::Evacuation { zone, back });
+                (ticket, Answer::Taken)
+            }
+            // Also where this member only passes it on.
+            Settled::Entry(Proposed::Lend(ticket, _) | Proposed::Zone { ticket, .. }, None) => {
+                (ticket, Answer::Elsewhere(self.elsewhere()))
+            }
+        };
+        self.out.answers.push((ticket, answer));
+    }
+}
--- /dev/null
+++ b/crates/wheelhouse/src/effects.rs
@@ -0,0 +1,79 @@
+//! What comes out of the machine.
+
+use crate::statutes::Outcome;
+use nickeljunction_berths::Copy;
+use nickeljunction_logbook::{Entry, Envelope, Write};
+use nickeljunction_signals::{Elsewhere, ServerState, UnitsAnswer};
+
+/// Names a call that waits for its answer.
+pub type Ticket = u64;
+
+/// What is to be done, in the order that the crate's page names.
+#[derive(Debug, Default)]
+pub struct Effects {
+    /// Messages, each to a host; one that gets lost harms nothing.
+    pub send: Vec<(String, Envelope)>,
+    /// To be written and synced, one after the other.
+    pub writes: Vec<Write>,
+    /// To callers that wait.
+    pub answers: Vec<(Ticket, Answer)>,
+    /// Held watch calls and rounds are to look again.
+    pub changed: bool,
+    /// [`crate::Wheelhouse::next_wake`] may have come nearer.
+    pub sooner: bool,
+    /// To be kept on the machine for a next process, without a sync.
+    pub hint: Option<Copy>,
+    /// In the order in which they came.
+    pub events: Vec<Event>,
+    /// Entries that were applied, in the log's order: for who checks what the machine does.
+    pub applied: Vec<Entry>,
+}
+
+/// The answer to a call that waited for the agreement.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Answer {
+    /// To a read: a majority has confirmed the lead since it came, and [`crate::Wheelhouse::statutes`] may be told.
+    Confirmed,
+    /// To counted adds.
+    Units(UnitsAnswer),
+    /// In force, and on a majority's disks.
+    Taken,
+    /// What the change builds on is not in force: this version is, or another change came first on the log.
+    Conflict(Option<u64>),
+    /// It can't be taken; what is wanted.
+    Wrong(String),
+    /// Whether it will be taken is not known: it is to be repeated unchanged.
+    Unknown,
+    /// This member doesn't lead, or is not sure of it.
+    Elsewhere(Elsewhere),
+}
+
+/// What operators may want to know.
+#[derive(Debug, Clone, PartialEq)]
+#[allow(missing_docs)] // The names tell: term, life (a process's id), index on the log, counts.
+pub enum Event {
+    /// It leads, from this many servers and gateways and with this version of the configuration.
+    LeadBegun { term: u64, version: u64, servers: usize, gateways: u32 },
+    /// It leads no more.
+    LeadEnded { term: u64 },
+    /// A server was not heard of for too long.
+    ServerSilent { life: String },
+    /// A server came, or says something else than before.
+    Server { life: String, backend: String, zone: String, state: ServerState, cold_ms: u64 },
+    /// A server says that it is gone.
+    ServerGone { life: String },
+    /// A gateway hung up.
+    GatewayAway { name: String },
+    /// The list of gateways' processes is to change: names of those that come, count of those that go.
+    GatewaysEnrolled { come: Vec<String>, gone: usize },
+    /// An operator's change was decided on, or not in time.
+    ConfigChange { patch: bool, base: u64, version: u64, outcome: Option<Outcome> },
+    /// A zone was evacuated, or taken back.
+    Evacuation { zone: String, back: bool },
+    /// The log takes nothing more at the moment.
+    ProposalRefused { error: String },
+    /// A snapshot that this program didn't write, though the disk has checked it.
+    SnapshotUnreadable { index: u64, error: String },
+    /// The same of an entry.
+    EntryUnreadable { index: u64, error: String },
+}
--- /dev/null
+++ b/crates/wheelhouse/src/lib.rs
@@ -0,0 +1,37 @@
+//! The state machine of one core member (a replicated state machine with a leader's lease): agreement, statutes, registers,
+//! counter, and the rules by which they are driven. No I/O.
+//!
+//! [`Wheelhouse`] takes the time of a steady clock (ms, whole), messages, completions of writes and calls. What is to be done
+//! waits in [`Wheelhouse::take`], which the driver calls after every call that takes `now`; then it
+//!
+//! 1. sends [`Effects::send`] and gives [`Effects::writes`] to the disk, in order, telling [`Wheelhouse::written`] of each,
+//! 2. answers the waiting callers in [`Effects::answers`], each by the ticket that its call was given,
+//! 3. lets held calls look again where [`Effects::changed`], and sets its alarm anew where [`Effects::sooner`],
+//! 4. keeps [`Effects::hint`] as well as may be, and logs [`Effects::events`].
+//!
+//! ```text
+//! Wheelhouse::new(Rc<Place>, Restored, Tuning, seed, now) -> Wheelhouse
+//!   .tick(now)   .next_wake() -> u64   .heard(now, messages)   .written(now, ticket, fine)   .take() -> Effects
+//!   .seek(now, hosts)   .resign(now)   .remember(Copy)
+//! for callers that wait for the agreement, answered by ticket in time of their own:
+//!   .read(now) -> Ticket   .change(now, Change) -> Ticket   .zone(now, zone, back) -> Ticket   .leave_off(ticket)
+//! for callers of the leader, by its lease:
+//!   .units(now, &call) -> Result<Lent, Elsewhere>
+//!   .called(now, &call) -> Result<Held, Elsewhere>   .watch(now, &call, &held) -> Result<Option<WatchAnswer>, Elsewhere>
+//!   .beat(now, id, &beat) -> Result<Option<Round>, Elsewhere>   .gone(now, id)   .come_round(now, &round)
+//! for followers: .elsewhere() .ask(life, wait_ms) .learned(answer); to look at: .book() .statutes() .copy() .leads()
+//! ```
+//!
+//! The same driver runs in `harbourmaster::helm` over sockets and in `drydock` over virtual time.
+
+mod calls;
+mod change;
+mod effects;
+mod leader;
+mod machine;
+pub mod statutes;
+
+pub use change::Change;
+pub use effects::{Answer, Effects, Event, Ticket};
+pub use leader::{limits, Held, Lent, Round};
+pub use machine::{Place, Wheelhouse};
--- /dev/null
+++ b/crates/wheelhouse/src/machine.rs
@@ -0,0 +1,325 @@
+//! The machine: time, messages, the disk, and what follows from what the agreement puts out.
+
+use crate::calls::{Proposed, Reading, Settled};
+use crate::effects::{Effects, Event, Ticket};
+use crate::leader::Lead;
+use crate::statutes::{Entry, Statutes};
+use nickeljunction_berths::{Applied, Copy, Refused, Register};
+use nickeljunction_bunker::Counter;
+use nickeljunction_logbook::{Envelope, Logbook, Outputs, ReadTicket, Restored, Tuning};
+use nickeljunction_manifest::Bounds;
+use nickeljunction_signals::{Caller, Elsewhere, GatewayLine, WatchAnswer, WatchCall};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// Between two looks at what has become old, ms.
+const AGE_MS: u64 = 200;
+/// Between two looks whether there is something to note down, ms.
+const HINT_MS: u64 = 500;
+/// It is written again after so long, ms, whether it has changed or not.
+const HINT_AGAIN_MS: u64 = 3_000;
+/// Entries applied between two snapshots of the log.
+const SNAPSHOT_EVERY: u64 = 64;
+
+/// What a member needs to know of itself.
+#[derive(Debug, Clone)]
+pub struct Place {
+    /// Name of its machine.
+    pub name: String,
+    /// IP address of its machine.
+    pub host: String,
+    /// Region of each zone.
+    pub zones: BTreeMap<String, String>,
+    /// Figures of the rules.
+    pub bounds: Bounds,
+    /// Servers beat about that often, ms.
+    pub heartbeat_ms: u64,
+}
+
+/// One core member. See the crate's page for how it is driven.
+#[derive(Debug)]
+pub struct Wheelhouse {
+    pub(crate) place: Rc<Place>,
+    /// A leader whose majority has not answered for so long answers nobody: below the time in which another one can be
+    /// elected.
+    pub(crate) lease_ms: u64,
+    pub(crate) book: Logbook,
+    pub(crate) statutes: Statutes,
+    /// Index of the last entry that `statutes` holds.
+    applied: u64,
+    snapshot_at: u64,
+    pub(crate) lead: Option<Lead>,
+    pub(crate) copy: Copy,
+    pub(crate) next_ticket: Ticket,
+    /// Calls whose entries are on their way, by index, with their term and the time of their last moment.
+    pub(crate) waits: BTreeMap<u64, (u64, u64, Proposed)>,
+    /// Calls that a majority is to confirm, with the time of their last moment.
+    pub(crate) reads: BTreeMap<ReadTicket, (u64, Reading)>,
+    /// Calls that can go on.
+    pub(crate) settled: Vec<Settled>,
+    age_at: u64,
+    hint_at: u64,
+    /// Term and number of what was noted down last, and when.
+    noted: (u64, u64),
+    noted_at: u64,
+    pub(crate) out: Effects,
+}
+
+impl Wheelhouse {
+    /// A member that has loaded its disk. `seed` is for the random part of election times and differs between machines.
+    pub fn new(place: Rc<Place>, restored: Restored, tuning: Tuning, seed: u64, now: u64) -> Wheelhouse {
+        Wheelhouse {
+            place,
+            lease_ms: tuning.election_min_ms,
+            book: Logbook::new(restored, tuning, seed, now),
+            statutes: Statutes::default(),
+            applied: 0,
+            snapshot_at: 0,
+            lead: None,
+            copy: Copy::new(),
+            next_ticket: 0,
+            waits: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            settled: Vec::new(),
+            age_at: now + AGE_MS,
+            hint_at: now + HINT_MS,
+            noted: (0, 0),
+            noted_at: 0,
+            out: Effects::default(),
+        }
+    }
+
+    /// What was known of servers and gateways when this machine's process before ended.
+    pub fn remember(&mut self, copy: Copy) {
+        self.copy = copy;
+    }
+
+    // ---- Time, messages, disk ----
+
+    /// When [`Wheelhouse::tick`] is due, by the clock of `now`, ms.
+    pub fn next_wake(&self) -> u64 {
+        let late = self.waits.values().map(|(_, until, _)| *until);
+        let late = late.chain(self.reads.values().map(|(until, _)| *until));
+        late.chain([self.book.next_wake(), self.age_at, self.hint_at]).min().unwrap_or(self.age_at)
+    }
+
+    /// Lets time pass; due whenever [`Wheelhouse::next_wake`] is reached. Early and late calls are harmless.
+    pub fn tick(&mut self, now: u64) {
+        if self.book.next_wake() <= now {
+            self.turn(now, |book| book.tick(now));
+        }
+        if self.age_at <= now {
+            self.age_at = now + AGE_MS;
+            self.age(now);
+        }
+        if self.hint_at <= now {
+            self.hint_at = now + HINT_MS;
+            self.note_down(now);
+        }
+        self.give_up_late(now);
+    }
+
+    /// Messages of other members came in.
+    pub fn heard(&mut self, now: u64, messages: Vec<Envelope>) {
+        self.turn(now, |book| messages.into_iter().for_each(|message| book.step(now, message)));
+    }
+
+    /// What became of a write.
+    pub fn written(&mut self, now: u64, ticket: u64, fine: bool) {
+        self.turn(now, |book| match fine {
+            true => book.written(now, ticket),
+            false => book.write_failed(now, ticket),
+        });
+    }
+
+    /// Other hosts where members may be found, for one that isn't a member.
+    pub fn seek(&mut self, now: u64, hosts: &[String]) {
+        self.turn(now, |book| book.seek(hosts));
+    }
+
+    /// The process is about to end: nobody needs to wait for its lead to run out.
+    pub fn resign(&mut self, now: u64) {
+        self.turn(now, |book| book.resign(now));
+    }
+
+    /// What is to be done now; see the crate's page.
+    pub fn take(&mut self) -> Effects {
+        std::mem::take(&mut self.out)
+    }
+
+    /// Does something with the agreement, and all that follows from it.
+    pub(crate) fn turn(&mut self, now: u64, act: impl FnOnce(&mut Logbook)) {
+        act(&mut self.book);
+        loop {
+            let outputs = self.book.take();
+            if outputs != Outputs::default() {
+                self.carry_out(now, outputs);
+                continue;
+            }
+            self.take_or_leave_lead(now);
+            if self.settled.is_empty() {
+                break;
+            }
+            // What goes on may put more on the log.
+            for settled in std::mem::take(&mut self.settled) {
+                self.go_on(now, settled);
+            }
+        }
+        self.out.sooner = true;
+    }
+
+    fn carry_out(&mut self, now: u64, outputs: Outputs) {
+        if let Some(snapshot) = outputs.restored_state {
+            // The very first one holds only the members.
+            match snapshot.state.is_empty() {
+                true => self.statutes = Statutes::default(),
+                false => match Statutes::from_text(&snapshot.state) {
+                    Ok(statutes) => self.statutes = statutes,
+                    // Written by this program and checked on the disk: a fault, but no reason to end.
+                    Err(error) => self
+                        .out
+                        .events
+                        .push(Event::SnapshotUnreadable { index: snapshot.index, error: error.to_string() }),
+                },
+            }
+            (self.applied, self.snapshot_at) = (snapshot.index, snapshot.index);
+        }
+        let news = !outputs.committed.is_empty();
+        for entry in outputs.committed {
+            debug_assert_eq!(entry.index, self.applied + 1, "a gap in what was committed");
+            self.applied = entry.index;
+            let outcome = entry.data().and_then(|data| match serde_json::from_str::<Entry>(data) {
+                Ok(entry) => Some(self.statutes.apply(entry)),
+                Err(error) => {
+                    let error = error.to_string();
+                    self.out.events.push(Event::EntryUnreadable { index: entry.index, error });
+                    None
+                }
+            });
+            if let Some((term, _, proposed)) = self.waits.remove(&entry.index) {
+                // Another leader's entry in the place of ours: ours is not known to be taken.
+                self.settled.push(Settled::Entry(proposed, outcome.filter(|_| term == entry.term)));
+            }
+            self.out.applied.push(entry);
+        }
+        self.out.send.extend(outputs.send);
+        self.out.writes.extend(outputs.writes);
+        for (ticket, fine) in outputs.reads {
+            let read = self.reads.remove(&ticket);
+            self.settled.extend(read.map(|(_, reading)| Settled::Read(reading, fine)));
+        }
+        for index in outputs.lost {
+            let wait = self.waits.remove(&index);
+            self.settled.extend(wait.map(|(.., proposed)| Settled::Entry(proposed, None)));
+        }
+        if self.applied >= self.snapshot_at + SNAPSHOT_EVERY {
+            self.snapshot_at = self.applied;
+            self.book.snapshot(now, self.applied, self.statutes.to_text());
+        }
+        if news {
+            self.publish(now);
+            self.out.changed = true;
+        }
+    }
+
+    /// Gives up on what has waited for too long.
+    fn give_up_late(&mut self, now: u64) {
+        let late = |until: &u64| *until <= now;
+        let waits: Vec<u64> =
+            self.waits.iter().filter(|(_, wait)| late(&wait.1)).map(|(index, _)| *index).collect();
+        for wait in waits.iter().filter_map(|index| self.waits.remove(index)) {
+            self.settled.push(Settled::Entry(wait.2, None));
+        }
+        let reads: Vec<ReadTicket> =
+            self.reads.iter().filter(|(_, read)| late(&read.0)).map(|(ticket, _)| *ticket).collect();
+        for (_, reading) in reads.iter().filter_map(|ticket| self.reads.remove(ticket)) {
+            self.settled.push(Settled::Read(reading, false));
+        }
+        if !self.settled.is_empty() {
+            self.turn(now, |_| ());
+        }
+    }
+
+    /// Says what is to be kept of servers and gateways, where that has changed.
+    fn note_down(&mut self, now: u64) {
+        // What has not changed is written again all the same, or it would pass for old.
+        let old = now >= self.noted_at + HINT_AGAIN_MS;
+        let known = match &self.lead {
+            Some(lead) => (lead.term, lead.register.seq()),
+            None => (self.copy.term(), self.copy.seq()),
+        };
+        if known == self.noted && !old {
+            return;
+        }
+        let copy = match &self.lead {
+            Some(lead) => {
+                let mut copy = Copy::new();
+                let ask = copy.ask(Caller::Core, &self.place.name, 0, None, 0);
+                if let Some(answer) = lead.register.answer(&ask, 0) {
+                    let _ = copy.apply(WatchAnswer { config: None, ..answer });
+                }
+                copy
+            }
+            None => self.copy.clone(),
+        };
+        if copy.complete() {
+            (self.noted, self.noted_at) = (known, now);
+            self.out.hint = Some(copy);
+        }
+    }
+
+    // ---- For followers ----
+
+    /// Who leads, as far as is known here; never this machine.
+    pub fn elsewhere(&self) -> Elsewhere {
+        let leader = self.book.leader().map(|member| member.host);
+        Elsewhere { leader: leader.filter(|host| *host != self.place.host) }
+    }
+
+    /// The call that asks a leader for what is new; it may be held for so long, ms.
+    pub fn ask(&self, life: u64, wait_ms: u64) -> WatchCall {
+        self.copy.ask(Caller::Core, &self.place.name, life, None, wait_ms)
+    }
+
+    /// What a leader answered.
+    ///
+    /// # Errors
+    /// It leads back.
+    pub fn learned(&mut self, answer: WatchAnswer) -> Result<Applied, Refused> {
+        // A leader's own registers are the truth.
+        if self.lead.is_some() {
+            return Ok(Applied::default());
+        }
+        self.copy.apply(answer)
+    }
+
+    // ---- To look at ----
+
+    /// The agreement.
+    pub fn book(&self) -> &Logbook {
+        &self.book
+    }
+
+    /// What the log makes.
+    pub fn statutes(&self) -> &Statutes {
+        &self.statutes
+    }
+
+    /// What a leader told, while another one leads.
+    pub fn copy(&self) -> &Copy {
+        &self.copy
+    }
+
+    /// The registers and the counter, while this member leads.
+    pub fn leads(&self) -> Option<(&Register, &Counter)> {
+        self.lead.as_ref().map(|lead| (&lead.register, &lead.counter))
+    }
+
+    /// All gateways, as far as is known here.
+    pub fn roster(&self) -> Rc<Vec<GatewayLine>> {
+        match &self.lead {
+            Some(lead) => lead.register.roster(),
+            None => self.copy.chart().roster.clone(),
+        }
+    }
+}
