Let servers end their work for a gateway that was told to leave

The module bounds a send within its aim so that there is time for another one. Where no other is affordable then, the client gets 503, although the first server was at work.

From the order to leave on a send that is given up for lack of time goes on until the request's deadline, and its answer wins over a refusal.

--- a/crates/pilot/src/attempt.rs
+++ b/crates/pilot/src/attempt.rs
@@ -58,6 +58,9 @@
     exposed: Cell<u32>,
     /// The last whole answer that told of a failure.
     failure: RefCell<Option<Served>>,
+    /// Sends that were given up and go on all the same, and what the client is told should none of them be answered.
+    kept: RefCell<Vec<usize>>,
+    parked: RefCell<Option<Answer<Served>>>,
     _held: Rc<()>,
 }
 
@@ -81,6 +84,8 @@
             counted: Cell::new(false),
             exposed: Cell::new(0),
             failure: RefCell::new(None),
+            kept: RefCell::default(),
+            parked: RefCell::default(),
             _held: held,
         }
     }
@@ -107,8 +112,34 @@
         }
     }
 
+    /// It has its answer.
+    pub(crate) fn is_answered(&self) -> bool {
+        self.reply.borrow().is_none()
+    }
+
+    /// This send goes on although it was given up: until it ends the client gets a server's answer or none.
+    pub(crate) fn keep(&self, attempt: usize) {
+        self.kept.borrow_mut().push(attempt);
+    }
+
+    /// A send has ended, with this answer if it was kept and has one; false if it was not kept.
+    pub(crate) fn kept_ended(&self, attempt: usize, served: &mut Option<Served>) -> bool {
+        let known = self.kept.borrow().iter().position(|kept| *kept == attempt);
+        let Some(at) = known else { return false };
+        self.kept.borrow_mut().remove(at);
+        let parked = self.parked.borrow_mut().take();
+        if let Some(answer) = served.take().map(Answer::Served).or(parked) {
+            self.answer(answer);
+        }
+        true
+    }
+
     /// Gives the client its answer. A refusal would promise that the request has not run and never will.
     pub(crate) fn answer(&self, answer: Answer<Served>) {
+        if !matches!(answer, Answer::Served(_)) && !self.kept.borrow().is_empty() {
+            *self.parked.borrow_mut() = Some(answer);
+            return;
+        }
         let Some(reply) = self.reply.borrow_mut().take() else { return };
         let answer = match (answer, self.failure.borrow_mut().take()) {
             (Answer::Served(served), _) | (_, Some(served)) => Answer::Served(served),
--- a/crates/pilot/src/quay.rs
+++ b/crates/pilot/src/quay.rs
@@ -16,7 +16,7 @@
     Class, Facade, Group, Intake, Outcome, Plan, RegionEntry, RegionState, Repeat, RequestKey, RoutedTask,
     ServiceTable, Settings,
 };
-use nickeljunction_core::life::{Answer, Core, Ports};
+use nickeljunction_core::life::{Answer, Core, Ports, ANSWER_MARGIN_MS};
 use nickeljunction_signals::ServerLine;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -54,6 +54,8 @@
     counts: Cell<Counts>,
     /// A cold server's permit has been used since the tables were last told.
     cold_used: Cell<bool>,
+    /// The order to leave has come.
+    leaving: Cell<bool>,
     /// Who has units for further sends; nobody counts them before it is set.
     units: RefCell<Option<Weak<dyn Admission>>>,
 }
@@ -144,7 +146,7 @@
     shared: Rc<Shared>,
     quay: Weak<Quay>,
     lane: Weak<Lane>,
-    out: HashMap<(RequestKey, usize), AbortHandle>,
+    out: HashMap<(RequestKey, usize), (AbortHandle, Rc<Load>)>,
     /// Told by this side after the core's turn: sends that were not begun, and whether their clients had gone.
     late: Vec<(RequestKey, usize, bool)>,
 }
@@ -168,15 +170,27 @@
         let (Some(quay), Some(lane)) = (self.quay.upgrade(), self.lane.upgrade()) else { return };
         let send = quay.send(lane, task.clone(), load.clone(), further);
         let handle = tokio::task::spawn_local(send).abort_handle();
-        self.out.insert((task.request, task.attempt), handle);
+        self.out.insert((task.request, task.attempt), (handle, load.clone()));
     }
 
     fn give_up(&mut self, request: RequestKey, attempt: usize, why: Outcome) {
-        // Its connection is closed with it, at the task's next turn.
-        if let Some(handle) = self.out.remove(&(request, attempt)) {
-            handle.abort();
-            self.shared.count(|counts| counts.ended(why));
+        let Some((handle, load)) = self.out.remove(&(request, attempt)) else { return };
+        self.shared.count(|counts| counts.ended(why));
+        let until = load.deadline - ANSWER_MARGIN_MS;
+        if !self.shared.leaving.get() || load.is_answered() || self.shared.wheel.now() >= until {
+            // Its connection is closed with it, at the task's next turn.
+            return handle.abort();
         }
+        // After the order to leave a server's work is not broken off for an answer of one's own.
+        load.keep(attempt);
+        let (wheel, load) = (self.shared.wheel.clone(), Rc::downgrade(&load));
+        tokio::task::spawn_local(async move {
+            wheel.sleep_until(until).await;
+            handle.abort();
+            if let Some(load) = load.upgrade() {
+                load.kept_ended(attempt, &mut None);
+            }
+        });
     }
 
     fn answer(&mut self, load: Rc<Load>, answer: Answer<Served>) {
@@ -249,8 +263,8 @@
     pub fn new(wheel: Wheel, budget: Rc<Budget>, here: Place, seed: u64, tuning: Tuning) -> Rc<Quay> {
         let pool = Pool::new(wheel.clone(), budget);
         let (book, counts, cold_used) = (RefCell::default(), Cell::default(), Cell::default());
-        let units = RefCell::new(None);
-        let shared = Rc::new(Shared { pool, wheel, tuning, here, book, counts, cold_used, units });
+        let (leaving, units) = (Cell::new(false), RefCell::new(None));
+        let shared = Rc::new(Shared { pool, wheel, tuning, here, book, counts, cold_used, leaving, units });
         Rc::new_cyclic(|me| Quay {
             me: me.clone(),
             shared,
@@ -269,6 +283,11 @@
         *self.shared.units.borrow_mut() = Some(units);
     }
 
+    /// The order to leave: from now on no send is broken off for lack of time while its client waits.
+    pub fn leave(&self) {
+        self.shared.leaving.set(true);
+    }
+
     /// Takes the whole list of servers, the zones that are evacuated, and the region of each zone.
     pub fn servers(&self, lines: &[ServerLine], evacuated: &[String], regions: &HashMap<String, String>) {
         let evacuated: HashSet<String> = evacuated.iter().cloned().collect();
@@ -659,7 +678,12 @@
             self.shared.pool.close_idle(&task.region);
             self.tables();
         }
-        self.ended(&lane, &task, ended.outcome, ended.served);
+        let mut served = ended.served;
+        if load.kept_ended(task.attempt, &mut served) && load.is_answered() {
+            // What else the core had in mind for it is no longer wanted.
+            self.drive(&lane, |core, now| core.left(now, key));
+        }
+        self.ended(&lane, &task, ended.outcome, served);
         drop(lane);
         if let Some(rest) = ended.rest {
             let left = load.deadline - wheel.now();
--- a/crates/pilot/src/serve.rs
+++ b/crates/pilot/src/serve.rs
@@ -131,6 +131,7 @@
     tokio::task::spawn_local(front.clone().serve(clients));
     tokio::task::spawn_local(link.clone().watch());
     tokio::task::spawn_local(link.clone().count());
+    let leaving = quay.clone();
     tokio::task::spawn_local(note(wheel.clone(), front, quay));
     log::info!("event=serving name={} front={}", settings.node_name, addresses.frontend);
 
@@ -138,6 +139,7 @@
     let told = wheel.now();
     log::info!("event=leaving name={} open={}", settings.node_name, lifecycle.open_connections());
     link.leave();
+    leaving.leave();
     lifecycle.leave(told);
     wheel.sleep_until(told + LEAVE_LEAST_MS).await;
     let left = told + bounds.grace_s * 1_000.0 - LEAVE_SPARE_MS - GIVE_BACK_MS - wheel.now();
--- a/crates/pilot/tests/quay.rs
+++ b/crates/pilot/tests/quay.rs
@@ -45,6 +45,8 @@
     Reset,
     /// Says nothing until the connection ends.
     Hang,
+    /// Is at work until told; the connection may end meanwhile.
+    Work(Rc<Notify>),
 }
 
 type Script = Rc<dyn Fn(usize, &Arrival) -> Vec<Act>>;
@@ -200,6 +202,7 @@
                     let socket = socket2::SockRef::from(&stream);
                     return socket.set_linger(Some(std::time::Duration::ZERO)).expect("a socket");
                 }
+                Act::Work(done) => done.notified().await,
                 Act::Hang => {
                     let _ = stream.read_buf(&mut from).await;
                     return hung_up.notify_one();
@@ -527,3 +530,38 @@
         assert_eq!(rig.quay.busy(), 1, "its server is at work on it");
     });
 }
+
+#[test]
+fn after_the_order_to_leave_no_work_is_broken_off_for_a_refusal() {
+    const KNOWN: usize = 20;
+    run(async {
+        let done = Rc::new(Notify::new());
+        let work = done.clone();
+        // After some quick ones one send takes too long, and the next is turned away: what is left would be a refusal.
+        let rig = Rig::new(&["n1", "n2"], roomy(), move |before, arrival| match before {
+            ..KNOWN => vec![Act::Say(good(&arrival.id))],
+            KNOWN => vec![Act::Work(work.clone()), Act::Say(good(&arrival.id))],
+            _ => vec![Act::Say(away(&arrival.id, 503))],
+        })
+        .await;
+        let parcel = |id: &str| {
+            let (parcel, answer) = rig.parcel(id, SAFE);
+            (Parcel { aim_ms: 500.0, ..parcel }, answer)
+        };
+        for _ in 0..KNOWN {
+            let (parcel, answer) = parcel("known");
+            rig.quay.dispatch(parcel);
+            assert_eq!(told(answer.await.expect("exactly one answer")), fine("known"));
+        }
+        rig.quay.leave();
+        let (parcel, mut answer) = parcel("a");
+        rig.quay.dispatch(parcel);
+        while rig.quay.counts().turned_away == 0 {
+            assert!(answer.try_recv().is_err(), "its first server is still at work");
+            tokio::task::yield_now().await;
+        }
+        done.notify_one();
+        assert_eq!(told(answer.await.expect("exactly one answer")), fine("a"));
+        rig.quay.idle().await;
+    });
+}
