Lead again at once after the whole core was away

Cause: a member that comes back gave no vote for 350 ms, since a leader's lease may count on what it said before, and first asked after 350 to 650 ms; after all processes or all power were lost that was 0.45 s without a leader. It asks at once now, and is free as soon as each other member, with the same members in its log, has said that it neither leads nor follows. A build that asks one member in place of all fails one_that_comes_back_keeps_an_earlier_lifes_word_to_a_leader_it_cant_reach at once.

--- a/crates/logbook/src/election.rs
+++ b/crates/logbook/src/election.rs
@@ -1,10 +1,13 @@
 //! Elections: a question first, which changes nothing, then votes. Terms fence: what is of an older one is refused.
 
-use crate::machine::{Logbook, Owed, Role};
+use crate::machine::{Bound, Logbook, Owed, Role};
 use crate::messages::{Envelope, Hard, Msg};
 use crate::replication::Lead;
 use nickeljunction_signals::{Member, MemberId};
 
+/// How often a member asks again soon once all are known to be free: another one may not have known it yet.
+const HURRIES: u32 = 5;
+
 impl Logbook {
     /// Sorts a message by whom it is for and by its term.
     pub(crate) fn take_message(&mut self, envelope: Envelope) {
@@ -22,7 +25,7 @@
         match msg {
             // These carry no term that binds: a question, an answer to one, a stranger's wish and a hint.
             Msg::Ask { last, last_term } => return self.on_ask(&from, term, last, last_term),
-            Msg::Asked { asked, yes } => return self.on_asked(&from, term, asked, yes),
+            Msg::Asked { asked, yes, free } => return self.on_asked(&from, term, asked, yes, free),
             Msg::Join => return self.on_join(&from),
             Msg::Point { leader } => return self.on_point(&leader),
             _ => {}
@@ -86,7 +89,10 @@
     fn enter(&mut self, hard: Hard) {
         self.hard = hard;
         self.leader = None;
-        self.heard_at = None;
+        // A newer term that nobody leads yet doesn't end what an earlier life may have said.
+        if self.bound.is_none() {
+            self.heard_at = None;
+        }
         guard!(VerifiedByTerm, self.verified = 0, ());
         guard!(RoundByTerm, self.round = 0, ());
         self.owed = Owed::Nothing;
@@ -100,6 +106,7 @@
         }
         self.leader = Some(from.clone());
         self.heard_at = Some(self.now);
+        (self.bound, self.hurry) = (None, 0);
         self.alone_since = self.now;
         self.round = self.round.max(round);
         self.put_off_election();
@@ -117,6 +124,34 @@
         self.deadline = self.now + self.rng.u64(min..=max.max(min));
     }
 
+    /// The same, soon: nobody led when this was last known.
+    fn hurry(&mut self) {
+        let beat = self.tuning.heartbeat_ms;
+        self.deadline = self.now + self.rng.u64(beat / 10..=beat * 6 / 10);
+    }
+
+    /// The sum of the members that this one knows; never 0.
+    fn members_sum(&self) -> u64 {
+        let sum =
+            |sum: u64, member: &Member| sum.wrapping_add(member.id.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 11);
+        self.log.members().iter().fold(0, sum) >> 1 | 1
+    }
+
+    /// Takes note that a member is free. Once all others are, with the same members in their logs, no lease can count
+    /// on what an earlier life of this member said: a leader that this member doesn't know would stand in the log of
+    /// one of them.
+    fn unbind(&mut self, from: Option<MemberId>) {
+        let others = self.others();
+        let Some(bound) = &mut self.bound else { return };
+        bound.free.extend(from);
+        if others.iter().all(|member| bound.free.contains(&member.id)) {
+            self.bound = None;
+            self.heard_at = None;
+            self.hurry = HURRIES;
+            self.hurry();
+        }
+    }
+
     /// The other members.
     pub(crate) fn others(&self) -> Vec<Member> {
         self.log.members().iter().filter(|member| member.id != self.me.id).cloned().collect()
@@ -124,11 +159,18 @@
 
     /// No leader was heard for long: asks the others whether they would vote for this member.
     pub(crate) fn ask(&mut self) {
-        self.put_off_election();
+        match self.hurry.checked_sub(1) {
+            Some(left) => {
+                self.hurry = left;
+                self.hurry();
+            }
+            None => self.put_off_election(),
+        }
         if !self.is_member() || self.disk.sick() {
             return;
         }
         self.leader = None;
+        self.unbind(None);
         self.role = Role::Asking(vec![self.me.id]);
         let (last, last_term) = (self.log.last(), self.log.last_term());
         for member in self.others() {
@@ -142,14 +184,32 @@
             && term >= self.hard.term
             && !self.has_leader()
             && (last_term, last) >= (self.log.last_term(), self.log.last());
-        self.say(from, Msg::Asked { asked: term, yes });
+        let free = self.leader.is_none() && !matches!(self.role, Role::Leading(_)) && self.is_member();
+        let free = if free { self.members_sum() } else { 0 };
+        self.say(from, Msg::Asked { asked: term, yes, free });
+        self.ask_in_return(from);
         if !self.knows(from.id) {
             // It was removed without learning so: it has to ask to be taken in again.
             self.point(from);
         }
     }
 
-    fn on_asked(&mut self, from: &Member, term: u64, asked: u64, yes: bool) {
+    /// One that asks has come back, too, maybe after this one's own question went unheard: it is asked once in return.
+    fn ask_in_return(&mut self, from: &Member) {
+        let (last, last_term) = (self.log.last(), self.log.last_term());
+        let known = self.knows(from.id);
+        let Some(Bound { free, asked }) = &mut self.bound else { return };
+        if known && !free.contains(&from.id) && !asked.contains(&from.id) {
+            asked.push(from.id);
+            self.say(from, Msg::Ask { last, last_term });
+        }
+    }
+
+    fn on_asked(&mut self, from: &Member, term: u64, asked: u64, yes: bool, free: u64) {
+        // An answer to an earlier life may be told late; one of this term can't come from a member that led in it since.
+        if asked == self.hard.term && free == self.members_sum() {
+            self.unbind(Some(from.id));
+        }
         if !yes && term > self.hard.term {
             return self.follow(term);
         }
@@ -164,9 +224,11 @@
 
     fn count_asked(&mut self) {
         let Role::Asking(said) = &self.role else { return };
-        if self.has_majority(said) {
+        // One that is bound gives no vote, its own neither.
+        if self.has_majority(said) && !self.has_leader() {
             self.enter(Hard { term: self.hard.term + 1, vote: Some(self.me.id) });
             self.role = Role::Standing { yes: Vec::new(), since: self.now, sent: false };
+            self.hurry = 0;
             self.put_off_election();
         }
     }
--- a/crates/logbook/src/machine.rs
+++ b/crates/logbook/src/machine.rs
@@ -36,6 +36,18 @@
     Refusal { prev: u64, hint: u64 },
 }
 
+/// A member that comes back may have answered a leader just before its end, whose lease counts on it for
+/// `election_min_ms`. It is bound for as long, or until each other member has said that it neither leads nor follows:
+/// that leader is over then, and won't lead in the same term again.
+#[derive(Debug, Default)]
+#[cfg_attr(feature = "model", derive(Clone, Hash))]
+pub(crate) struct Bound {
+    /// Members that said so.
+    pub(crate) free: Vec<MemberId>,
+    /// Members that were asked in return.
+    pub(crate) asked: Vec<MemberId>,
+}
+
 /// A member of the core's agreement. See the crate's page for how it is driven.
 #[derive(Debug)]
 #[cfg_attr(feature = "model", derive(Clone))]
@@ -53,6 +65,10 @@
     /// Who leads in this term, as far as known, and when it was last heard.
     pub(crate) leader: Option<Member>,
     pub(crate) heard_at: Option<u64>,
+    /// What an earlier life of this member may have said still binds it.
+    pub(crate) bound: Option<Bound>,
+    /// So many times it asks again soon where its question was not answered well.
+    pub(crate) hurry: u32,
     /// Since when there was no leader for this member; while there is one, the time of its last word.
     pub(crate) alone_since: u64,
     /// When to stand for election.
@@ -82,8 +98,8 @@
         let log = Log::new(restored.snapshot, restored.entries);
         let disk = Disk::new(restored.new, restored.hard, &log);
         let snapshot = log.snapshot_index();
-        // One that comes back may have answered a leader just before, whose lease counts on it for so long.
-        let heard_at = guard!(RestartWaits, (!restored.new).then_some(now), None);
+        let bound = guard!(RestartWaits, (!restored.new).then(Bound::default), None);
+        let heard_at = bound.is_some().then_some(now);
         let mut logbook = Logbook {
             me: restored.me,
             tuning,
@@ -96,6 +112,8 @@
             role: Role::Following,
             leader: None,
             heard_at,
+            bound,
+            hurry: 0,
             alone_since: now,
             deadline: now,
             verified: 0,
@@ -113,7 +131,10 @@
             },
             log,
         };
-        logbook.put_off_election();
+        // One that comes back asks at once: all of the core may have been away.
+        if logbook.bound.is_none() {
+            logbook.put_off_election();
+        }
         logbook
     }
 
--- a/crates/logbook/src/messages.rs
+++ b/crates/logbook/src/messages.rs
@@ -10,6 +10,10 @@
 /// Numbers are short on the wire, and two of them are never drawn alike in the life of a core.
 const ID_MASK: u64 = (1 << 40) - 1;
 
+fn is_nothing(free: &u64) -> bool {
+    *free == 0
+}
+
 /// Number of the member on `host` at the first start of the whole core: the same on every machine, never 0.
 pub fn first_id(host: &str) -> MemberId {
     // FNV-1a: fixed for good, as every machine of a first start has to find the same number.
@@ -189,6 +193,9 @@
         /// It would.
         #[serde(rename = "y")]
         yes: bool,
+        /// It neither leads nor follows anyone: the sum of the members that it knows; else 0.
+        #[serde(rename = "f", default, skip_serializing_if = "is_nothing")]
+        free: u64,
     },
     /// "Vote for me."
     #[serde(rename = "v")]
--- a/crates/logbook/src/model.rs
+++ b/crates/logbook/src/model.rs
@@ -91,6 +91,7 @@
         // All but what is drawn by chance and what never changes.
         (&self.me, self.now, self.hard, &self.log, &self.disk, self.commit, self.delivered).hash(state);
         (&self.role, &self.leader, self.heard_at, self.alone_since, self.deadline).hash(state);
+        (&self.bound, self.hurry).hash(state);
         (self.verified, self.round, self.owed, &self.owed_vote, &self.hosts).hash(state);
         (self.join_at, self.pointed_at, self.next_read, &self.out).hash(state);
     }
