Take orders on who is a member of the core

Operators could not grow the core by order, shrink it, or put a machine at a new address in another one's place: the members followed from who asked and who was silent.

/-/core shows members, learners and awaited machines as the leader sees them; PUT /-/core/HOST has a host come, with instead_of in the place of another, DELETE has one go. An order is an entry of the log, made with the number of orders before it, and whoever leads carries it out. Refused with 409: a second one while one is open, fewer than three left, no majority of the rest answering, an unknown member. The same again is 200. bosun core list|add|remove|replace sends orders and follows them to their end.

--- a/crates/bosun/src/flags.rs
+++ b/crates/bosun/src/flags.rs
@@ -61,6 +61,28 @@
             /// Seconds after which it ends (default: when interrupted).
             optional --during seconds: f64
         }
+        /// Who is a member of the core, and orders on it; HOST is the IP address of a core machine.
+        cmd core {
+            /// Shows members, learners and awaited machines, as the leader sees them.
+            cmd list {}
+            /// Has a machine become a member, and waits until it is one.
+            cmd add {
+                /// The machine.
+                required host: String
+            }
+            /// Has a machine cease to be a member, and waits until it has.
+            cmd remove {
+                /// The machine.
+                required host: String
+            }
+            /// Has a machine take another one's place, and waits until it has.
+            cmd replace {
+                /// The member that goes.
+                required old: String
+                /// The machine that comes.
+                required new: String
+            }
+        }
         /// Stands in for a server on loopback until interrupted: answers with its seal, and says to control that it lives.
         cmd stand-in {
             /// The service.
--- a/crates/bosun/src/lib.rs
+++ b/crates/bosun/src/lib.rs
@@ -1,6 +1,7 @@
 //! The operators' command line: checks configurations and changes, sends them, evacuates zones, shows how control
 //! stands. [`run`] is the whole program but for the process around it.
 
+mod core;
 mod demo;
 mod flags;
 mod standing;
@@ -73,6 +74,10 @@
             from()
             display("{}", failure)
         }
+        /// An order that is on the log and not carried out yet.
+        Open(what: String) {
+            display("time is up; ordered and still under way: {}", what)
+        }
         /// No machine that leads has answered.
         NoLeader {
             display("no machine that leads has answered")
@@ -192,6 +197,7 @@
             BosunCmd::Evacuate(evacuate) => self.evacuation("POST", &evacuate.zone),
             BosunCmd::Return(back) => self.evacuation("DELETE", &back.zone),
             BosunCmd::Status(status) => self.status(status.strict),
+            BosunCmd::Core(told) => core::carry_out(&told.subcommand, &self.tour()?),
             // They stay instead of carrying out an order: see `run`.
             BosunCmd::StandIn(_) | BosunCmd::Demo(_) | BosunCmd::Watch(_) => {
                 Err(Trouble::Use("no order".into()))
--- a/crates/bosun/tests/orders.rs
+++ b/crates/bosun/tests/orders.rs
@@ -296,3 +296,35 @@
     assert_eq!((end.code, end.json()["ok"].clone()), (FAILED, json!(false)));
     assert!(end.err.contains("harbourmaster: no such program"), "{}", end.err);
 }
+
+#[test]
+fn an_order_on_the_core_is_followed_to_its_end() {
+    let view = |open: Value| {
+        json!({"commit": 40, "orders": 1, "open": open, "away": ["127.0.0.11"], "machines": [
+            {"host": "127.0.0.12", "id": 7, "part": "leads", "kept": 40, "silent_ms": 0, "reachable": true},
+            {"host": "127.0.0.14", "id": 9, "part": "learner", "kept": 31, "silent_ms": 12, "reachable": true}]})
+    };
+    let open = json!("replacement of 127.0.0.11 by 127.0.0.14");
+    let (at, calls) = control(vec![
+        say(200, view(open.clone())),
+        say(200, view(open.clone())),
+        say(200, view(Value::Null)),
+    ]);
+    let end = order(&format!("--at {at} core replace 127.0.0.11 127.0.0.14"), &Value::Null);
+    assert_eq!(end.code, DONE, "{}", end.err);
+    assert!(end.out.contains("127.0.0.14  learner  9       12 ms   9"), "{}", end.out);
+    assert!(end.out.ends_with(&format!("under way: nothing, says {at}\n")), "{}", end.out);
+    let first = calls.recv().unwrap();
+    assert_eq!(first.line, "PUT /-/core/127.0.0.14");
+    assert_eq!(first.body, r#"{"instead_of":"127.0.0.11"}"#);
+    assert_eq!(calls.recv().unwrap().line, "GET /-/core");
+    // It is on the log all the same when time is up, and a refusal names its reason.
+    let (at, _) = control(vec![say(200, view(open))]);
+    let end = order(&format!("--at {at} --timeout 0.05 core remove 127.0.0.11"), &Value::Null);
+    assert_eq!(end.code, FAILED);
+    assert!(end.err.contains("still under way: replacement"), "{}", end.err);
+    let (at, _) = control(vec![say(409, json!({"error": "2 members would be left"}))]);
+    let end = order(&format!("--at {at} core remove 127.0.0.11"), &Value::Null);
+    assert!(end.code == FAILED && end.err.contains("2 members would be left"), "{}", end.err);
+    assert_eq!(order(&format!("--at {at} core add core-4"), &Value::Null).code, BAD_INPUT);
+}
--- a/crates/harbourmaster/src/helm.rs
+++ b/crates/harbourmaster/src/helm.rs
@@ -10,7 +10,9 @@
 use nickeljunction_chandler::wheel::Wheel;
 use nickeljunction_logbook::Envelope;
 use nickeljunction_signals::{Elsewhere, GatewayLine, UnitsAnswer, UnitsCall, WatchAnswer, WatchCall};
-use nickeljunction_wheelhouse::{Answer, Change, Effects, Held, Lent, Place, Round, Ticket, Wheelhouse};
+use nickeljunction_wheelhouse::{
+    Answer, Change, CoreView, Effects, Held, Lent, Place, Round, Ticket, Wheelhouse, Wish,
+};
 use std::cell::RefCell;
 use std::rc::Rc;
 use tokio::sync::{mpsc, oneshot, Notify};
@@ -188,6 +190,16 @@
         self.wait(|house, now| house.change(now, change)).await
     }
 
+    /// An operator's order on who is a member of the core.
+    pub async fn order(&self, wish: Wish) -> Answer {
+        self.wait(|house, now| house.order(now, wish)).await
+    }
+
+    /// The core's machines as this member, which leads, sees them.
+    pub fn core_view(&self) -> CoreView {
+        self.house.borrow().core_view(self.now())
+    }
+
     /// A zone is evacuated, or taken back.
     pub async fn zone(&self, zone: &str, back: bool) -> Answer {
         self.wait(|house, now| house.zone(now, zone.to_owned(), back)).await
--- a/crates/harbourmaster/src/resources/mod.rs
+++ b/crates/harbourmaster/src/resources/mod.rs
@@ -1,6 +1,7 @@
 //! One handler object for each resource that others call.
 
 pub mod config;
+pub mod core;
 pub mod evacuations;
 pub mod inner;
 pub mod instances;
@@ -17,6 +18,8 @@
 pub const INSTANCES: &str = "/-/instances";
 /// Under it zones are evacuated and taken back.
 pub const EVACUATIONS: &str = "/-/evacuations";
+/// Who is a member of the core; under it hosts become members, or cease to be.
+pub const CORE: &str = "/-/core";
 /// What operators see of a member.
 pub const STATUS: &str = "/-/status";
 
--- a/crates/harbourmaster/src/serve.rs
+++ b/crates/harbourmaster/src/serve.rs
@@ -2,7 +2,7 @@
 
 use crate::helm::{Helm, Ports};
 use crate::peers::Peers;
-use crate::resources::{self, config, evacuations, inner, instances, status};
+use crate::resources::{self, config, core, evacuations, inner, instances, status};
 use crate::{disk, follow, hint};
 use nickeljunction_chandler::caller::Caller;
 use nickeljunction_chandler::clock::Clock;
@@ -132,6 +132,7 @@
 
     let control = Desk::new(wheel.clone(), Limits { body: MOST_DOCUMENT, ..Limits::default() })
         .route(resources::CONFIG, Rc::new(config::Config(helm.clone())))
+        .route(resources::CORE, Rc::new(core::Core(helm.clone())))
         .route(resources::EVACUATIONS, Rc::new(evacuations::Evacuations(helm.clone())))
         .route(resources::INSTANCES, Rc::new(instances::Instances(helm.clone())))
         .route(resources::STATUS, Rc::new(status::Status(helm.clone())));
--- a/crates/harbourmaster/src/tell.rs
+++ b/crates/harbourmaster/src/tell.rs
@@ -24,6 +24,10 @@
                 "event=config_change method={method} base={base} version={version} outcome={outcome:?}"
             );
         }
+        Event::CoreOrder { wish, outcome } => {
+            let wish = format!("{wish:?}");
+            log::info!("event=core_order wish={wish:?} outcome={outcome:?}");
+        }
         Event::Evacuation { zone, back } => {
             let method = if *back { "DELETE" } else { "POST" };
             log::info!("event=evacuation method={method} zone={zone}");
--- a/crates/wheelhouse/src/calls.rs
+++ b/crates/wheelhouse/src/calls.rs
@@ -3,6 +3,7 @@
 use crate::change::{Change, Fit};
 use crate::effects::{Answer, Event, Ticket};
 use crate::machine::Wheelhouse;
+use crate::members::Wish;
 use crate::statutes::{Entry, Outcome};
 use nickeljunction_bunker::Roll;
 use nickeljunction_logbook::NotLeader;
@@ -20,6 +21,7 @@
 pub(crate) enum Reading {
     Get(Ticket),
     Change(Ticket, Change),
+    Core(Ticket, Wish),
 }
 
 /// A call whose entry is on its way.
@@ -31,6 +33,8 @@
     Lend(Ticket, UnitsCall),
     /// A configuration on a base, with its version.
     Put { ticket: Ticket, patch: bool, base: u64, version: u64 },
+    /// An order on the core's members.
+    Core { ticket: Ticket, wish: Wish },
     /// A zone is evacuated, or taken back.
     Zone { ticket: Ticket, zone: String, back: bool },
 }
@@ -65,6 +69,14 @@
         ticket
     }
 
+    /// An operator orders who is to be a member of the core: [`Answer::Taken`] once it is on the log, or where it is so
+    /// already. [`Wheelhouse::core_view`] tells how far it is.
+    pub fn order(&mut self, now: u64, wish: Wish) -> Ticket {
+        let ticket = self.ticket();
+        self.confirm(now, Reading::Core(ticket, wish));
+        ticket
+    }
+
     /// An operator evacuates a zone, or takes it `back`.
     pub fn zone(&mut self, now: u64, zone: String, back: bool) -> Ticket {
         let ticket = self.ticket();
@@ -77,13 +89,14 @@
     /// Nobody waits for this answer any more: what was not begun for it is not done.
     pub fn leave_off(&mut self, ticket: Ticket) {
         self.reads.retain(|_, (_, reading)| match reading {
-            Reading::Get(of) | Reading::Change(of, _) => *of != ticket,
+            Reading::Get(of) | Reading::Change(of, _) | Reading::Core(of, _) => *of != ticket,
         });
         self.waits.retain(|_, (.., proposed)| match proposed {
             Proposed::Forget => true,
-            Proposed::Lend(of, _) | Proposed::Put { ticket: of, .. } | Proposed::Zone { ticket: of, .. } => {
-                *of != ticket
-            }
+            Proposed::Lend(of, _)
+            | Proposed::Put { ticket: of, .. }
+            | Proposed::Core { ticket: of, .. }
+            | Proposed::Zone { ticket: of, .. } => *of != ticket,
         });
     }
 
@@ -146,9 +159,17 @@
                 }
                 Err(answer) => (ticket, answer),
             },
-            Settled::Read(Reading::Get(ticket) | Reading::Change(ticket, _), false) => {
-                (ticket, Answer::Elsewhere(self.elsewhere()))
-            }
+            Settled::Read(Reading::Core(ticket, wish), true) => match self.core_entry(now, &wish) {
+                Ok(Some(entry)) => {
+                    return self.propose(now, &entry, now + PROPOSAL_MS, Proposed::Core { ticket, wish });
+                }
+                Ok(None) => (ticket, Answer::Taken),
+                Err(unfit) => (ticket, Answer::Unfit(unfit)),
+            },
+            Settled::Read(
+                Reading::Get(ticket) | Reading::Change(ticket, _) | Reading::Core(ticket, _),
+                false,
+            ) => (ticket, Answer::Elsewhere(self.elsewhere())),
             Settled::Entry(Proposed::Forget, _) => {
                 if let Some(lead) = &mut self.lead {
                     lead.forgets = false;
@@ -167,6 +188,15 @@
                 };
                 (ticket, answer)
             }
+            Settled::Entry(Proposed::Core { ticket, wish }, outcome) => {
+                self.out.events.push(Event::CoreOrder { wish, outcome });
+                let answer = match outcome {
+                    Some(Outcome::Taken) => Answer::Taken,
+                    Some(Outcome::Conflict) => Answer::Conflict(None),
+                    None => Answer::Unknown,
+                };
+                (ticket, answer)
+            }
             Settled::Entry(Proposed::Zone { ticket, zone, back }, Some(_)) => {
                 self.out.events.push(Event::Evacuation { zone, back });
                 (ticket, Answer::Taken)
--- a/crates/wheelhouse/src/effects.rs
+++ b/crates/wheelhouse/src/effects.rs
@@ -1,5 +1,6 @@
 //! What comes out of the machine.
 
+use crate::members::{Unfit, Wish};
 use crate::statutes::Outcome;
 use nickeljunction_berths::Copy;
 use nickeljunction_logbook::{Entry, Envelope, Write};
@@ -40,6 +41,8 @@
     Taken,
     /// What the change builds on is not in force: this version is, or another change came first on the log.
     Conflict(Option<u64>),
+    /// An order on the core's members can't be carried out as things are.
+    Unfit(Unfit),
     /// It can't be taken; what is wanted.
     Wrong(String),
     /// Whether it will be taken is not known: it is to be repeated unchanged.
@@ -68,6 +71,8 @@
     GatewaysEnrolled { come: Vec<String>, gone: usize },
     /// An operator's change was decided on, or not in time.
     ConfigChange { patch: bool, base: u64, version: u64, outcome: Option<Outcome> },
+    /// An order on the core's members was put on the log, or not in time.
+    CoreOrder { wish: Wish, outcome: Option<Outcome> },
     /// A zone was evacuated, or taken back.
     Evacuation { zone: String, back: bool },
     /// The log takes nothing more at the moment.
--- a/crates/wheelhouse/src/lib.rs
+++ b/crates/wheelhouse/src/lib.rs
@@ -15,6 +15,7 @@
 //!   .seek(now, hosts)   .resign(now)   .remember(Copy)
 //! for callers that wait for the agreement, answered by ticket in time of their own:
 //!   .read(now) -> Ticket   .change(now, Change) -> Ticket   .zone(now, zone, back) -> Ticket   .leave_off(ticket)
+//!   .order(now, Wish) -> Ticket   .core_view(now) -> CoreView
 //! for callers of the leader, by its lease:
 //!   .units(now, &call) -> Result<Lent, Elsewhere>
 //!   .called(now, &call) -> Result<Held, Elsewhere>   .watch(now, &call, &held) -> Result<Option<WatchAnswer>, Elsewhere>
@@ -29,9 +30,11 @@
 mod effects;
 mod leader;
 mod machine;
+mod members;
 pub mod statutes;
 
 pub use change::Change;
 pub use effects::{Answer, Effects, Event, Ticket};
 pub use leader::{limits, Held, Lent, Round};
 pub use machine::{Place, Wheelhouse};
+pub use members::{Berth, CoreView, Unfit, Wish};
--- a/crates/wheelhouse/src/machine.rs
+++ b/crates/wheelhouse/src/machine.rs
@@ -48,6 +48,8 @@
     /// Index of the last entry that `statutes` holds.
     applied: u64,
     snapshot_at: u64,
+    /// So many orders on the core's members does `book` know.
+    away_from: u64,
     pub(crate) lead: Option<Lead>,
     pub(crate) copy: Copy,
     pub(crate) next_ticket: Ticket,
@@ -75,6 +77,7 @@
             statutes: Statutes::default(),
             applied: 0,
             snapshot_at: 0,
+            away_from: 0,
             lead: None,
             copy: Copy::new(),
             next_ticket: 0,
@@ -202,6 +205,11 @@
             }
             self.out.applied.push(entry);
         }
+        let (orders, order) = self.statutes.core();
+        if self.away_from != orders {
+            self.away_from = orders;
+            self.book.away(order.away.clone());
+        }
         self.out.send.extend(outputs.send);
         self.out.writes.extend(outputs.writes);
         for (ticket, fine) in outputs.reads {
--- a/crates/wheelhouse/src/statutes.rs
+++ b/crates/wheelhouse/src/statutes.rs
@@ -1,6 +1,7 @@
 //! What must outlive everything, as the agreed log makes it: the configuration with its version, the evacuated zones, and which
 //! gateways' processes have units. No I/O and no clock: entries go in, one after the other and the same at every member.
 
+use nickeljunction_logbook::Away;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -28,6 +29,13 @@
     Evacuate(String),
     /// The zone is taken back.
     Return(String),
+    /// Operators' order on who is a member of the core, on top of the orders before it.
+    Core {
+        /// How many orders were on the log when it was made.
+        base: u64,
+        /// It, whole.
+        order: CoreOrder,
+    },
     /// Processes of gateways that the counter may lend units to.
     Gateways {
         /// Those that come, by the number that each drew, with the names of their machines.
@@ -39,6 +47,17 @@
     },
 }
 
+/// What operators last ordered on who is a member of the core.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CoreOrder {
+    /// The host that is to become a member.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub come: Option<String>,
+    /// Hosts that are to be none, that of this order last.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub away: Vec<Away>,
+}
+
 /// What an entry came to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
@@ -65,6 +84,13 @@
     /// Processes of gateways that units may be lent to, or were, with the names of their machines.
     #[serde(default)]
     gateways: BTreeMap<u64, String>,
+    /// How many orders on the core's members were taken, and the last one.
+    #[serde(default, skip_serializing_if = "is_none_yet")]
+    core: (u64, CoreOrder),
+}
+
+fn is_none_yet(core: &(u64, CoreOrder)) -> bool {
+    core.0 == 0
 }
 
 impl Statutes {
@@ -91,6 +117,9 @@
             Entry::Return(zone) => {
                 self.evacuated.remove(&zone);
             }
+            // Each order is made with the ones before it in view: of two made at once the first wins.
+            Entry::Core { base, .. } if base != self.core.0 => return Outcome::Conflict,
+            Entry::Core { base, order } => self.core = (base + 1, order),
             Entry::Gateways { come, gone } => {
                 self.gateways.retain(|life, _| !gone.contains(life));
                 self.gateways.extend(come);
@@ -125,6 +154,11 @@
         &self.gateways
     }
 
+    /// How many orders on the core's members were taken, and the last one.
+    pub fn core(&self) -> (u64, &CoreOrder) {
+        (self.core.0, &self.core.1)
+    }
+
     /// For a snapshot of the log.
     pub fn to_text(&self) -> String {
         serde_json::to_string(self).unwrap_or_default()
@@ -169,7 +203,14 @@
         let come = |life: u64| BTreeMap::from([(life, format!("edge-{life}"))]);
         state.apply(Entry::Gateways { come: come(u64::MAX), gone: Vec::new() });
         state.apply(Entry::Gateways { come: come(8), gone: vec![u64::MAX] });
+        assert!(!state.to_text().contains("core"), "where nobody ordered, snapshots are as they were");
+        let order =
+            CoreOrder { come: Some("h4".into()), away: vec![Away { host: "h1".into(), after: None }] };
+        assert_eq!(state.apply(Entry::Core { base: 0, order: order.clone() }), Outcome::Taken);
+        let late = Entry::Core { base: 0, order: CoreOrder::default() };
+        assert_eq!(state.apply(late), Outcome::Conflict, "it was made without the other one in view");
         let mut back = Statutes::from_text(&state.to_text()).expect("own text");
+        assert_eq!(back.core(), (1, &order));
         assert_eq!(back, state);
         assert!(back.evacuated().iter().eq(["z2"]));
         assert_eq!(back.gateways(), &come(8));
