Explain where a request goes, complete commands, and write down every error

Why a request got its answer could only be read from the code. bosun explain asks the gateways' own table (now the crate rutter, used by both) for route, key, tenant and homes, and weighs the servers that the leader knows by the gateways' own rules (berths::barred, rutter::at_home, near). Keys are never printed.

--- a/crates/berths/src/chart.rs
+++ b/crates/berths/src/chart.rs
@@ -62,6 +62,30 @@
     }
 }
 
+/// Why a gateway sends nothing to a server, whatever the request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Bar {
+    /// It leaves.
+    Draining,
+    /// Its zone is evacuated.
+    Evacuated,
+    /// It is cold, and the permit is another gateway's, or nobody's yet.
+    Cold(Option<String>),
+}
+
+/// What keeps `gateway` from sending to the server of `line`; `None`: nothing. How old a permit is counts besides, see
+/// [`Leave::of`].
+pub fn barred(line: &ServerLine, gateway: &str, evacuated: impl Fn(&str) -> bool) -> Option<Bar> {
+    match (&line.state, &line.cold) {
+        (ServerState::Draining, _) => Some(Bar::Draining),
+        _ if evacuated(&line.zone) => Some(Bar::Evacuated),
+        (_, Some(holder)) if holder != gateway => {
+            Some(Bar::Cold(Some(holder.clone()).filter(|name| !name.is_empty())))
+        }
+        _ => None,
+    }
+}
+
 /// What an answer changed.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Applied {
--- a/crates/berths/src/lib.rs
+++ b/crates/berths/src/lib.rs
@@ -20,7 +20,7 @@
 mod servers;
 mod tally;
 
-pub use chart::{Applied, Chart, Copy, Leave, Refused};
+pub use chart::{barred, Applied, Bar, Chart, Copy, Leave, Refused};
 pub use directory::{directory, MOST_ADDRESSES};
 pub use gateways::{GatewayStanding, Seen};
 pub use register::{Reach, Register, Tuning, PERMIT_LIFE_MS};
--- a/crates/bosun/src/demo/mod.rs
+++ b/crates/bosun/src/demo/mod.rs
@@ -118,7 +118,7 @@
         let mut told =
             json!({"ok": failure.is_none(), "steps": steps, "took_s": (took * 1_000.0).round() / 1_000.0});
         if let Some(failure) = &failure {
-            told["reason"] = failure.as_str().into();
+            told["error"] = failure.as_str().into();
         }
         let _ = writeln!(stage.out, "{told}");
     } else if failure.is_none() {
--- a/crates/bosun/src/flags.rs
+++ b/crates/bosun/src/flags.rs
@@ -83,6 +83,24 @@
                 required new: String
             }
         }
+        /// Tells what becomes of a request: its route, tenant, homes, quota, and which servers may be asked and why.
+        cmd explain {
+            /// Its host name.
+            required --host name: String
+            /// Its path (default: /).
+            optional --path path: String
+            /// Its method (default: GET).
+            optional --method method: String
+            /// Its key, or '-' for standard input; never printed.
+            optional --key key: String
+            /// Zone of the gateway that takes it.
+            optional --from zone: String
+        }
+        /// Prints a script for a shell that completes commands and flags.
+        cmd completion {
+            /// bash, zsh or fish.
+            required shell: String
+        }
         /// Stands in for a server on loopback until interrupted: answers with its seal, and says to control that it lives.
         cmd stand-in {
             /// The service.
--- a/crates/bosun/src/lib.rs
+++ b/crates/bosun/src/lib.rs
@@ -1,8 +1,10 @@
 //! The operators' command line: checks configurations and changes, sends them, evacuates zones, shows how control
 //! stands. [`run`] is the whole program but for the process around it.
 
+mod completion;
 mod core;
 mod demo;
+mod explain;
 mod flags;
 mod standing;
 mod status;
@@ -98,7 +100,19 @@
     }
 
     fn as_json(&self) -> Value {
-        let mut shown = json!({"ok": false, "reason": self.to_string()});
+        let (step, peer) = match self {
+            Trouble::Use(_) => ("read the arguments".to_string(), None),
+            Trouble::File(name, _) => (format!("read {name}"), None),
+            Trouble::Input(name, _) => (format!("check {name}"), None),
+            Trouble::InPlace(by, _) => ("read what is in place".into(), Some(by)),
+            Trouble::NothingInPlace => ("read what is in place".into(), None),
+            Trouble::Order(Failure::Refused(order, answer)) => (order.clone(), Some(&answer.by)),
+            Trouble::Order(Failure::Spent(order, peer, _)) => (order.clone(), peer.as_ref()),
+            Trouble::NoLeader => ("find the leader".into(), None),
+            Trouble::Doubts(_) => ("look for doubts".into(), None),
+            Trouble::Open(_) => ("wait for the members".into(), None),
+        };
+        let mut shown = json!({"ok": false, "error": self.to_string(), "step": step, "peer": peer});
         match self {
             Trouble::Input(_, problem) => shown["place"] = problem.place().into(),
             Trouble::Order(Failure::Refused(_, answer)) => shown["status"] = answer.status.into(),
@@ -119,7 +133,9 @@
 ) -> u8 {
     // A lone dash would be taken for a flag.
     let arguments = arguments.into_iter().map(|word| if word == "-" { STANDARD_INPUT.into() } else { word });
-    let flags = match Bosun::from_vec(arguments.collect()) {
+    let arguments: Vec<OsString> = arguments.collect();
+    let wants_json = arguments.iter().any(|word| word == "--json");
+    let flags = match Bosun::from_vec(arguments) {
         Ok(flags) => flags,
         // Where nobody reads what is printed, nothing is left to be done about it: here and below.
         Err(help) if help.is_help() => {
@@ -127,7 +143,12 @@
             return DONE;
         }
         Err(error) => {
-            let _ = writeln!(err, "bosun: {error}; see bosun --help");
+            let trouble = Trouble::Use(format!("{error}; see bosun --help"));
+            // They could not be read, but whoever asked for JSON parses what comes.
+            if wants_json {
+                let _ = writeln!(out, "{}", trouble.as_json());
+            }
+            let _ = writeln!(err, "bosun: {trouble}");
             return BAD_INPUT;
         }
     };
@@ -198,6 +219,14 @@
             BosunCmd::Return(back) => self.evacuation("DELETE", &back.zone),
             BosunCmd::Status(status) => self.status(status.strict),
             BosunCmd::Core(told) => core::carry_out(&told.subcommand, &self.tour()?),
+            BosunCmd::Explain(told) => self.explain(told),
+            BosunCmd::Completion(told) => {
+                let script = completion::script(&told.shell);
+                let wrong =
+                    || Trouble::Use(format!("completion wants bash, zsh or fish, got {:?}", told.shell));
+                let text = script.ok_or_else(wrong)?;
+                Ok(Shown { json: json!({"ok": true, "script": text}), text, trouble: None })
+            }
             // They stay instead of carrying out an order: see `run`.
             BosunCmd::StandIn(_) | BosunCmd::Demo(_) | BosunCmd::Watch(_) => {
                 Err(Trouble::Use("no order".into()))
@@ -318,6 +347,32 @@
         Ok(demo::Server::start(told.id.clone(), &told.service, &told.zone, control, STAND_IN_BEAT))
     }
 
+    fn explain(&mut self, told: flags::Explain) -> Result<Shown, Trouble> {
+        let key = match told.key {
+            // Arguments are seen by others on the machine.
+            Some(key) if key == STANDARD_INPUT => {
+                let (name, bytes) = self.file(Path::new(STANDARD_INPUT))?;
+                let text = String::from_utf8(bytes).map_err(|_| Trouble::Use(format!("{name}: no text")))?;
+                Some(text.trim().to_string())
+            }
+            key => key,
+        };
+        let path = told.path.unwrap_or_else(|| "/".into());
+        let path = path.split('?').next().unwrap_or_default().to_string();
+        let tour = self.tour()?;
+        let (document, _) = in_place(&tour)?.ok_or(Trouble::NothingInPlace)?;
+        let known = Standing::of(&status::ask(&tour.addresses, tour.silence, tour.deadline)).known;
+        let known = known.ok_or(Trouble::NoLeader)?;
+        if let Some(zone) = told.from.as_ref().filter(|zone| !known.zones.contains_key(*zone)) {
+            let zones: Vec<&str> = known.zones.keys().map(String::as_str).collect();
+            return Err(Trouble::Use(format!("--from wants one of {}, got {zone:?}", zones.join(", "))));
+        }
+        let method = told.method.unwrap_or_else(|| "GET".into());
+        let ask = explain::Ask { method, host: told.host, path, key, from: told.from };
+        let explained = explain::explain(document.config(), &known, &ask);
+        Ok(Shown { text: explained.as_text(), json: explained.as_json(), trouble: None })
+    }
+
     /// Where `watch` asks, and how often.
     fn watch(&self, told: &flags::Watch) -> Result<(Tour, watch::Pace), Trouble> {
         let every = seconds("--every", told.every, USUAL_EVERY_S)?;
--- a/crates/bosun/src/tour.rs
+++ b/crates/bosun/src/tour.rs
@@ -19,8 +19,8 @@
         Refused(order: String, answer: Answer) {
             display("{}: {} answers {}: {}", order, answer.by, answer.status, answer.text())
         }
-        /// The order, and what the last address said: time is up.
-        Spent(order: String, last: String) {
+        /// The order, the last address, and what it said: time is up.
+        Spent(order: String, peer: Option<String>, last: String) {
             display("{}: time is up; last: {}", order, last)
         }
     }
@@ -46,7 +46,7 @@
         let mut turn = self.addresses.iter().cycle();
         loop {
             let Some(address) = turn.next() else {
-                return Err(Failure::Spent(order, "no address".into()));
+                return Err(Failure::Spent(order, None, "no address".into()));
             };
             let last = match self.follow(address, request) {
                 Ok(answer) => match answer.status {
@@ -65,7 +65,7 @@
                 Err(error) => error.to_string(),
             };
             if Instant::now() + pause >= self.deadline {
-                return Err(Failure::Spent(order, last));
+                return Err(Failure::Spent(order, Some(address.clone()), last));
             }
             std::thread::sleep(pause);
             pause = (pause * 2).min(PAUSES[1]);
--- a/crates/bosun/tests/orders.rs
+++ b/crates/bosun/tests/orders.rs
@@ -157,8 +157,9 @@
     assert_eq!(order(&format!("evacuate leith --at {at}"), &Value::Null).code, FAILED);
     assert_eq!(calls.iter().count(), 3);
     let (at, _calls) = control(vec![Act::Silence]);
-    let end = order(&format!("get --silence 0.05 --timeout 0.3 --at {at}"), &Value::Null);
+    let end = order(&format!("get --json --silence 0.05 --timeout 0.3 --at {at}"), &Value::Null);
     assert_eq!(end.code, FAILED);
+    assert_eq!((&end.json()["step"], &end.json()["peer"]), (&json!("GET /-/config"), &json!(at)));
     assert!(end.err.contains("time is up"), "{}", end.err);
 }
 
@@ -233,8 +234,12 @@
         "sail",
         "put",
         "put - --on five",
+        "completion csh",
+        "watch --every 0 --at a:1",
+        "explain --path /",
     ] {
-        let end = order(bad, &document(7));
+        let end = order(&format!("{bad} --json"), &document(7));
+        assert_eq!(end.json()["ok"], false, "{bad}");
         assert_eq!((end.code, end.err.starts_with("bosun: ")), (BAD_INPUT, true), "{bad}: {}", end.err);
     }
     let help = order("--help", &Value::Null);
--- a/crates/pilot/src/berth.rs
+++ b/crates/pilot/src/berth.rs
@@ -1,6 +1,7 @@
 //! Which servers a gateway sends to, and how near they are. Pure functions over what the core tells.
 
-use nickeljunction_signals::{ServerLine, ServerState};
+use nickeljunction_berths::barred;
+use nickeljunction_signals::ServerLine;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
@@ -62,10 +63,7 @@
     regions: &HashMap<String, String>,
     here: &Place,
 ) -> Vec<Berth> {
-    let fits = |line: &&ServerLine| {
-        let warm = line.cold.as_ref().is_none_or(|holder| *holder == here.name);
-        line.state == ServerState::InService && warm && !evacuated.contains(&line.zone)
-    };
+    let fits = |line: &&ServerLine| barred(line, &here.name, |zone| evacuated.contains(zone)).is_none();
     let berth = |line: &ServerLine| {
         let address = line.address.parse();
         if address.is_err() {
@@ -101,11 +99,7 @@
 
 /// How near a server is: 0 in the own zone, 1 in the own region, 2 elsewhere.
 pub fn near(berth: &Berth, here: &Place) -> u8 {
-    match () {
-        () if berth.zone == here.zone => 0,
-        () if berth.region == here.region => 1,
-        () => 2,
-    }
+    nickeljunction_rutter::near((&berth.zone, &berth.region), (&here.zone, &here.region))
 }
 
 /// The weight of a server for requests with these homes; `None`: it is not to be used. `wide`: other regions are.
@@ -120,14 +114,14 @@
     Some(part * f64::from(berth.slots))
 }
 
-/// A server in a region that isn't known is at home nowhere.
 fn allowed(berth: &Berth, homes: &[String]) -> bool {
-    homes.is_empty() || (!berth.region.is_empty() && homes.contains(&berth.region))
+    nickeljunction_rutter::at_home(&berth.region, homes)
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
+    use nickeljunction_signals::ServerState;
 
     fn line(id: &str, zone: &str, state: ServerState, cold: Option<&str>) -> ServerLine {
         let (backend, address) = ("b".to_string(), "127.0.0.1:1".to_string());
--- a/crates/pilot/src/front.rs
+++ b/crates/pilot/src/front.rs
@@ -7,6 +7,7 @@
 use crate::table::{self, Found, Route, Swap, Table, Tenant};
 use nickeljunction_chandler::budget::{Budget, Slot};
 use nickeljunction_chandler::wheel::Wheel;
+use nickeljunction_core::facade::Repeat;
 use nickeljunction_core::life::Answer;
 use nickeljunction_http::stream::RequestHead;
 use nickeljunction_http::HttpError;
@@ -339,7 +340,7 @@
     /// A request of repeatable kind, as far as known: it may be handed on while others before it are unanswered.
     fn repeats(&self, head: &RequestHead) -> bool {
         match self.table.get().find(head.host(), head.path()) {
-            Found::Route(route) => route.repeat == nickeljunction_core::facade::Repeat::Repeatable,
+            Found::Route(route) => route.repeatable,
             // Its answer is the gateway's own.
             Found::Nothing | Found::Unknown => true,
         }
@@ -369,7 +370,7 @@
                 return Err(stale.unwrap_or(Own::new(404, "no such route")));
             }
         };
-        let tenant = match table.keyed() && !route.open {
+        let tenant = match table.wants_key(&route) {
             true => Some(self.holder(&table, head)?),
             false => None,
         };
@@ -424,7 +425,7 @@
             attempt_id,
             backend,
             homes,
-            repeat: route.repeat,
+            repeat: if route.repeatable { Repeat::Repeatable } else { Repeat::Once },
             aim_ms: route.aim_ms,
             max_attempts: route.max_attempts,
             priority: table::priority(&route, tenant.as_deref()),
