--- a/crates/logbook/src/log.rs
+++ b/crates/logbook/src/log.rs
@@ -133,7 +133,7 @@
         // Bounded in bytes too: documents may be large, and memory is dear.
         let mut held = 0;
         let mut base = index;
-        while base > index.saturating_sub(HELD_BACK).max(self.base) {
+        while base > index.saturating_sub(guard!(HeldBack, HELD_BACK, 0)).max(self.base) {
             held += self.get(base).map_or(0, Entry::size);
             if held > HELD_BYTES {
                 break;
--- a/crates/logbook/src/model.rs
+++ b/crates/logbook/src/model.rs
@@ -2,12 +2,12 @@
 //! guards that can be taken out one at a time.
 
 use crate::machine::{Logbook, Role};
-use crate::{Entry, Snapshot};
+use crate::Entry;
 use std::cell::Cell;
 use std::hash::{Hash, Hasher};
 
 thread_local! {
-    static OUT: Cell<Option<Guard>> = const { Cell::new(None) };
+    static OUT: Cell<u64> = const { Cell::new(0) };
 }
 
 /// What a line of this crate guards.
@@ -22,6 +22,7 @@
     CutIsUnsafe,
     EntriesSynced,
     FailureCuts,
+    HeldBack,
     KeptVerified,
     KeptWithinLog,
     LargeBatches,
@@ -51,14 +52,56 @@
     VotesOfMajority,
 }
 
-/// Takes a guard out, of all logbooks of this thread, or puts all back.
-pub fn take_out(guard: Option<Guard>) {
-    OUT.set(guard);
+impl Guard {
+    /// All of them.
+    pub const ALL: [Guard; 36] = [
+        Guard::CandidacySynced,
+        Guard::CaughtUp,
+        Guard::ChangeReady,
+        Guard::CommitVerified,
+        Guard::CommittedStays,
+        Guard::CutIsUnsafe,
+        Guard::EntriesSynced,
+        Guard::FailureCuts,
+        Guard::HeldBack,
+        Guard::KeptVerified,
+        Guard::KeptWithinLog,
+        Guard::LargeBatches,
+        Guard::LaterCuts,
+        Guard::LeaderHeard,
+        Guard::LeaderSynced,
+        Guard::LogAsGood,
+        Guard::LogsMatch,
+        Guard::OldTermRefused,
+        Guard::OneChange,
+        Guard::OneVote,
+        Guard::OwedVoteByTerm,
+        Guard::OwnTermCommits,
+        Guard::ReadConfirmed,
+        Guard::ReadNextRound,
+        Guard::ReadOwnTerm,
+        Guard::RestartWaits,
+        Guard::RoundBegun,
+        Guard::RoundByTerm,
+        Guard::SickIsSilent,
+        Guard::SickTakesNothing,
+        Guard::SnapshotAhead,
+        Guard::SnapshotCuts,
+        Guard::TermsMatch,
+        Guard::VerifiedByTerm,
+        Guard::VoteSynced,
+        Guard::VotesOfMajority,
+    ];
+}
+
+/// Takes these guards out, of all logbooks of this thread, and puts all others back.
+pub fn take_out(guards: &[Guard]) {
+    OUT.set(guards.iter().fold(0, |out, guard| out | 1 << *guard as u64));
 }
 
 /// This guard is out.
 pub(crate) fn is_out(guard: Guard) -> bool {
-    OUT.get() == Some(guard)
+    OUT.get() & (1 << guard as u64) != 0
 }
 
 impl Logbook {
@@ -80,9 +123,15 @@
         }
     }
 
-    /// The newest snapshot, and the entries that are in memory.
-    pub fn kept(&self) -> (Option<&Snapshot>, Vec<Entry>) {
-        (self.log.snapshot(), self.log.some(self.log.base() + 1, self.log.last(), usize::MAX))
+    /// The index before the first entry in memory, and the entries from there on.
+    pub fn entries(&self) -> (u64, impl Iterator<Item = &Entry>) {
+        let base = self.log.base();
+        (base, (base + 1..=self.log.last()).map_while(|index| self.log.get(index)))
+    }
+
+    /// The entry at `index`, where it is in memory.
+    pub fn entry(&self, index: u64) -> Option<&Entry> {
+        self.log.get(index)
     }
 }
 
--- /dev/null
+++ b/crates/logbook/tests/small_world/disk.rs
@@ -0,0 +1,98 @@
+//! A disk of what was synced, and what worlds share.
+
+use nickeljunction_logbook::{Entry, Hard, Member, Snapshot, Write};
+use std::collections::hash_map::DefaultHasher;
+use std::hash::{Hash, Hasher};
+use std::sync::Arc;
+
+/// What is shared between worlds, with its hash.
+#[derive(Debug)]
+pub struct Seal<T>(Arc<(u64, T)>);
+
+impl<T: Hash> Seal<T> {
+    pub fn new(value: T) -> Seal<T> {
+        let mut hasher = DefaultHasher::new();
+        value.hash(&mut hasher);
+        Seal(Arc::new((hasher.finish(), value)))
+    }
+}
+
+impl<T> Seal<T> {
+    /// The hash of what is inside.
+    pub fn hash_of(&self) -> u64 {
+        self.0 .0
+    }
+}
+
+impl<T> Clone for Seal<T> {
+    fn clone(&self) -> Self {
+        Seal(Arc::clone(&self.0))
+    }
+}
+
+impl<T> PartialEq for Seal<T> {
+    fn eq(&self, other: &Self) -> bool {
+        self.0 .0 == other.0 .0
+    }
+}
+
+impl<T> Hash for Seal<T> {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.0 .0.hash(state);
+    }
+}
+
+impl<T> std::ops::Deref for Seal<T> {
+    type Target = T;
+    fn deref(&self) -> &T {
+        &self.0 .1
+    }
+}
+
+/// What is synced.
+#[derive(Debug, Clone, Default, Hash)]
+pub struct Disk {
+    pub me: Option<Member>,
+    pub hard: Hard,
+    pub snapshot: Option<Snapshot>,
+    pub entries: Vec<Entry>,
+    pub ticket: u64,
+}
+
+impl Disk {
+    /// Does a write; false where it builds on one that isn't there.
+    pub fn save(&mut self, write: &Write) -> bool {
+        if write.after != 0 && write.after != self.ticket {
+            return false;
+        }
+        self.ticket = write.ticket;
+        self.me = write.me.clone().or(self.me.take());
+        self.hard = write.hard.unwrap_or(self.hard);
+        if let Some(from) = write.truncate_from {
+            self.entries.retain(|entry| entry.index < from);
+        }
+        if let Some(snapshot) = &write.snapshot {
+            self.entries.retain(|entry| entry.index > snapshot.index);
+            self.snapshot = Some(snapshot.clone());
+        }
+        self.entries.extend_from_slice(&write.entries);
+        true
+    }
+
+    pub fn base(&self) -> u64 {
+        self.snapshot.as_ref().map_or(0, |snapshot| snapshot.index)
+    }
+
+    pub fn fits(&self) -> bool {
+        self.entries.iter().zip(self.base() + 1..).all(|(entry, index)| entry.index == index)
+            && self.entries.windows(2).all(|pair| pair[0].term <= pair[1].term)
+            && self
+                .entries
+                .first()
+                .is_none_or(|first| self.snapshot.as_ref().is_none_or(|snapshot| snapshot.term <= first.term))
+    }
+
+    pub fn holds(&self, index: u64, term: u64) -> bool {
+        index <= self.base() || self.entries.iter().any(|entry| (entry.index, entry.term) == (index, term))
+    }
+}
