Drive the core member's true machine in the drydock

Storms and cases tested a mirror of helm and the resources, written a second time; what differed between the two was not seen. Member now drives wheelhouse's machine between its modelled disk and network: a put is a call's body that is read and checked, time-outs are the machine's, and a process starts from the hint of the one before unless power was lost. The times of a follower's watch are said once.

--- a/crates/drydock/src/gateway.rs
+++ b/crates/drydock/src/gateway.rs
@@ -1,6 +1,5 @@
 //! A gateway: the real copy, lease, purse and search, driven by the thin rules of `pilot::link::Link`, which are modelled here.
 
-use crate::member::limits;
 use crate::{host, node_of, Answer, Fact, Node, Out, Packet, Question, TENANT, WINDOW_MS};
 use nickeljunction_berths::{Copy, Leave};
 use nickeljunction_bunker::{Purse, Spend};
@@ -8,6 +7,7 @@
 use nickeljunction_pilot::lease::Lease;
 use nickeljunction_pilot::seek::Seek;
 use nickeljunction_signals::{Caller, GatewayLine, WatchAnswer};
+use nickeljunction_wheelhouse::limits;
 
 // The figures of `pilot::link`.
 const HOLD_MS: u64 = 1_000;
@@ -210,7 +210,7 @@
             self.purse.moved(now);
         }
         if let Some(config) = chart.config.as_ref().filter(|_| applied.config) {
-            self.purse.known(now, &limits(&config.doc));
+            self.purse.known(now, &limits(&config.doc, &Bounds::usual()));
         }
         if applied.core {
             self.seek.known(&chart.core);
--- a/crates/drydock/src/lib.rs
+++ b/crates/drydock/src/lib.rs
@@ -1,6 +1,6 @@
-//! The whole harbour in virtual time, for tests alone: the machines without I/O (agreement, statutes, registers, counter,
-//! copy, purse, lease, search) of core members and gateways, driven as the programs drive them, with scripted operators
-//! and servers between links and disks that fail when told to.
+//! The whole harbour in virtual time, for tests alone: core members' machines (`nickeljunction_wheelhouse`, all that
+//! `harbourmaster` decides) and gateways' (copy, purse, lease, search), driven as the programs drive them, with scripted
+//! operators and servers between links and disks that fail when told to.
 //!
 //! [`World`] owns the clock (ms), the network and the machines; [`Audit`] checks all that comes out of them as it comes.
 //! Nothing here waits: a world of some minutes runs in milliseconds, and the same seed makes the same world.
--- a/crates/drydock/src/member.rs
+++ b/crates/drydock/src/member.rs
@@ -1,83 +1,46 @@
-//! A core member: the real agreement, statutes, registers, counter and copy, and the thin rules by which
-//! `harbourmaster` drives them. Those are mixed with I/O there; here they are modelled, each with the name of what it mirrors.
+//! A core member: its machine, driven as `harbourmaster` drives it, between a disk and a network that are modelled here.
 
-use crate::{host, node_of, Answer, Fact, Node, Out, Packet, Question, WINDOW_MS};
-use nickeljunction_berths::{Copy, Register, Seen};
-use nickeljunction_bunker::{Counter, Limit, Roll};
+use crate::{host, node_of, Answer, Fact, Node, Out, Packet, Question};
+use nickeljunction_berths::Copy;
 use nickeljunction_hold::{Hold, MemoryHold};
-use nickeljunction_logbook::{Logbook, Outputs, ReadTicket, Restored, Tuning, Write};
-use nickeljunction_manifest::{Bounds, Document};
-use nickeljunction_signals::{Caller, ConfigLine, Elsewhere, ServerState, UnitsCall, WatchAnswer, WatchCall};
-use nickeljunction_wheelhouse::statutes::{Entry, Outcome, Statutes};
+use nickeljunction_logbook::{Logbook, Restored, Tuning, Write};
+use nickeljunction_manifest::Bounds;
+use nickeljunction_signals::{Elsewhere, WatchCall};
+use nickeljunction_wheelhouse::statutes::Statutes;
+use nickeljunction_wheelhouse::{
+    self as wheelhouse, follow, Change, Effects, Event, Held, Lent, Place, Round, Ticket, Wheelhouse,
+};
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
-// The figures of `helm`, `follow`, `resources::{config, evacuations, instances, inner}`.
-const SNAPSHOT_EVERY: u64 = 64;
-const AGE_MS: u64 = 200;
-const HOLD_MS: u64 = 2_000;
-const SLACK_MS: u64 = 700;
-const AGAIN_MS: u64 = 60;
-const PROPOSAL_MS: u64 = 2_500;
-const READ_MS: u64 = 800;
-const ROUND_MS: u64 = 250;
-const ENROLL_MS: u64 = 250;
-const MOST_HOLD_MS: u64 = 5_000;
 /// Servers beat so often, ms.
 pub(crate) const HEARTBEAT_MS: u64 = 1_000;
 
-/// Limits of a document's tenants, as `helm::Helm::limits` and `pilot::link::Link::configure` make them.
-pub(crate) fn limits(doc: &serde_json::Value) -> BTreeMap<String, Limit> {
-    let bounds = Bounds::usual();
-    let Ok(document) = Document::of(doc.clone()) else { return BTreeMap::new() };
-    let limit = |tenant: &nickeljunction_manifest::Tenant| {
-        let (rate, burst) = tenant.quota()?;
-        let window_s = WINDOW_MS as f64 / 1_000.0;
-        Limit::with_margin(rate, burst, window_s, bounds.quota_overrun, bounds.quota_slack)
-    };
-    let tenants = document.config().tenants.iter();
-    tenants.filter_map(|(name, tenant)| Some((name.clone(), limit(tenant)?))).collect()
-}
-
-struct Lead {
-    term: u64,
-    register: Register,
-    counter: Counter,
-    version: u64,
-    /// The counter's wish to forget lives is on its way to the log.
-    forgets: bool,
-}
-
 impl From<Elsewhere> for Answer {
     fn from(elsewhere: Elsewhere) -> Answer {
         Answer::Elsewhere(elsewhere.leader)
     }
 }
 
-/// A call that waits for the agreement.
+/// A call and whose it is.
 struct Job {
     from: Node,
     call: u64,
     question: Question,
-    until: u64,
 }
 
 /// A watch call that is held.
-struct Held {
+struct HeldCall {
     from: Node,
     call: u64,
     watch: WatchCall,
-    brief: bool,
-    end: u64,
+    held: Held,
 }
 
 /// An acknowledgement that waits for its change to come round.
-struct Round {
-    from: Node,
-    call: u64,
-    question: Question,
-    seq: u64,
-    until: u64,
+struct Waiting {
+    job: Job,
+    round: Round,
     look_at: u64,
 }
 
@@ -88,24 +51,15 @@
     pub disk: MemoryHold,
     /// A write takes 1 to so many ms.
     pub disk_ms: u64,
-    /// Its agreement, while it runs.
-    pub book: Option<Logbook>,
-    /// What its log makes.
-    pub statutes: Statutes,
+    /// What it noted down of servers and gateways, and when: outlives the process, but not the loss of power.
+    pub hint: Option<(u64, Copy)>,
+    house: Option<Wheelhouse>,
     rng: fastrand::Rng,
-    applied: u64,
-    snapshot_at: u64,
-    lead: Option<Lead>,
-    copy: Copy,
-    waits: BTreeMap<u64, (u64, Job)>,
-    reads: BTreeMap<ReadTicket, Job>,
-    /// Settled, to be gone on with after the turn.
-    settled: Vec<(Job, Option<Outcome>)>,
-    confirmed: Vec<(Job, bool)>,
-    held: Vec<Held>,
-    rounds: Vec<Round>,
+    /// Calls that wait for the agreement.
+    jobs: BTreeMap<Ticket, Job>,
+    held: Vec<HeldCall>,
+    rounds: Vec<Waiting>,
     changed: bool,
-    age_at: u64,
     /// Its own watch call: number, time-out, at whom.
     watching: Option<(u64, u64, Node)>,
     watch_at: u64,
@@ -121,21 +75,13 @@
             node,
             disk: MemoryHold::new(),
             disk_ms: 3,
-            book: None,
-            statutes: Statutes::default(),
+            hint: None,
+            house: None,
             rng: fastrand::Rng::with_seed(seed),
-            applied: 0,
-            snapshot_at: 0,
-            lead: None,
-            copy: Copy::new(),
-            waits: BTreeMap::new(),
-            reads: BTreeMap::new(),
-            settled: Vec::new(),
-            confirmed: Vec::new(),
+            jobs: BTreeMap::new(),
             held: Vec::new(),
             rounds: Vec::new(),
             changed: false,
-            age_at: 0,
             watching: None,
             watch_at: 0,
             next_call: 0,
@@ -146,37 +92,60 @@
 
     /// A process begins; see `serve::open` and `serve::run`.
     pub(crate) fn start(&mut self, now: u64, restored: Restored, seeds: &[String], out: &mut Out) {
-        let (disk, rng) = (self.disk.clone(), self.rng.fork());
-        *self = Member { disk, disk_ms: self.disk_ms, ..Member::new(self.node, 0) };
-        self.rng = rng;
-        self.age_at = now + AGE_MS;
+        self.end();
         // Answers to its life before are not taken for its own.
         self.next_call = self.rng.u64(..1 << 40);
-        let mut book = Logbook::new(restored, Tuning::default(), self.rng.u64(..), now);
-        book.seek(seeds);
-        self.book = Some(book);
-        self.act(now, out, |_| ());
+        let zones = [("z1", "r1"), ("z2", "r1")].map(|(zone, region)| (zone.to_owned(), region.to_owned()));
+        let place = Place {
+            name: host(self.node),
+            host: host(self.node),
+            zones: BTreeMap::from(zones),
+            bounds: Bounds::usual(),
+            heartbeat_ms: HEARTBEAT_MS,
+        };
+        let seed = self.rng.u64(..);
+        let mut house = Wheelhouse::new(Rc::new(place), restored, Tuning::default(), seed, now);
+        let fresh = |(at, _): &(u64, Copy)| now - at <= wheelhouse::HINT_GOOD_MS;
+        if let Some((_, copy)) = self.hint.take().filter(fresh) {
+            house.remember(copy);
+        }
+        self.house = Some(house);
+        self.seek(now, seeds, out);
     }
 
     /// The process ends; what it had asked the disk to write is there, synced or not.
     pub(crate) fn end(&mut self) {
-        let (disk, rng) = (self.disk.clone(), self.rng.fork());
-        *self = Member { disk, disk_ms: self.disk_ms, ..Member::new(self.node, 0) };
-        self.rng = rng;
+        let (disk, hint, rng) = (self.disk.clone(), self.hint.take(), self.rng.fork());
+        *self = Member { disk, disk_ms: self.disk_ms, hint, rng, ..Member::new(self.node, 0) };
+    }
+
+    /// Its process runs.
+    pub fn up(&self) -> bool {
+        self.house.is_some()
+    }
+
+    /// Its agreement, while it runs.
+    pub fn book(&self) -> Option<&Logbook> {
+        self.house.as_ref().map(Wheelhouse::book)
+    }
+
+    /// What its log makes, while it runs.
+    pub fn statutes(&self) -> Option<&Statutes> {
+        self.house.as_ref().map(Wheelhouse::statutes)
     }
 
     /// It leads, and has an entry of its own term committed.
     pub fn leads(&self) -> bool {
-        self.lead.is_some()
+        self.house.as_ref().is_some_and(|house| house.leads().is_some())
     }
 
     /// What a failed check tells of it.
     pub(crate) fn view(&self, now: u64) -> String {
-        let Some(book) = &self.book else { return "down".into() };
+        let (Some(book), Some(statutes)) = (self.book(), self.statutes()) else { return "down".into() };
         let members: Vec<&str> = book.members().iter().map(|member| member.host.as_str()).collect();
         format!(
             "version {} leads {} term {} commit {} sick {} quorum {:?} writes {} writing {:?} of {members:?}, itself {}",
-            self.statutes.version(),
+            statutes.version(),
             self.leads(),
             book.term(),
             book.commit(),
@@ -188,385 +157,211 @@
         )
     }
 
-    // ---- helm ----
-
-    /// `helm::Helm::turn`, and what the handlers do with what it settles.
-    fn act(&mut self, now: u64, out: &mut Out, act: impl FnOnce(&mut Logbook)) {
-        match &mut self.book {
-            Some(book) => act(book),
-            None => return,
-        }
-        loop {
-            let outputs = self.book.as_mut().map(Logbook::take).unwrap_or_default();
-            if outputs == Outputs::default() {
-                break;
-            }
-            self.carry_out(now, outputs, out);
-        }
-        self.take_or_leave_lead(now, out);
-        self.begin_write(now);
-        for (job, fine) in std::mem::take(&mut self.confirmed) {
-            self.has_read(now, job, fine, out);
-        }
-        for (job, outcome) in std::mem::take(&mut self.settled) {
-            let answer = match (&job.question, outcome) {
-                (Question::Units(units), Some(_)) => {
-                    let units = units.clone();
-                    self.lend(now, &units, true)
-                }
-                // Its own, see `forget`.
-                (Question::HangUp, _) => {
-                    self.lead.iter_mut().for_each(|lead| lead.forgets = false);
-                    continue;
-                }
-                // resources::config: 503 and a repeat; resources::evacuations: to the leader.
-                (Question::Put(..), None) => Answer::Unknown,
-                (_, None) => self.elsewhere(),
-                (_, Some(Outcome::Taken)) => Answer::Done,
-                (_, Some(Outcome::Conflict)) => Answer::Conflict,
-            };
-            Self::answer(job.from, job.call, job.question, answer, out);
-        }
-        self.look(now, out);
-    }
+    // ---- As helm ----
 
-    fn answer(to: Node, call: u64, question: Question, answer: Answer, out: &mut Out) {
-        out.facts.push(Fact::Answered(Box::new((question, answer.clone()))));
-        out.posts.push((to, Packet::Reply(call, answer)));
+    /// Does something with the machine and carries out what follows from it.
+    fn act<R>(&mut self, now: u64, out: &mut Out, act: impl FnOnce(&mut Wheelhouse) -> R) -> Option<R> {
+        let house = self.house.as_mut()?;
+        let result = act(house);
+        let effects = house.take();
+        self.carry_out(now, effects, out);
+        Some(result)
     }
 
-    /// `helm::Helm::carry_out`.
-    fn carry_out(&mut self, now: u64, outputs: Outputs, out: &mut Out) {
-        if let Some(snapshot) = outputs.restored_state {
-            self.statutes = match snapshot.state.is_empty() {
-                true => Statutes::default(),
-                false => Statutes::from_text(&snapshot.state).expect("its own text"),
-            };
-            (self.applied, self.snapshot_at) = (snapshot.index, snapshot.index);
-        }
-        let news = !outputs.committed.is_empty();
-        for entry in outputs.committed {
-            assert_eq!(entry.index, self.applied + 1, "a gap in what was committed");
-            self.applied = entry.index;
+    fn carry_out(&mut self, now: u64, effects: Effects, out: &mut Out) {
+        for entry in effects.applied {
             out.facts.push(Fact::Applied(entry.index, entry.term, entry.data().map(str::to_owned)));
-            let read = |data| serde_json::from_str::<Entry>(data).expect("an entry of its own");
-            let outcome = entry.data().map(|data| self.statutes.apply(read(data)));
-            if let Some((term, job)) = self.waits.remove(&entry.index) {
-                self.settled.push((job, outcome.filter(|_| term == entry.term)));
-            }
         }
-        for (to, envelope) in outputs.send {
-            if let Some(node) = node_of(&to) {
-                out.posts.push((node, Packet::Book(envelope)));
+        for event in effects.events {
+            match event {
+                Event::LeadBegun { term, version, .. } => out.facts.push(Fact::Leads(version, term)),
+                Event::SnapshotUnreadable { .. } | Event::EntryUnreadable { .. } => panic!("{event:?}"),
+                _ => {}
             }
         }
-        self.writes.extend(outputs.writes);
-        for (ticket, fine) in outputs.reads {
-            self.confirmed.extend(self.reads.remove(&ticket).map(|job| (job, fine)));
-        }
-        for index in outputs.lost {
-            self.settled.extend(self.waits.remove(&index).map(|(_, job)| (job, None)));
-        }
-        if self.applied >= self.snapshot_at + SNAPSHOT_EVERY {
-            self.snapshot_at = self.applied;
-            let (index, text) = (self.applied, self.statutes.to_text());
-            self.book.iter_mut().for_each(|book| book.snapshot(now, index, text.clone()));
+        for (to, envelope) in effects.send {
+            out.posts.extend(node_of(&to).map(|node| (node, Packet::Book(envelope))));
         }
-        if news {
-            self.publish(now);
-            self.changed = true;
-        }
-    }
-
-    /// `helm::Helm::publish`.
-    fn publish(&mut self, now: u64) {
-        let (Some(lead), Some(book)) = (&mut self.lead, &self.book) else { return };
-        lead.register.evacuated(now, self.statutes.evacuated().clone());
-        lead.register.core(book.members().iter().map(|member| member.host.clone()).collect());
-        lead.counter.logged(self.statutes.gateways());
-        let version = self.statutes.version();
-        if version > lead.version {
-            lead.version = version;
-            let doc = self.statutes.doc().clone();
-            lead.counter.limits(now, &limits(&doc));
-            lead.register.config(Rc::new(ConfigLine { version, doc }));
-        }
-    }
-
-    /// `helm::Helm::take_or_leave_lead`.
-    fn take_or_leave_lead(&mut self, now: u64, out: &mut Out) {
-        let Some(book) = &self.book else { return };
-        let term = book.term();
-        if !book.ready() {
-            if let Some(lead) = self.lead.take() {
-                // What it knew is what the next leader starts from, which may be this very member.
-                let ask = self.copy.ask(Caller::Core, &host(self.node), 0, None, 0);
-                if let Some(answer) = lead.register.answer(&ask, 0) {
-                    let _ = self.copy.apply(answer);
+        self.writes.extend(effects.writes);
+        self.begin_write(now);
+        for (ticket, answer) in effects.answers {
+            let Some(job) = self.jobs.remove(&ticket) else { continue };
+            let answer = match answer {
+                wheelhouse::Answer::Confirmed => Answer::State(self.statutes().map_or(0, Statutes::version)),
+                wheelhouse::Answer::Units(units) => Answer::Units(units),
+                wheelhouse::Answer::Taken => Answer::Done,
+                wheelhouse::Answer::Conflict(_) => Answer::Conflict,
+                wheelhouse::Answer::Unknown => Answer::Unknown,
+                wheelhouse::Answer::Elsewhere(elsewhere) => elsewhere.into(),
+                unfit @ (wheelhouse::Answer::Wrong(_) | wheelhouse::Answer::Unfit(_)) => {
+                    panic!("{:?}: {unfit:?}", job.question)
                 }
-                self.changed = true;
-            }
-            return;
-        }
-        if self.lead.as_ref().is_some_and(|lead| lead.term == term) {
-            return;
+            };
+            Self::answer(job, answer, out);
         }
-        let zones = BTreeMap::from([("z1", "r1"), ("z2", "r1")]);
-        let zones = zones.into_iter().map(|(zone, region)| (zone.to_owned(), region.to_owned()));
-        let tuning = nickeljunction_berths::Tuning::new(HEARTBEAT_MS, zones.collect());
-        let copy = std::mem::take(&mut self.copy);
-        let known = self.statutes.gateways().clone();
-        let counter = Counter::new(now, term, nickeljunction_bunker::Tuning::new(WINDOW_MS), known);
-        let register = Register::new(now, tuning, term, Some(copy));
-        self.lead = Some(Lead { term, register, counter, version: 0, forgets: false });
-        out.facts.push(Fact::Leads(self.statutes.version(), term));
-        self.publish(now);
-        self.changed = true;
-    }
-
-    /// `helm::Helm::with_lead`: nothing is said, taken or lent by one that may have a successor.
-    fn with_lead<R>(&mut self, now: u64, act: impl FnOnce(&mut Lead, u64) -> R) -> Result<R, Elsewhere> {
-        let elsewhere = self.known_leader();
-        let Some(book) = &self.book else { return Err(elsewhere) };
-        let lease_ms = Tuning::default().election_min_ms;
-        let Some(age) = book.quorum_age(now).filter(|age| *age < lease_ms) else { return Err(elsewhere) };
-        let Some(lead) = &mut self.lead else { return Err(elsewhere) };
-        let before = lead.register.seq();
-        let result = act(lead, age);
-        self.changed |= lead.register.seq() != before;
-        Ok(result)
+        self.hint = effects.hint.map(|copy| (now, copy)).or(self.hint.take());
+        self.changed |= effects.changed;
     }
 
-    /// `helm::Helm::elsewhere`.
-    fn known_leader(&self) -> Elsewhere {
-        let leader = self.book.as_ref().and_then(Logbook::leader).map(|member| member.host);
-        Elsewhere { leader: leader.filter(|leader| *leader != host(self.node)) }
+    fn answer(job: Job, answer: Answer, out: &mut Out) {
+        out.facts.push(Fact::Answered(Box::new((job.question, answer.clone()))));
+        out.posts.push((job.from, Packet::Reply(job.call, answer)));
     }
 
-    fn elsewhere(&self) -> Answer {
-        self.known_leader().into()
-    }
-
-    // ---- resources ----
-
-    fn read(&mut self, now: u64, from: Node, call: u64, question: Question, out: &mut Out) {
-        let Some(book) = &mut self.book else { return };
-        match book.read(now) {
-            Ok(ticket) => {
-                self.reads.insert(ticket, Job { from, call, question, until: now + READ_MS });
-            }
-            Err(_) => Self::answer(from, call, question, self.elsewhere(), out),
-        }
-        self.act(now, out, |_| ());
+    /// Other hosts where members may be.
+    pub(crate) fn seek(&mut self, now: u64, hosts: &[String], out: &mut Out) {
+        self.act(now, out, |house| house.seek(now, hosts));
     }
 
-    /// `resources::config::Config::{get, change}`, after `state`.
-    fn has_read(&mut self, now: u64, job: Job, fine: bool, out: &mut Out) {
-        let elsewhere = self.elsewhere();
-        let answer = match &job.question {
-            _ if !fine => elsewhere,
-            Question::Put(base, version, digest, doc) => match () {
-                () if self.statutes.knows(*version, digest) => Answer::Done,
-                () if *base != self.statutes.version() || *version <= *base => Answer::Conflict,
-                () => {
-                    let (base, version, digest) = (*base, *version, digest.clone());
-                    let entry = Entry::Put { base, version, digest, doc: doc.clone() };
-                    return self.propose(now, job, &entry, out);
-                }
-            },
-            _ => Answer::State(self.statutes.version()),
-        };
-        Self::answer(job.from, job.call, job.question, answer, out);
-    }
-
-    /// `helm::Helm::propose`.
-    fn propose(&mut self, now: u64, mut job: Job, entry: &Entry, out: &mut Out) {
-        let Some(book) = &mut self.book else { return };
-        let patience = if matches!(job.question, Question::Units(_)) { ENROLL_MS } else { PROPOSAL_MS };
-        job.until = now + patience;
-        match book.propose(now, serde_json::to_string(entry).expect("plain data")) {
-            Ok(index) => {
-                let term = book.term();
-                self.waits.insert(index, (term, job));
-            }
-            Err(_) => self.settled.push((job, None)),
-        }
-        self.act(now, out, |_| ());
-    }
+    // ---- As the resources ----
 
     /// A packet came in.
     pub(crate) fn heard(&mut self, now: u64, packet: Packet, out: &mut Out) {
-        if self.book.is_none() {
-            return;
-        }
         match packet {
-            Packet::Book(envelope) => self.act(now, out, |book| book.step(now, envelope)),
+            Packet::Book(envelope) => drop(self.act(now, out, |house| house.heard(now, vec![envelope]))),
             Packet::Reply(call, answer) => {
                 if self.watching.is_some_and(|(mine, ..)| mine == call) {
                     self.watching = None;
                     self.learned(now, answer);
                 }
             }
-            Packet::Ask(from, call, question) => self.asked(now, from, call, question, out),
+            Packet::Ask(from, call, question) => {
+                if let Some(answer) = self.asked(now, Job { from, call, question: question.clone() }, out) {
+                    Self::answer(Job { from, call, question }, answer, out);
+                }
+            }
         }
         self.look(now, out);
     }
 
-    fn asked(&mut self, now: u64, from: Node, call: u64, question: Question, out: &mut Out) {
-        let job = Job { from, call, question: question.clone(), until: 0 };
-        let answer = match &question {
-            Question::Get | Question::Put(..) => return self.read(now, from, call, question, out),
-            Question::Evacuate(zone) => return self.propose(now, job, &Entry::Evacuate(zone.clone()), out),
-            // resources::inner::Watch and its `Held`.
-            Question::Watch(watch) => match self.with_lead(now, |lead, _| lead.register.called(now, watch)) {
-                Ok(seen) => {
-                    let brief = matches!(seen, Seen::NoLine | Seen::Replaced);
-                    let end = now + watch.wait_ms.min(MOST_HOLD_MS);
+    /// Its answer, where it comes at once.
+    fn asked(&mut self, now: u64, job: Job, out: &mut Out) -> Option<Answer> {
+        let (from, call) = (job.from, job.call);
+        match &job.question {
+            Question::Get => self.wait(now, job, out, |house| house.read(now)),
+            Question::Put(base, _, _, doc) => {
+                let body = serde_json::to_vec(doc).expect("plain data").into();
+                let change = Change { patch: false, base: Some(*base), body };
+                self.wait(now, job, out, |house| house.change(now, change));
+            }
+            Question::Evacuate(zone) => {
+                let zone = zone.clone();
+                self.wait(now, job, out, |house| house.zone(now, zone, false));
+            }
+            Question::Units(units) => {
+                let house = self.house.as_mut()?;
+                let answer = match house.units(now, units) {
+                    Ok(Lent::Now(answer)) => Some(Answer::Units(answer)),
+                    Ok(Lent::Later(ticket)) => {
+                        self.jobs.insert(ticket, job);
+                        None
+                    }
+                    Err(elsewhere) => Some(elsewhere.into()),
+                };
+                let effects = house.take();
+                self.carry_out(now, effects, out);
+                return answer;
+            }
+            Question::Watch(watch) => match self.act(now, out, |house| house.called(now, watch))? {
+                Ok(held) => {
                     self.changed = true;
-                    self.held.push(Held { from, call, watch: watch.clone(), brief, end });
-                    return;
+                    self.held.push(HeldCall { from, call, watch: watch.clone(), held });
                 }
-                Err(elsewhere) => elsewhere.into(),
+                Err(elsewhere) => return Some(elsewhere.into()),
             },
             Question::HangUp => {
                 let gone = self.held.iter().position(|held| (held.from, held.call) == (from, call));
                 if let Some(held) = gone.map(|at| self.held.remove(at)) {
-                    let (name, life) = (&held.watch.name, held.watch.life);
-                    if held.watch.who == Caller::Gateway {
-                        let _ = self.with_lead(now, |lead, _| lead.register.gateway_left(now, name, life));
-                    }
+                    self.act(now, out, |house| house.hung_up(now, &held.watch));
                 }
-                return;
             }
-            Question::Units(units) => match self.with_lead(now, |lead, _| lead.counter.before(now, units)) {
-                // On the log first: nobody has units whom a later leader would not know of.
-                Ok(Some(roll)) => return self.enroll(now, job, roll, out),
-                Ok(None) => self.lend(now, units, false),
-                Err(elsewhere) => elsewhere.into(),
+            Question::Beat(id, beat) => match self.act(now, out, |house| house.beat(now, id, beat))? {
+                Ok(Some(round)) => self.rounds.push(Waiting { job, round, look_at: now }),
+                Ok(None) => return Some(Answer::Done),
+                Err(elsewhere) => return Some(elsewhere.into()),
             },
-            // resources::instances.
-            Question::Beat(id, beat) => {
-                match self.with_lead(now, |lead, _| lead.register.beat(now, id, beat).at) {
-                    Ok(seq) if beat.state == ServerState::Draining => {
-                        let until = now + ROUND_MS;
-                        return self.rounds.push(Round { from, call, question, seq, until, look_at: now });
-                    }
-                    Ok(_) => Answer::Done,
-                    Err(elsewhere) => elsewhere.into(),
-                }
-            }
-            Question::Leave(id) => match self.with_lead(now, |lead, _| lead.register.leave(now, id)) {
-                Ok(seq) => {
-                    let until = now + ROUND_MS;
-                    return self.rounds.push(Round { from, call, question, seq, until, look_at: now });
-                }
-                Err(elsewhere) => elsewhere.into(),
+            Question::Leave(id) => match self.act(now, out, |house| house.gone(now, id))? {
+                Ok(round) => self.rounds.push(Waiting { job, round, look_at: now }),
+                Err(elsewhere) => return Some(elsewhere.into()),
             },
-        };
-        Self::answer(from, call, question, answer, out);
-    }
-
-    /// `helm::Helm::units`, once the life is on the log.
-    fn lend(&mut self, now: u64, units: &UnitsCall, came: bool) -> Answer {
-        let lent = self.with_lead(now, |lead, _| {
-            if came {
-                lead.counter.came(units.life);
-            }
-            let gateways = lead.register.gateways() as usize;
-            lead.counter.call(now, units, gateways)
-        });
-        lent.map_or_else(Answer::from, Answer::Units)
+        }
+        None
     }
 
-    /// `helm::Helm::enroll`.
-    fn enroll(&mut self, now: u64, job: Job, roll: Roll, out: &mut Out) {
-        self.propose(now, job, &Entry::Gateways { come: roll.come, gone: roll.gone }, out);
+    fn wait(&mut self, now: u64, job: Job, out: &mut Out, ask: impl FnOnce(&mut Wheelhouse) -> Ticket) {
+        let Some(house) = self.house.as_mut() else { return };
+        self.jobs.insert(ask(house), job);
+        let effects = house.take();
+        self.carry_out(now, effects, out);
     }
 
     /// Held calls and rounds look again, where something changed or their time has come.
     fn look(&mut self, now: u64, out: &mut Out) {
         let changed = std::mem::take(&mut self.changed);
-        for held in std::mem::take(&mut self.held) {
-            let last = held.brief || now >= held.end;
-            if !changed && !last {
-                self.held.push(held);
+        for one in std::mem::take(&mut self.held) {
+            if !changed && now < one.held.end() {
+                self.held.push(one);
                 continue;
             }
-            // helm::Helm::watch.
-            let news = self.with_lead(now, |lead, age| {
-                let news = lead.register.answer(&held.watch, age);
-                news.or_else(|| last.then(|| lead.register.nothing(age)))
-            });
-            let answer = match news {
-                Ok(None) => {
-                    self.held.push(held);
+            let answer = match self.act(now, out, |house| house.watch(now, &one.watch, &one.held)) {
+                Some(Ok(Some(answer))) => Answer::Watch(answer),
+                Some(Err(elsewhere)) => elsewhere.into(),
+                Some(Ok(None)) | None => {
+                    self.held.push(one);
                     continue;
                 }
-                Ok(Some(answer)) => Answer::Watch(answer),
-                Err(elsewhere) => elsewhere.into(),
             };
-            Self::answer(held.from, held.call, Question::Watch(held.watch), answer, out);
+            let job = Job { from: one.from, call: one.call, question: Question::Watch(one.watch) };
+            Self::answer(job, answer, out);
         }
-        // resources::instances::Instances::come_round.
-        let members = self.book.as_ref().map_or(0, |book| book.members().len());
-        for mut round in std::mem::take(&mut self.rounds) {
-            if !changed && now < round.look_at && now < round.until {
-                self.rounds.push(round);
+        for mut one in std::mem::take(&mut self.rounds) {
+            if !changed && now < one.look_at {
+                self.rounds.push(one);
                 continue;
             }
-            round.look_at = now + 10;
-            let answer = match self.with_lead(now, |lead, _| lead.register.reach(now, round.seq)) {
-                Ok(reach) => {
-                    let there = reach.gateways >= reach.gateways_there;
-                    if now < round.until && !((reach.core > 0 || members < 2) && there) {
-                        self.rounds.push(round);
-                        continue;
-                    }
-                    Answer::Done
+            let answer = match self.act(now, out, |house| house.come_round(now, &one.round)) {
+                Some(Ok(true)) => Answer::Done,
+                Some(Err(elsewhere)) => elsewhere.into(),
+                Some(Ok(false)) | None => {
+                    one.look_at = one.round.look_at(now);
+                    self.rounds.push(one);
+                    continue;
                 }
-                Err(elsewhere) => elsewhere.into(),
             };
-            Self::answer(round.from, round.call, round.question, answer, out);
+            Self::answer(one.job, answer, out);
         }
     }
 
-    // ---- follow ----
+    // ---- As follow ----
 
     fn learned(&mut self, now: u64, answer: Answer) {
-        let applied = match answer {
-            // helm::Helm::learned: a leader's own registers are the truth.
-            Answer::Watch(_) if self.lead.is_some() => true,
-            Answer::Watch(answer) => self.apply(answer),
+        let applied = match (answer, &mut self.house) {
+            (Answer::Watch(answer), Some(house)) => house.learned(answer).is_ok(),
             _ => false,
         };
-        self.watch_at = if applied { now } else { now + AGAIN_MS };
-    }
-
-    fn apply(&mut self, answer: WatchAnswer) -> bool {
-        self.copy.apply(answer).is_ok()
+        self.watch_at = if applied { now } else { now + follow::AGAIN_MS };
     }
 
     /// `follow::once`.
     fn follow(&mut self, now: u64, out: &mut Out) {
+        let Some(house) = &self.house else { return };
         if let Some((call, until, to)) = self.watching {
             if now >= until {
                 self.watching = None;
-                self.watch_at = now + AGAIN_MS;
+                self.watch_at = now + follow::AGAIN_MS;
                 out.posts.push((to, Packet::Ask(self.node, call, Question::HangUp)));
             }
         }
         if self.watching.is_some() || now < self.watch_at {
             return;
         }
-        let Answer::Elsewhere(Some(leader)) = self.elsewhere() else {
-            self.watch_at = now + AGAIN_MS;
+        let Some(to) = house.elsewhere().leader.and_then(|leader| node_of(&leader)) else {
+            self.watch_at = now + follow::AGAIN_MS;
             return;
         };
-        let Some(to) = node_of(&leader) else { return };
         self.next_call += 1;
-        let watch = self.copy.ask(Caller::Core, &host(self.node), 1, None, HOLD_MS);
-        self.watching = Some((self.next_call, now + HOLD_MS + SLACK_MS, to));
-        out.posts.push((to, Packet::Ask(self.node, self.next_call, Question::Watch(watch))));
+        self.watching = Some((self.next_call, now + follow::HOLD_MS + follow::SLACK_MS, to));
+        out.posts.push((to, Packet::Ask(self.node, self.next_call, Question::Watch(house.ask(1)))));
     }
 
     // ---- Time and disk ----
@@ -580,61 +375,26 @@
 
     /// When it is to be turned.
     pub(crate) fn wake(&self) -> u64 {
-        let Some(book) = &self.book else { return u64::MAX };
+        let Some(house) = &self.house else { return u64::MAX };
         let watch = self.watching.map_or(self.watch_at, |(_, until, _)| until);
-        let ends = self.held.iter().map(|held| held.end);
-        let rounds = self.rounds.iter().map(|round| round.look_at.min(round.until));
-        let jobs =
-            self.waits.values().map(|(_, job)| job.until).chain(self.reads.values().map(|job| job.until));
-        let due = [book.next_wake(), watch, self.age_at, self.writing.map_or(u64::MAX, |(at, _)| at)];
-        ends.chain(rounds).chain(jobs).chain(due).min().unwrap_or(u64::MAX)
+        let ends = self.held.iter().map(|one| one.held.end());
+        let rounds = self.rounds.iter().map(|one| one.look_at);
+        let due = [house.next_wake(), watch, self.writing.map_or(u64::MAX, |(at, _)| at)];
+        ends.chain(rounds).chain(due).min().unwrap_or(u64::MAX)
     }
 
     /// Lets time pass.
     pub(crate) fn turn(&mut self, now: u64, out: &mut Out) {
-        let Some(book) = &self.book else { return };
-        if book.next_wake() <= now {
-            self.act(now, out, |book| book.tick(now));
-        }
+        self.act(now, out, |house| house.tick(now));
         if let Some((at, fine)) = self.writing.filter(|(at, _)| *at <= now) {
             if fine && self.disk.hangs() {
                 self.writing = Some((at.max(now) + 10, fine));
             } else if let Some(write) = self.writes.pop_front() {
                 self.writing = None;
                 self.disk.sync();
-                self.act(now, out, |book| match fine {
-                    true => book.written(now, write.ticket),
-                    false => book.write_failed(now, write.ticket),
-                });
+                self.act(now, out, |house| house.written(now, write.ticket, fine));
             }
         }
-        // helm::Helm::age.
-        if now >= self.age_at {
-            self.age_at = now + AGE_MS;
-            if let Some(lead) = &mut self.lead {
-                let before = lead.register.seq();
-                lead.register.tick(now);
-                self.changed |= lead.register.seq() != before;
-                let forget = if lead.forgets { None } else { lead.counter.after(now) };
-                lead.forgets |= forget.is_some();
-                if let Some(roll) = forget {
-                    let job = Job { from: self.node, call: 0, question: Question::HangUp, until: 0 };
-                    self.enroll(now, job, roll, out);
-                }
-            }
-        }
-        let late: Vec<u64> =
-            self.waits.iter().filter(|(_, (_, job))| job.until <= now).map(|(i, _)| *i).collect();
-        for index in late {
-            self.settled.extend(self.waits.remove(&index).map(|(_, job)| (job, None)));
-        }
-        let late: Vec<u64> = self.reads.iter().filter(|(_, job)| job.until <= now).map(|(t, _)| *t).collect();
-        for ticket in late {
-            self.confirmed.extend(self.reads.remove(&ticket).map(|job| (job, false)));
-        }
-        if !self.settled.is_empty() || !self.confirmed.is_empty() {
-            self.act(now, out, |_| ());
-        }
         self.follow(now, out);
         self.look(now, out);
     }
--- a/crates/drydock/src/world.rs
+++ b/crates/drydock/src/world.rs
@@ -2,6 +2,7 @@
 
 use crate::{host, Answer, Audit, Gateway, Member, Node, Out, Packet, People, Question};
 use nickeljunction_logbook::{draw_id, first_id, Restored, Tuning};
+use nickeljunction_manifest::value_digest;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// What a world begins with.
@@ -136,7 +137,7 @@
         match to {
             _ if to < self.members.len() => match packet {
                 // Refused: nobody listens.
-                Packet::Ask(from, call, _) if self.members[to].book.is_none() => {
+                Packet::Ask(from, call, _) if !self.members[to].up() => {
                     out.posts.push((from, Packet::Reply(call, Answer::Elsewhere(None))));
                 }
                 packet => self.members[to].heard(self.now, packet, &mut out),
@@ -245,6 +246,8 @@
     /// Takes the power of a core machine; of what wasn't synced the first `survive` writes remain.
     pub fn power_off(&mut self, node: Node, survive: usize) {
         self.members[node].disk.lose_power(survive);
+        // Another start of the machine has another clock, and refuses it.
+        self.members[node].hint = None;
         self.kill(node);
     }
 
@@ -252,6 +255,7 @@
     pub fn wipe(&mut self, node: Node) {
         self.kill(node);
         self.members[node].disk.wipe();
+        self.members[node].hint = None;
     }
 
     /// Starts a core member again; see `serve::open`.
@@ -266,7 +270,7 @@
     /// Other seeds for all machines, by SIGHUP (`serve::wait_for_stop`).
     pub fn reseed(&mut self, seeds: Vec<String>) {
         for node in 0..self.members.len() {
-            self.members[node].book.iter_mut().for_each(|book| book.seek(&seeds));
+            self.at_member(node, |one, now, out| one.seek(now, &seeds, out));
         }
         self.gateways.iter_mut().for_each(|gateway| gateway.seek.seeds(seeds.clone()));
         self.seeds = seeds;
@@ -323,7 +327,7 @@
             member.disk_ms = 3;
             member.disk.fail(false);
             member.disk.hang(false);
-            if member.book.is_none() {
+            if !member.up() {
                 self.start(node);
             }
         }
@@ -339,14 +343,14 @@
     /// The member that leads, by the newest term.
     pub fn leader(&self) -> Option<Node> {
         let leads = |node: &Node| self.members[*node].leads() && !self.frozen(*node);
-        let term = |node: &Node| self.members[*node].book.as_ref().map_or(0, |book| book.term());
+        let term = |node: &Node| self.members[*node].book().map_or(0, |book| book.term());
         (0..self.members.len()).filter(leads).max_by_key(term)
     }
 
     /// The leader, whose majority has answered lately.
     pub fn sure_leader(&self) -> Option<Node> {
         let fresh = |node: &Node| {
-            let age = self.members[*node].book.as_ref().and_then(|book| book.quorum_age(self.now));
+            let age = self.members[*node].book().and_then(|book| book.quorum_age(self.now));
             age.is_some_and(|age| age < Tuning::default().election_min_ms)
         };
         self.leader().filter(fresh)
@@ -366,11 +370,11 @@
 
     /// The core's members are all machines with their numbers of now, by the logs of all of them: one more disk may go.
     pub fn complete(&self) -> bool {
-        let Some(book) = self.leader().and_then(|leader| self.members[leader].book.as_ref()) else {
+        let Some(book) = self.leader().and_then(|leader| self.members[leader].book()) else {
             return false;
         };
         let knows = |one: &Member| {
-            let other = one.book.as_ref();
+            let other = one.book();
             other
                 .is_some_and(|other| book.members().contains(other.me()) && book.members() == other.members())
         };
@@ -402,8 +406,8 @@
     pub fn put(&mut self, base: u64, rate: u64) -> Question {
         self.next_version = self.next_version.max(base) + 1;
         let version = self.next_version;
-        let digest = format!("d{}", self.rng.u64(..));
-        Question::Put(base, version, digest, World::document(version, rate))
+        let doc = World::document(version, rate);
+        Question::Put(base, version, value_digest("PUT", Some(base), &doc), doc)
     }
 
     /// Puts a configuration and waits for its acknowledgement; again where another operator's came first. Its version.
@@ -437,7 +441,7 @@
         let version = self.audit.state.version();
         self.sure_leader().is_some()
             && self.gateways.iter().all(|gateway| gateway.version() == version && gateway.ready(self.now))
-            && self.members.iter().all(|member| member.statutes == self.audit.state)
+            && self.members.iter().all(|member| member.statutes() == Some(&self.audit.state))
     }
 
     /// Waits for that, and checks that nothing acknowledged is lost.
@@ -449,7 +453,7 @@
         };
         assert!(fine, "seed {}, {} ms: not at one: {}", self.seed, self.now, told());
         for node in 0..self.members.len() {
-            self.audit.check_state(node, &self.members[node].statutes);
+            self.members[node].statutes().into_iter().for_each(|state| self.audit.check_state(node, state));
         }
     }
 }
--- a/crates/drydock/tests/storms.rs
+++ b/crates/drydock/tests/storms.rs
@@ -13,7 +13,7 @@
     let (one, other) = (world.rng.usize(..world.outside()), world.rng.usize(..world.outside()));
     let any = world.rng.usize(..members);
     let member = if world.rng.bool() { world.leader().unwrap_or(any) } else { any };
-    let up = world.members[member].book.is_some();
+    let up = world.members[member].up();
     match world.rng.u8(..24) {
         0 if up => world.kill(member),
         1 | 2 if up => {
@@ -43,7 +43,7 @@
         19 => (world.loss, world.late) = (world.rng.u8(..25), world.rng.u8(..10)),
         20 | 21 => {
             for node in 0..members {
-                if world.members[node].book.is_none() {
+                if !world.members[node].up() {
                     world.start(node);
                 }
             }
@@ -55,7 +55,7 @@
                 false => world.start_gateway(gateway),
             }
         }
-        _ if world.members[any].book.is_none() => world.start(any),
+        _ if !world.members[any].up() => world.start(any),
         _ => {}
     }
 }
--- a/crates/harbourmaster/src/follow.rs
+++ b/crates/harbourmaster/src/follow.rs
@@ -3,20 +3,15 @@
 use crate::helm::Helm;
 use nickeljunction_chandler::caller::Caller;
 use nickeljunction_signals::{path, WatchAnswer};
+use nickeljunction_wheelhouse::follow::{AGAIN_MS, HOLD_MS, SLACK_MS};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 
-/// How long a leader may hold a call, ms, and how long beyond that its answer may take.
-const HOLD_MS: u64 = 2_000;
-const SLACK_MS: f64 = 700.0;
-/// Pause before the next call, where there is no leader or it does not answer, ms.
-const AGAIN_MS: f64 = 60.0;
-
 /// Watches whoever leads for as long as it is polled.
 pub async fn run(helm: Rc<Helm>, caller: Rc<Caller>, life: u64) {
     loop {
         if !once(&helm, &caller, life).await {
-            helm.wheel().sleep(AGAIN_MS).await;
+            helm.wheel().sleep(AGAIN_MS as f64).await;
         }
     }
 }
@@ -24,9 +19,9 @@
 async fn once(helm: &Helm, caller: &Caller, life: u64) -> bool {
     let Some(ip) = helm.elsewhere().leader.and_then(|host| host.parse::<IpAddr>().ok()) else { return false };
     let to = SocketAddr::new(ip, helm.ports.inner);
-    let ask = helm.ask(life, HOLD_MS);
+    let ask = helm.ask(life);
     let body = serde_json::to_vec(&ask).unwrap_or_default();
-    let reply = match caller.call(to, "POST", path::WATCH, &[], &body, HOLD_MS as f64 + SLACK_MS).await {
+    let reply = match caller.call(to, "POST", path::WATCH, &[], &body, (HOLD_MS + SLACK_MS) as f64).await {
         Ok(reply) if reply.status == 200 => reply,
         Ok(_) => return false,
         Err(error) => {
--- a/crates/harbourmaster/src/helm.rs
+++ b/crates/harbourmaster/src/helm.rs
@@ -294,8 +294,8 @@
     }
 
     /// The call that asks a leader for what is new.
-    pub fn ask(&self, life: u64, wait_ms: u64) -> WatchCall {
-        self.house.borrow().ask(life, wait_ms)
+    pub fn ask(&self, life: u64) -> WatchCall {
+        self.house.borrow().ask(life)
     }
 
     /// What a leader answered.
--- a/crates/harbourmaster/src/hint.rs
+++ b/crates/harbourmaster/src/hint.rs
@@ -6,11 +6,10 @@
 
 use nickeljunction_berths::Copy;
 use nickeljunction_signals::WatchAnswer;
+use nickeljunction_wheelhouse::HINT_GOOD_MS;
 use serde::{Deserialize, Serialize};
 use std::path::{Path, PathBuf};
 
-/// An older hint is of no use, ms: servers that live have beaten since.
-const GOOD_MS: u64 = 8_000;
 /// Longest hint that is read, bytes.
 const MOST: u64 = 16 << 20;
 
@@ -39,7 +38,7 @@
 pub fn read(text: &[u8], now_ms: u64) -> Option<Copy> {
     let stored: Stored = serde_json::from_slice(text).ok()?;
     // Another start of the machine has another clock.
-    if now_ms.checked_sub(stored.at_ms)? > GOOD_MS {
+    if now_ms.checked_sub(stored.at_ms)? > HINT_GOOD_MS {
         return None;
     }
     let mut copy = Copy::new();
--- a/crates/wheelhouse/src/lib.rs
+++ b/crates/wheelhouse/src/lib.rs
@@ -20,7 +20,7 @@
 //!   .units(now, &call) -> Result<Lent, Elsewhere>
 //!   .called(now, &call) -> Result<Held, Elsewhere>   .watch(now, &call, &held) -> Result<Option<WatchAnswer>, Elsewhere>
 //!   .beat(now, id, &beat) -> Result<Option<Round>, Elsewhere>   .gone(now, id)   .come_round(now, &round)
-//! for followers: .elsewhere() .ask(life, wait_ms) .learned(answer); to look at: .book() .statutes() .copy() .leads()
+//! for followers: .elsewhere() .ask(life) .learned(answer); to look at: .book() .statutes() .copy() .leads()
 //! ```
 //!
 //! The same driver runs in `harbourmaster::helm` over sockets and in `drydock` over virtual time.
@@ -28,6 +28,7 @@
 mod calls;
 mod change;
 mod effects;
+pub mod follow;
 mod leader;
 mod machine;
 mod members;
@@ -36,5 +37,5 @@
 pub use change::Change;
 pub use effects::{Answer, Effects, Event, Ticket};
 pub use leader::{limits, Held, Lent, Round};
-pub use machine::{Place, Wheelhouse};
+pub use machine::{Place, Wheelhouse, HINT_GOOD_MS};
 pub use members::{Berth, CoreView, Unfit, Wish};
--- a/crates/wheelhouse/src/machine.rs
+++ b/crates/wheelhouse/src/machine.rs
@@ -2,6 +2,7 @@
 
 use crate::calls::{Proposed, Reading, Settled};
 use crate::effects::{Effects, Event, Ticket};
+use crate::follow::HOLD_MS;
 use crate::leader::Lead;
 use crate::statutes::{Entry, Statutes};
 use nickeljunction_berths::{Applied, Copy, Refused, Register};
@@ -18,6 +19,8 @@
 const HINT_MS: u64 = 500;
 /// It is written again after so long, ms, whether it has changed or not.
 const HINT_AGAIN_MS: u64 = 3_000;
+/// An older hint is of no use to a next process, ms: servers that live have beaten since.
+pub const HINT_GOOD_MS: u64 = 8_000;
 /// Entries applied between two snapshots of the log.
 const SNAPSHOT_EVERY: u64 = 64;
 
@@ -284,9 +287,9 @@
         Elsewhere { leader: leader.filter(|host| *host != self.place.host) }
     }
 
-    /// The call that asks a leader for what is new; it may be held for so long, ms.
-    pub fn ask(&self, life: u64, wait_ms: u64) -> WatchCall {
-        self.copy.ask(Caller::Core, &self.place.name, life, None, wait_ms)
+    /// The call that asks a leader for what is new.
+    pub fn ask(&self, life: u64) -> WatchCall {
+        self.copy.ask(Caller::Core, &self.place.name, life, None, HOLD_MS)
     }
 
     /// What a leader answered.
