Name no gateway to clients that can't serve them

A gateway that is cut off from the core goes on as a directory, and named itself: its clients came back to it for the whole cut, although it refuses their requests once its units and, on a strict site, its keys have lapsed. From three seconds without the core, or when it isn't ready, it names the others.

--- a/crates/pilot/src/link.rs
+++ b/crates/pilot/src/link.rs
@@ -36,6 +36,8 @@
 const WAIT_MS: f64 = 220.0;
 /// When a client is to come back while the core is out of touch, ms.
 const STALE_MS: f64 = 700.0;
+/// Since the core was last heard, ms: held calls are answered every [`HOLD_MS`], units last for 4 s.
+const OUT_OF_TOUCH_MS: f64 = 3_000.0;
 
 /// What this gateway is, for the core.
 pub struct Own {
@@ -119,6 +121,16 @@
             && self.lease.borrow().holds(self.wheel.now())
     }
 
+    /// It can't serve tenants' requests, or soon won't: the core has not been heard of for long.
+    pub fn out_of_touch(&self) -> bool {
+        !self.ready() || self.lease.borrow().age(self.wheel.now()) > OUT_OF_TOUCH_MS
+    }
+
+    /// This machine's name.
+    pub fn name(&self) -> &str {
+        &self.own.place.name
+    }
+
     /// The order to leave: the core is told at once.
     pub fn leave(&self) {
         self.leaving.set(true);
--- a/crates/pilot/src/resolve.rs
+++ b/crates/pilot/src/resolve.rs
@@ -3,6 +3,7 @@
 use crate::link::Link;
 use nickeljunction_berths::directory;
 use nickeljunction_chandler::desk::{percent_decoded, Answering, Call, Resource, Response};
+use nickeljunction_signals::GatewayLine;
 use std::cell::RefCell;
 use std::rc::Rc;
 
@@ -34,7 +35,11 @@
             };
             let (region, zone) = (asked("region"), asked("zone"));
             let dice = self.dice.borrow_mut().u64(..);
-            let addresses = directory(&self.link.roster(), &region, &zone, self.link.zones(), dice);
+            let mut roster = self.link.roster();
+            if self.link.out_of_touch() {
+                roster = Rc::new(others(&roster, self.link.name()));
+            }
+            let addresses = directory(&roster, &region, &zone, self.link.zones(), dice);
             if addresses.is_empty() {
                 return Response::error(503, "no gateway is known here yet").with("Retry-After", "0.3");
             }
@@ -43,3 +48,33 @@
         })
     }
 }
+
+/// All gateways but the one of this name; all of them where it is the only one.
+fn others(roster: &[GatewayLine], name: &str) -> Vec<GatewayLine> {
+    let others: Vec<_> = roster.iter().filter(|line| line.name != name).cloned().collect();
+    match others.is_empty() {
+        true => roster.to_vec(),
+        false => others,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_gateway_out_of_touch_names_the_others_and_itself_only_if_there_are_none() {
+        let line = |name: &str| GatewayLine {
+            name: name.into(),
+            zone: "z".into(),
+            front: format!("{name}:1"),
+            ready: true,
+        };
+        let named = |roster: &[GatewayLine]| {
+            let names = others(roster, "g1").into_iter().map(|line| line.name);
+            names.collect::<Vec<_>>()
+        };
+        assert_eq!(named(&[line("g1"), line("g2"), line("g3")]), ["g2", "g3"]);
+        assert_eq!(named(&[line("g1")]), ["g1"]);
+    }
+}
