Tell in explain which gateways answer by the version in place

A gateway that lags answers by another version than the one that explain read; it now says how many have it. The way from arguments to answer is tested with a scripted control, with the key on standard input and never in what is printed.

--- a/crates/bosun/src/explain.rs
+++ b/crates/bosun/src/explain.rs
@@ -85,8 +85,15 @@
 /// Asks the table of `config` as a gateway does, then weighs the servers that the leader knows.
 pub fn explain(config: &Config, known: &Known, ask: &Ask) -> Explained {
     let (compiled, mut told) = (Table::of(config), Explained::default());
-    let request = format!("{} {}{}, by version {}", ask.method, ask.host, ask.path, compiled.version);
-    told.note("request", request, Value::Null);
+    told.note("request", format!("{} {}{}", ask.method, ask.host, ask.path), Value::Null);
+    // Gateways that lag answer by another one.
+    let (has, there) = known.having(compiled.version);
+    let text = format!("{}, in force at {has} of {there} gateways", compiled.version);
+    told.note(
+        "version",
+        text,
+        json!({"version": compiled.version, "gateways": has, "gateways_there": there}),
+    );
     let found = compiled.find(&ask.host, &ask.path);
     let name = match &found {
         Found::Route(route) => route.name.to_string(),
@@ -101,7 +108,7 @@
         };
         told.note(PASSED, format!("{}: {prefix:?} {why}", route.name), Value::Null);
     }
-    let passed = told.notes.split_off(1);
+    let passed = told.notes.split_off(2);
     let Found::Route(route) = found else {
         told.note("route", "none".into(), Value::Null);
         told.notes.extend(passed);
@@ -313,6 +320,7 @@
         assert_eq!(why, wanted);
         let text = told.as_text();
         for line in [
+            "version   4, in force at 0 of 2 gateways",
             "route     deep: \"/x/\" is the longest prefix that begins the path",
             "passed    far: \"/far/\" does not begin the path",
             "passed    all: \"/\" begins the path, too, and is shorter",
--- a/crates/bosun/src/standing.rs
+++ b/crates/bosun/src/standing.rs
@@ -125,8 +125,13 @@
 impl Known {
     /// How many gateways that are there have the version in place, and how many are there.
     pub fn reached(&self) -> (usize, usize) {
+        self.having(self.version)
+    }
+
+    /// The same for this version or a newer one.
+    pub fn having(&self, wanted: u64) -> (usize, usize) {
         let there = || self.gateways.values().filter(|gateway| gateway.away_ms.is_none());
-        let has = |gateway: &&Gateway| gateway.version.is_some_and(|version| version >= self.version);
+        let has = |gateway: &&Gateway| gateway.version.is_some_and(|version| version >= wanted);
         (there().filter(has).count(), there().count())
     }
 }
--- a/crates/bosun/tests/orders.rs
+++ b/crates/bosun/tests/orders.rs
@@ -294,6 +294,36 @@
     assert_eq!((end.code, &end.json()["members"][1]["at"]), (FAILED, &json!(format!("127.0.0.2:{port}"))));
 }
 
+#[test]
+fn explain_reads_the_configuration_and_the_leaders_servers_and_keeps_the_key_to_itself() {
+    let mut keyed = document(7);
+    keyed["tenants"] = json!({"t": {"api_keys": ["a-secret"]}});
+    let leader = json!({"node_name": "core-2", "host": "127.0.0.1", "leads": true, "members": [], "zones": {"n1": "n"},
+        "lives": [{"id": "b-1", "service": "b", "zone": "n1", "state": "in_service"}]});
+    let asked = || control(vec![say(200, keyed.clone()), say(200, leader.clone())]).0;
+    let run_with = |arguments: &str, key: &str| {
+        let arguments = arguments.split(' ').map(Into::into).collect();
+        let (mut out, mut err) = (Vec::new(), Vec::new());
+        let code = run(arguments, None, &mut key.as_bytes(), &mut out, &mut err);
+        (code, String::from_utf8([out, err].concat()).unwrap())
+    };
+    let (code, told) =
+        run_with(&format!("explain --host h --key - --from n1 --at {}", asked()), "a-secret\n");
+    assert_eq!((code, told.contains("secret")), (DONE, false), "{told}");
+    for wanted in ["key       wanted; the one given is one of t's", "in service  yes, in the gateway's zone"]
+    {
+        assert!(told.contains(wanted), "{wanted} in\n{told}");
+    }
+    let (code, told) = run_with(&format!("explain --json --host h --key a-secrets --at {}", asked()), "");
+    let answer = serde_json::from_str::<Value>(&told).unwrap()["answer"].clone();
+    assert_eq!(
+        (code, answer, told.contains("secret")),
+        (DONE, json!({"status": 401, "error": "unknown key"}), false)
+    );
+    let (code, told) = run_with(&format!("explain --host h --from n9 --at {}", asked()), "");
+    assert_eq!((code, told.contains("--from wants one of n1, got \"n9\"")), (BAD_INPUT, true), "{told}");
+}
+
 #[test]
 fn a_demonstration_without_its_programs_names_the_missing_one() {
     // Beside a test's own program there are none.
