Pace gateways below the cap, so that units are free after a loss of everything

Cause: a new counter whose gateways all died takes everything that was paced for spent, and the sum of paces was the whole cap: for some 0.8 s, until the depths of nine buckets had run off, it could lend nothing (all 429). The sum is now the cap less a quarter of what is above 80 units, at least 1.06 of what the rate allows in a window; the rest is free at once.

--- a/crates/bunker/src/counter.rs
+++ b/crates/bunker/src/counter.rs
@@ -258,17 +258,18 @@
             lock.units.min(paced + lock.boosts)
         };
         let ended = book.locks.iter().map(lock).sum();
-        let unheard = self.takeover.as_ref().map_or(0, |takeover| takeover.units(now, tenant, cap, tuning));
+        let unheard =
+            self.takeover.as_ref().map_or(0, |takeover| takeover.units(now, tenant, book.limit, tuning));
         let since = book.locks.iter().filter(|held| lock(held) > 0).map(|lock| lock.ended);
         let takeover = self.takeover.as_ref().filter(|_| unheard > 0).map(Takeover::started);
         let held_ms = since.chain(takeover).min().map(|since| now.saturating_sub(since));
         TenantStanding { cap, lent: book.out, ended, unheard, held_ms }
     }
 
-    /// Sum of all paces at which may be spent now.
-    fn pace_now(&self, now: u64, tenant: &str, cap: u64) -> u64 {
+    /// Sum of all paces at which may be spent now; `most` of them together.
+    fn pace_now(&self, now: u64, tenant: &str, most: u64) -> u64 {
         let lent = self.lives.values().filter_map(|life| life.lent.get(tenant));
-        let unknown = self.takeover.as_ref().map_or(0, |takeover| takeover.pace(now, tenant, cap));
+        let unknown = self.takeover.as_ref().map_or(0, |takeover| takeover.pace(now, tenant, most));
         lent.map(|lent| lent.pace(now)).sum::<u64>() + unknown
     }
 
@@ -372,7 +373,7 @@
         gateways: usize,
     ) -> Option<TenantGrant> {
         let used = self.used_now(now, tenant);
-        let cap = self.books.get(tenant)?.limit.cap;
+        let Limit { cap, pace: most } = self.books.get(tenant)?.limit;
         let remaining = cap.saturating_sub(used);
         // At a first start the register learns of gateways one by one.
         let share = (cap / (2 * gateways.max(FEW_GATEWAYS) as u64)).max(2);
@@ -382,8 +383,8 @@
         // Of what is plenty each may have its share: a rise finds it there.
         let asked = if want > 0 && (first || plenty) { want.max(share) } else { want };
         let half = if want <= 2 { remaining.min(want) } else { 0 }.max(remaining.div_ceil(2));
-        // The paces of all lives are within the cap at every moment.
-        let pace_left = cap.saturating_sub(self.pace_now(now, tenant, cap));
+        // The paces of all lives are within the tenant's at every moment.
+        let pace_left = most.saturating_sub(self.pace_now(now, tenant, most));
         let Counter { tuning, lives, books, boosts_from, .. } = self;
         let lent = lives.get_mut(&number)?.lent.entry(tenant.to_owned());
         let lent = lent.or_insert_with(|| Lent::new(tuning));
--- a/crates/bunker/src/purse.rs
+++ b/crates/bunker/src/purse.rs
@@ -247,9 +247,9 @@
         for (tenant, batch) in &mut self.batches {
             batch.age(now, tuning);
             match (batch.limit, limits.get(tenant)) {
-                (Some(old), Some(new)) if new.cap < old.cap => {
+                (Some(old), Some(new)) if new.pace < old.pace || new.cap < old.cap => {
                     let part = |units: u64| {
-                        (u128::from(units) * u128::from(new.cap) / u128::from(old.cap.max(1))) as u64
+                        (u128::from(units) * u128::from(new.pace) / u128::from(old.pace.max(1))) as u64
                     };
                     batch.lift = part(batch.lift);
                     batch.lend(now, tuning, part(batch.loan));
--- a/crates/bunker/src/takeover.rs
+++ b/crates/bunker/src/takeover.rs
@@ -1,6 +1,6 @@
 //! What a new counter must reckon with that no gateway tells it: lives that older counters lent to.
 
-use crate::tuning::Tuning;
+use crate::tuning::{Limit, Tuning};
 use std::collections::BTreeMap;
 
 /// Of one tenant, over all lives that have told what they have.
@@ -70,25 +70,26 @@
     }
 
     /// Units of the rest that may be in force.
-    pub(crate) fn units(&self, now: u64, tenant: &str, cap: u64, tuning: &Tuning) -> u64 {
+    pub(crate) fn units(&self, now: u64, tenant: &str, limit: Limit, tuning: &Tuning) -> u64 {
         if self.over(now, tuning) {
             return 0;
         }
         let (loans, _, least) = self.of(tenant);
-        let lent = cap.saturating_sub(loans);
+        // A loan is never above the pace.
+        let lent = limit.pace.saturating_sub(loans);
         if now < self.ends {
             return lent;
         }
-        let pace = cap.saturating_sub(least);
+        let (cap, pace) = (limit.cap, limit.pace.saturating_sub(least));
         let paced = tuning.in_force(cap, self.rest.len() as u64, pace, now - self.ends);
         lent.min(paced + tuning.boost_of(cap))
     }
 
     /// Pace at which the rest may still spend.
-    pub(crate) fn pace(&self, now: u64, tenant: &str, cap: u64) -> u64 {
+    pub(crate) fn pace(&self, now: u64, tenant: &str, most: u64) -> u64 {
         match self.rest.is_empty() || now >= self.ends {
             true => 0,
-            false => cap.saturating_sub(self.of(tenant).1),
+            false => most.saturating_sub(self.of(tenant).1),
         }
     }
 }
--- a/crates/bunker/src/tuning.rs
+++ b/crates/bunker/src/tuning.rs
@@ -3,6 +3,12 @@
 /// The usual margin of a cap, units, and beside that as a part of what the tenant's own figures allow.
 const MARGIN: u64 = 6;
 const MARGIN_PART: f64 = 0.03;
+/// Pace of all gateways together: so much at least of what the tenant's rate allows in a window, and of the cap all but a
+/// part of what is above the units that gateways need beside each other's. What is left of the cap is free at once after a
+/// loss of everything, when all that was paced counts as spent.
+const PACE_PART: f64 = 1.06;
+const PACE_WHOLE: u64 = 80;
+const PACE_LEAVES: u64 = 4;
 
 /// Figures of the counter and of every gateway's purse. All times in ms; both sides must run with the same `window_ms`,
 /// `write_ms`, `life_ms`, `lift_ms` and `depth`.
@@ -98,6 +104,9 @@
     /// Most units that may be spent in any window, over all gateways: (rate x window + burst) x (1 + overrun) + slack,
     /// rounded down, less a little for requests between `spend` and their first byte.
     pub cap: u64,
+    /// Most units of a window at which all gateways together may be paced; at most the cap. Above what the rate allows,
+    /// and below the cap, which has room for a burst and for what the rules let pass.
+    pub pace: u64,
 }
 
 impl Limit {
@@ -108,7 +117,9 @@
             return None;
         }
         let cap = (rate.max(0.0) * window_s + burst.max(0.0)) * (1.0 + overrun.max(0.0)) + slack.max(0.0);
-        Some(Limit { cap: (cap.floor() as u64).saturating_sub(margin).max(1) })
+        let cap = (cap.floor() as u64).saturating_sub(margin).max(1);
+        let pace = (rate.max(0.0) * window_s * PACE_PART).ceil() as u64;
+        Some(Limit { cap, pace: pace.max(cap - cap.saturating_sub(PACE_WHOLE) / PACE_LEAVES).clamp(1, cap) })
     }
 
     /// The same with the usual margin: second sends to another server run on no unit of their own, and a request may be
--- a/crates/bunker/tests/calls.rs
+++ b/crates/bunker/tests/calls.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 fn limits(cap: u64) -> BTreeMap<String, Limit> {
-    BTreeMap::from([("t".to_owned(), Limit { cap })])
+    BTreeMap::from([("t".to_owned(), Limit { cap, pace: cap })])
 }
 
 fn tuning() -> Tuning {
--- a/crates/bunker/tests/world/mod.rs
+++ b/crates/bunker/tests/world/mod.rs
@@ -34,6 +34,8 @@
 #[derive(Default, Clone)]
 pub struct Luck {
     pub cap: u64,
+    /// Most pace over the most units.
+    pub paced: f64,
     pub rate: f64,
     pub uneven: bool,
     pub sent: Vec<u64>,
@@ -71,10 +73,17 @@
 }
 
 impl World {
-    pub fn new(seed: u64, gateways: usize, tenants: &[(u64, f64)]) -> World {
+    pub fn new(seed: u64, gateways: usize, tenants: &[(Limit, f64)]) -> World {
         let tuning = Tuning::new(WINDOW_MS);
-        let tenants: Vec<Luck> =
-            tenants.iter().map(|&(cap, rate)| Luck { cap, rate, ..Luck::default() }).collect();
+        let tenants: Vec<Luck> = tenants
+            .iter()
+            .map(|&(Limit { cap, pace }, rate)| Luck {
+                cap,
+                paced: pace as f64 / cap as f64,
+                rate,
+                ..Luck::default()
+            })
+            .collect();
         let mut world = World {
             now: 10_000,
             seed,
@@ -105,7 +114,11 @@
 
     pub fn limits(&self) -> BTreeMap<String, Limit> {
         let limits = self.tenants.iter().enumerate();
-        limits.map(|(number, luck)| (tenant(number), Limit { cap: luck.cap })).collect()
+        limits
+            .map(|(number, luck)| {
+                (tenant(number), Limit { cap: luck.cap, pace: (luck.cap as f64 * luck.paced).round() as u64 })
+            })
+            .collect()
     }
 
     fn gateway(&mut self, number: usize) -> Gateway {
--- a/crates/bunker/tests/worlds.rs
+++ b/crates/bunker/tests/worlds.rs
@@ -5,16 +5,18 @@
 use nickeljunction_bunker::Limit;
 use world::World;
 
-/// Six quiet tenants, with limits of `times` what they use; caps as a site's figures make them.
-fn limited(seed: u64, times: f64) -> World {
+/// Six quiet tenants, with limits of `times` what they use and bursts of so many seconds; caps as a site's figures make
+/// them.
+fn limited(seed: u64, times: f64, burst_s: f64) -> World {
     let tenant = |usual: f64| {
-        (Limit::with_margin(usual * times, 0.0, 5.0, 0.1, 20.0).map_or(0, |limit| limit.cap), usual)
+        let rate = usual * times;
+        (Limit::with_margin(rate, rate * burst_s, 5.0, 0.1, 20.0).expect("a limit"), usual)
     };
     World::new(seed, 9, &[tenant(60.0), tenant(30.0), tenant(30.0), tenant(8.0), tenant(3.0), tenant(1.0)])
 }
 
 fn usual(seed: u64) -> World {
-    limited(seed, 1.6)
+    limited(seed, 1.6, 0.0)
 }
 
 #[test]
@@ -218,6 +220,26 @@
     assert!(served >= 0.75, "{served}");
 }
 
+#[test]
+fn all_lost_and_back_serves_those_with_room_for_a_burst_from_the_first_second_on() {
+    let (mut served, mut first) = (0.0, 0.0);
+    for seed in 140..150 {
+        let mut world = limited(seed, 1.6, 1.0);
+        world.run(12_000);
+        world.lose_counter();
+        (0..9).for_each(|number| world.kill(number));
+        world.run(700);
+        (0..9).for_each(|number| world.restart(number));
+        world.succeed();
+        world.run(200);
+        first += (1.0 - refused_over(&mut world, 1_000)) / 10.0;
+        served += (1.0 - refused_over(&mut world, 4_000)) / 10.0;
+        world.check("all lost");
+    }
+    println!("all lost: served {first:.3} in the first second, {served:.3} in the four after it");
+    assert!(first >= 0.55 && served >= 0.9);
+}
+
 /// Most units over the cap of any tenant.
 fn beyond(world: &World) -> u64 {
     let beyond = |number| world.most(number, 0).saturating_sub(world.tenants[number].cap);
