--- /dev/null
+++ b/crates/wheelhouse/tests/member.rs
@@ -0,0 +1,290 @@
+//! Three members on a fake clock, between links that are cut when told to.
+
+use nickeljunction_berths::Beat;
+use nickeljunction_logbook::{first_id, Envelope, Restored, Tuning};
+use nickeljunction_manifest::Bounds;
+use nickeljunction_signals::{Caller, GatewayLine, Member, ServerState, TenantUnits, UnitsCall, WatchCall};
+use nickeljunction_wheelhouse::{Answer, Change, Held, Lent, Place, Ticket, Wheelhouse};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::rc::Rc;
+
+fn host(node: usize) -> String {
+    format!("10.0.0.{}", node + 1)
+}
+
+/// Disks write at once, messages come within the ms.
+struct Core {
+    now: u64,
+    houses: Vec<Wheelhouse>,
+    answers: BTreeMap<Ticket, Answer>,
+    /// Nobody hears them, and they hear nobody.
+    cut: BTreeSet<usize>,
+    /// They do nothing by themselves.
+    still: BTreeSet<usize>,
+    /// Who sends an entry with these words is cut off before it is out.
+    mute: Option<&'static str>,
+}
+
+impl Core {
+    /// A core that leads, with a configuration.
+    fn new(seed: u64) -> Core {
+        println!("seed {seed}");
+        let member = |node| Member { id: first_id(&host(node)), host: host(node) };
+        let now = 1_000;
+        let house = |node| {
+            let place = Place {
+                name: format!("core-{node}"),
+                host: host(node),
+                zones: BTreeMap::from([("z1".into(), "r1".into())]),
+                bounds: Bounds::usual(),
+                heartbeat_ms: 1_000,
+            };
+            let restored = Restored::first(member(node), (0..3).map(member).collect());
+            Wheelhouse::new(Rc::new(place), restored, Tuning::default(), seed + node as u64, now)
+        };
+        let houses = (0..3).map(house).collect();
+        let (cut, still) = (BTreeSet::new(), BTreeSet::new());
+        let mut core = Core { now, houses, answers: BTreeMap::new(), cut, still, mute: None };
+        core.run(2_000);
+        let leader = core.leader();
+        let put = core.change(leader, 0, 1);
+        core.run(50);
+        assert_eq!(core.answers.remove(&put), Some(Answer::Taken));
+        core
+    }
+
+    /// The one that surely leads.
+    fn leader(&self) -> usize {
+        let sure = |house: &Wheelhouse| {
+            house.leads().is_some() && house.book().quorum_age(self.now).is_some_and(|age| age < 350)
+        };
+        let leaders: Vec<usize> = (0..3).filter(|node| sure(&self.houses[*node])).collect();
+        assert_eq!(leaders.len(), 1, "leaders {leaders:?}");
+        leaders[0]
+    }
+
+    /// Does something at a member and carries out what follows from it, everywhere.
+    fn at<R>(&mut self, node: usize, act: impl FnOnce(&mut Wheelhouse, u64) -> R) -> R {
+        let result = act(&mut self.houses[node], self.now);
+        let mut mail: VecDeque<(usize, usize, Envelope)> = VecDeque::new();
+        let mut busy = vec![node];
+        while let Some(node) = busy.pop() {
+            let effects = self.houses[node].take();
+            for write in &effects.writes {
+                self.houses[node].written(self.now, write.ticket, true);
+                busy.push(node);
+            }
+            self.answers.extend(effects.answers);
+            for (to, envelope) in effects.send {
+                let text = serde_json::to_string(&envelope).unwrap();
+                if self.mute.is_some_and(|words| text.contains(words)) {
+                    self.cut.insert(node);
+                }
+                let to = (0..3).find(|node| host(*node) == to).unwrap();
+                mail.push_back((node, to, envelope));
+            }
+            if busy.is_empty() {
+                while let Some((from, to, envelope)) = mail.pop_front() {
+                    if !self.cut.contains(&from) && !self.cut.contains(&to) {
+                        self.houses[to].heard(self.now, vec![envelope]);
+                        busy.push(to);
+                        break;
+                    }
+                }
+            }
+        }
+        result
+    }
+
+    fn run(&mut self, ms: u64) {
+        for _ in 0..ms {
+            self.now += 1;
+            for node in 0..3 {
+                if !self.still.contains(&node) && self.houses[node].next_wake() <= self.now {
+                    self.at(node, Wheelhouse::tick);
+                }
+            }
+        }
+    }
+
+    /// A document on a base.
+    fn change(&mut self, node: usize, base: u64, version: u64) -> Ticket {
+        self.send(node, false, Some(base), &document(version))
+    }
+
+    fn send(&mut self, node: usize, patch: bool, base: Option<u64>, body: &serde_json::Value) -> Ticket {
+        let body = serde_json::to_vec(body).unwrap().into();
+        self.at(node, |house, now| house.change(now, Change { patch, base, body }))
+    }
+
+    fn answered(&mut self, ticket: Ticket) -> Option<Answer> {
+        self.answers.remove(&ticket)
+    }
+}
+
+fn document(version: u64) -> serde_json::Value {
+    serde_json::json!({
+        "config_version": version, "limits": null, "backends": {"b": {}},
+        "routes": {"r": {"hostname": "h", "path_prefix": "/", "backend": "b"}},
+        "tenants": {"peach": {"api_keys": ["k"], "rate_per_s": 100, "burst_size": 100}},
+    })
+}
+
+fn beat() -> Beat {
+    Beat {
+        address: "10.2.0.1:80".into(),
+        backend: "b".into(),
+        version: "v1".into(),
+        zone: "z1".into(),
+        slots: 4,
+        state: ServerState::InService,
+        call_seq: 1,
+        warmup_left_ms: 0,
+    }
+}
+
+fn watch(life: u64) -> WatchCall {
+    let line =
+        GatewayLine { name: "edge".into(), front: "10.1.0.1:80".into(), zone: "z1".into(), ready: true };
+    WatchCall {
+        who: Caller::Gateway,
+        name: "edge".into(),
+        life,
+        line: Some(line),
+        term: 0,
+        seq: 0,
+        version: 0,
+        wait_ms: 1_000,
+        directory: false,
+    }
+}
+
+fn units(life: u64, seq: u64) -> UnitsCall {
+    let want = TenantUnits { want: 10, ..TenantUnits::default() };
+    let tenants = BTreeMap::from([("peach".into(), want)]);
+    UnitsCall { life, seq, all: true, name: "edge".into(), tenants, ..UnitsCall::default() }
+}
+
+#[test]
+fn a_leader_that_loses_its_majority_and_comes_back_keeps_its_registers() {
+    let mut core = Core::new(3);
+    let leader = core.leader();
+    assert_eq!(core.at(leader, |house, now| house.beat(now, "i-1", &beat())), Ok(None));
+    core.at(leader, |house, now| house.called(now, &watch(7))).expect("it leads");
+    let term = core.houses[leader].book().term();
+    // The others stand still and have copied nothing; only this one can stand for election.
+    core.still = (0..3).filter(|node| *node != leader).collect();
+    core.cut.insert(leader);
+    core.run(1_200);
+    assert!(core.houses[leader].leads().is_none(), "its majority is away");
+    assert!(core.at(leader, |house, now| house.beat(now, "i-1", &beat())).is_err());
+    core.cut.clear();
+    core.run(1_500);
+    assert_eq!(core.leader(), leader);
+    assert!(core.houses[leader].book().term() > term);
+    let (register, _) = core.houses[leader].leads().expect("it leads again");
+    assert_eq!((register.servers(), register.roster().len()), (1, 1));
+}
+
+#[test]
+fn nobody_is_answered_by_a_leader_whose_majority_was_not_heard_within_the_lease() {
+    let mut core = Core::new(5);
+    let leader = core.leader();
+    let held: Held = core.at(leader, |house, now| house.called(now, &watch(7))).expect("it leads");
+    let round = core.at(leader, |house, now| house.gone(now, "i-1")).expect("it leads");
+    core.cut.insert(leader);
+    core.still.insert(leader);
+    core.run(Tuning::default().election_min_ms + 100);
+    // It was frozen, and asked before its own clock: it still takes itself for the leader.
+    let (now, house) = (core.now, &mut core.houses[leader]);
+    assert!(house.leads().is_some());
+    assert!(house.watch(now, &watch(7), &held).is_err());
+    assert!(house.units(now, &units(7, 1)).is_err());
+    assert!(house.beat(now, "i-2", &beat()).is_err());
+    assert!(house.come_round(now, &round).is_err(), "not even for want of time");
+}
+
+#[test]
+fn an_enrolment_lost_with_the_lead_lends_nothing() {
+    let mut core = Core::new(7);
+    let old = core.leader();
+    core.cut.insert(old);
+    let Ok(Lent::Later(ticket)) = core.at(old, |house, now| house.units(now, &units(9, 1))) else {
+        panic!("lent before it is on the log");
+    };
+    core.run(249);
+    let lent = |core: &Core, node: usize| {
+        let (_, counter) = core.houses[node].leads().expect("it leads");
+        counter.standings(core.now)["peach"].lent
+    };
+    assert_eq!((core.answered(ticket), lent(&core, old)), (None, 0));
+    core.run(1);
+    let answer = core.answered(ticket);
+    assert!(matches!(answer, Some(Answer::Elsewhere(_))), "before the gateway's own time-out: {answer:?}");
+    core.run(2_000);
+    let next = core.leader();
+    assert_ne!(next, old);
+    core.cut.clear();
+    core.run(1_000);
+    assert!(core.houses.iter().all(|house| house.statutes().gateways().is_empty()), "it never came");
+    assert_eq!(lent(&core, next), 0);
+
+    // The same where nothing is lost.
+    let Ok(Lent::Later(ticket)) = core.at(next, |house, now| house.units(now, &units(9, 2))) else {
+        panic!("lent before it is on the log");
+    };
+    let Some(Answer::Units(answer)) = core.answered(ticket) else { panic!("no answer") };
+    assert_eq!(answer.tenants["peach"].granted, lent(&core, next));
+    assert!(lent(&core, next) > 0);
+    core.run(200);
+    assert!(core.houses.iter().all(|house| house.statutes().gateways().contains_key(&9)));
+    assert!(matches!(core.at(next, |house, now| house.units(now, &units(9, 3))), Ok(Lent::Now(_))));
+}
+
+#[test]
+fn a_put_whose_entry_is_overwritten_by_another_leaders_is_answered_as_unknown() {
+    let mut core = Core::new(11);
+    let old = core.leader();
+    core.mute = Some("\\\"version\\\":2");
+    let lost = core.change(old, 1, 2);
+    assert!(core.cut.contains(&old), "its entry was to go out");
+    assert_eq!(core.answered(lost), None);
+    let index = core.houses[old].book().commit() + 1;
+    core.mute = None;
+    core.run(2_000);
+    assert_eq!(core.answered(lost), Some(Answer::Unknown));
+    let next = core.leader();
+    assert!(core.houses[next].book().commit() >= index, "another entry is in its place");
+    let other = core.change(next, 1, 3);
+    assert_eq!(core.answered(other), Some(Answer::Taken));
+    core.cut.clear();
+    core.run(1_000);
+    let again = core.change(next, 1, 2);
+    assert_eq!(core.answered(again), Some(Answer::Conflict(Some(3))));
+    assert!(core.houses.iter().all(|house| house.statutes().version() == 3));
+}
+
+#[test]
+fn what_an_operator_sends_is_checked_against_the_state_that_a_majority_confirmed() {
+    let mut core = Core::new(13);
+    let leader = core.leader();
+    let follower = (leader + 1) % 3;
+    let patch = serde_json::json!({"config_version": 2, "tenants": {"peach": {"rate_per_s": 50}}});
+    let wants = |answer: Option<Answer>| match answer {
+        Some(Answer::Wrong(wants)) => wants,
+        other => panic!("{other:?}"),
+    };
+    let mut ask = |node, patch, base, body: &serde_json::Value| {
+        let ticket = core.send(node, patch, base, body);
+        core.answered(ticket)
+    };
+    assert!(
+        matches!(ask(follower, true, Some(1), &patch), Some(Answer::Elsewhere(to)) if to.leader.is_some())
+    );
+    assert!(wants(ask(leader, true, None, &patch)).contains("If-Match"));
+    assert!(wants(ask(leader, false, Some(1), &document(1))).contains("config_version"));
+    assert_eq!(ask(leader, true, Some(4), &patch), Some(Answer::Conflict(Some(1))));
+    assert_eq!(ask(leader, true, Some(1), &patch), Some(Answer::Taken));
+    assert_eq!(ask(leader, true, Some(1), &patch), Some(Answer::Taken), "the very same call");
+    assert_eq!(ask(leader, false, Some(1), &document(3)), Some(Answer::Conflict(Some(2))));
+}
