Notice a store that lost its end, by a mark beside it, and number formats

Sled replays what is left of a file that was cut, and the records fit: a member whose store was shortened went on under its number without what it had vouched for. Each save now counts itself in the record of term and vote (format 2), and a file beside the store claims how many saves were synced. It is written after the sync that it tells of, without one of its own, so a loss of power can only make it claim less. A store that knows of fewer is given up as a wiped one is, and initial_start makes no founder of it. A store of format 1 is brought to 2 by one save; one above 2 is refused before anything is opened. A survey for people reads a copy. Indexes and terms in the mark were ruled out: a log may rightly get shorter when a new leader's entries take the place of others.

--- a/crates/harbourmaster/src/serve.rs
+++ b/crates/harbourmaster/src/serve.rs
@@ -57,13 +57,18 @@
 ) -> Result<Opened, HoldError> {
     let host = addresses.ip.to_string();
     let mut hold = SledHold::open(addresses.data.join("logbook"))?;
+    if let Some(cause) = hold.given_up() {
+        log::error!("event=disk_given_up step=open error={cause:?}");
+    }
+    let was_lost = hold.was_lost();
     if let Some(kept) = hold.load()? {
         log::info!("event=disk_loaded member={} entries={}", kept.me.id, kept.entries.len());
         return Ok((Box::new(hold), kept.into()));
     }
     let hold = Box::new(hold);
     let seeds: Vec<String> = addresses.seeds.iter().map(|seed| seed.ip().to_string()).collect();
-    if settings.initial_start {
+    // Whatever the settings say: a folder that lost its store isn't a first start's.
+    if settings.initial_start && !was_lost {
         let member = |host: &String| Member { id: first_id(host), host: host.clone() };
         let me = member(&host);
         log::info!("event=first_start member={}", me.id);
--- a/crates/hold/src/lib.rs
+++ b/crates/hold/src/lib.rs
@@ -15,16 +15,22 @@
 //! stranger. A write whose [`Write::after`] isn't the last one saved is refused, so that nothing lands behind a failure.
 
 mod kept;
+#[cfg(test)]
+mod kills;
+mod mark;
 mod memory;
 mod record;
 mod sled_hold;
+mod survey;
 mod sync;
 #[cfg(test)]
 mod tests;
 
 pub use kept::Kept;
+pub use mark::Claim;
 pub use memory::MemoryHold;
 pub use sled_hold::SledHold;
+pub use survey::Survey;
 
 use nickeljunction_logbook::Write;
 use quick_error::quick_error;
@@ -67,6 +73,14 @@
         Misfit(key: String, what: &'static str) {
             display("{key}: {what}")
         }
+        /// A later program wrote the folder, in a format that this one doesn't know.
+        Newer(format: u32) {
+            display("the store is of format {format}, this program knows up to {}: nothing was touched", mark::FORMAT)
+        }
+        /// A process has the store open, or wrote to it just now.
+        InUse(what: &'static str) {
+            display("the store is in use: {what}")
+        }
         /// The disk lost what it had saved: it starts anew, empty, and so must the member.
         Lost(what: &'static str) {
             display("the disk lost what it had saved: {what}")
@@ -79,6 +93,7 @@
     pub(crate) fn is_bad_content(&self) -> bool {
         use std::io::ErrorKind;
         match self {
+            HoldError::Newer(_) | HoldError::InUse(_) => false,
             HoldError::Misfit(..) | HoldError::Lost(_) | HoldError::Broken(..) => true,
             HoldError::Store(_, _, sled::Error::Io(cause)) | HoldError::Io(_, _, cause) => {
                 matches!(cause.kind(), ErrorKind::UnexpectedEof | ErrorKind::InvalidData)
--- a/crates/hold/src/record.rs
+++ b/crates/hold/src/record.rs
@@ -2,9 +2,10 @@
 //! (a leaf of it holds up to 16 of them, and what is larger than a quarter of a segment would become a file of its own).
 
 use crate::kept::{misfit, Kept};
+use crate::mark::FORMAT;
 use crate::HoldError;
 use nickeljunction_logbook::{Entry, Hard, Member, Snapshot};
-use serde::{de::DeserializeOwned, Serialize};
+use serde::{de::DeserializeOwned, Deserialize, Serialize};
 
 /// Bytes of a piece.
 const PIECE: usize = 4_000;
@@ -56,71 +57,149 @@
     serde_json::from_slice(json).map_err(|_| misfit(key, "can't be read"))
 }
 
+/// Term and vote as they stand on the disk, with what the store tells of itself. Format 1 had term and vote alone, and a
+/// program of format 1 passes over the rest.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct HardRecord {
+    #[serde(flatten)]
+    pub(crate) hard: Hard,
+    #[serde(flatten)]
+    pub(crate) stamp: Stamp,
+}
+
+/// What a store tells of itself.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Stamp {
+    /// Its format; 0: written by format 1.
+    #[serde(rename = "f", default)]
+    pub(crate) format: u32,
+    /// Its number, drawn when it was first written; 0: none.
+    #[serde(rename = "s", default)]
+    pub(crate) store: u64,
+    /// Saves that it has taken.
+    #[serde(rename = "c", default)]
+    pub(crate) saves: u64,
+}
+
+impl Stamp {
+    /// Of the next save.
+    pub(crate) fn next(self) -> Stamp {
+        let store = if self.store == 0 { fastrand::u64(1..1 << 40) } else { self.store };
+        Stamp { format: FORMAT, store, saves: self.saves + 1 }
+    }
+}
+
+/// All that could be read of a store, and what could not.
+#[derive(Debug, Default)]
+pub(crate) struct Found {
+    pub(crate) me: Option<Member>,
+    pub(crate) hard: Option<HardRecord>,
+    pub(crate) snapshot: Option<Snapshot>,
+    pub(crate) entries: Vec<Entry>,
+    /// Records, good and bad.
+    pub(crate) records: usize,
+    /// In the order of keys.
+    pub(crate) faults: Vec<HoldError>,
+}
+
 /// Puts together what the store gives, piece by piece in the order of keys.
 #[derive(Default)]
 pub(crate) struct Reader {
-    me: Option<Member>,
-    hard: Option<Hard>,
-    snapshot: Option<Snapshot>,
-    entries: Vec<Entry>,
+    found: Found,
     key: Vec<u8>,
     whole: Vec<u8>,
     next: u32,
+    /// Pieces of the record at `key` are missing.
+    holed: bool,
 }
 
 impl Reader {
     /// Takes the next key and value.
-    ///
-    /// # Errors
-    /// Where a piece is missing, or the record before is bad.
-    pub(crate) fn take(&mut self, key: &[u8], value: &[u8]) -> Result<(), HoldError> {
-        let (record, piece) = key.split_last_chunk::<4>().ok_or_else(|| misfit("key", "is cut off"))?;
+    pub(crate) fn take(&mut self, key: &[u8], value: &[u8]) {
+        let Some((record, piece)) = key.split_last_chunk::<4>() else {
+            return self.found.faults.push(misfit("key", "is cut off"));
+        };
         let piece = u32::from_be_bytes(*piece);
-        if piece == 0 {
-            self.close()?;
+        if piece == 0 || self.key != record {
+            self.close();
             self.key = record.to_vec();
-        } else if self.key != record || self.next != piece {
-            return Err(misfit(String::from_utf8_lossy(record), "misses a piece"));
+            (self.next, self.holed) = (0, false);
         }
-        self.next = piece + 1;
+        self.holed |= piece != self.next;
+        self.next = piece.wrapping_add(1);
         self.whole.extend_from_slice(value);
-        Ok(())
     }
 
     /// Reads the record whose pieces are complete.
-    fn close(&mut self) -> Result<(), HoldError> {
+    fn close(&mut self) {
+        if self.key.is_empty() {
+            return;
+        }
         let whole = std::mem::take(&mut self.whole);
-        match self.key.as_slice() {
-            b"" => {}
-            ME => self.me = Some(read("me", &whole)?),
-            HARD => self.hard = Some(read("hard", &whole)?),
-            SNAPSHOT => self.snapshot = Some(read("snapshot", &whole)?),
-            key => {
-                let index = key.strip_prefix(ENTRY).and_then(|index| <[u8; 8]>::try_from(index).ok());
-                let index = index.ok_or_else(|| misfit("key", "is none of ours"))?;
-                let name = format!("entry {}", u64::from_be_bytes(index));
-                let entry: Entry = read(&name, &whole)?;
-                if entry.index != u64::from_be_bytes(index) {
+        self.found.records += 1;
+        if let Err(fault) = self.read_record(&whole) {
+            self.found.faults.push(fault);
+        }
+    }
+
+    fn read_record(&mut self, whole: &[u8]) -> Result<(), HoldError> {
+        let index = self.key.strip_prefix(ENTRY).and_then(|index| <[u8; 8]>::try_from(index).ok());
+        let name = match (self.key.as_slice(), index) {
+            (ME, _) => "me".to_owned(),
+            (HARD, _) => "hard".to_owned(),
+            (SNAPSHOT, _) => "snapshot".to_owned(),
+            (_, Some(index)) => format!("entry {}", u64::from_be_bytes(index)),
+            _ => return Err(misfit("key", "is none of ours")),
+        };
+        if self.holed {
+            return Err(misfit(name, "misses a piece"));
+        }
+        let found = &mut self.found;
+        match (self.key.as_slice(), index) {
+            (ME, _) => found.me = Some(read(&name, whole)?),
+            (HARD, _) => found.hard = Some(read(&name, whole)?),
+            (SNAPSHOT, _) => found.snapshot = Some(read(&name, whole)?),
+            (_, index) => {
+                let entry: Entry = read(&name, whole)?;
+                if index.map(u64::from_be_bytes) != Some(entry.index) {
                     return Err(misfit(name, "is another entry"));
                 }
-                self.entries.push(entry);
+                found.entries.push(entry);
             }
         }
         Ok(())
     }
 
-    /// All that was read; none where there was nothing.
+    /// All that was read.
+    pub(crate) fn finish(mut self) -> Found {
+        self.close();
+        self.found
+    }
+}
+
+impl Found {
+    /// What the store tells of itself.
+    pub(crate) fn stamp(&self) -> Stamp {
+        self.hard.unwrap_or_default().stamp
+    }
+
+    /// All of it; none where there was nothing.
     ///
     /// # Errors
-    /// Where it doesn't fit together.
-    pub(crate) fn finish(mut self) -> Result<Option<Kept>, HoldError> {
-        self.close()?;
+    /// Where something can't be read or doesn't fit together, or is of a newer format.
+    pub(crate) fn kept(self) -> Result<Option<Kept>, HoldError> {
+        if self.stamp().format > FORMAT {
+            return Err(HoldError::Newer(self.stamp().format));
+        }
+        if let Some(fault) = self.faults.into_iter().next() {
+            return Err(fault);
+        }
         let Some(me) = self.me else {
             let nothing = self.hard.is_none() && self.snapshot.is_none() && self.entries.is_empty();
             return if nothing { Ok(None) } else { Err(misfit("me", "is missing")) };
         };
-        let kept =
-            Kept { me, hard: self.hard.unwrap_or_default(), snapshot: self.snapshot, entries: self.entries };
+        let hard = self.hard.unwrap_or_default().hard;
+        let kept = Kept { me, hard, snapshot: self.snapshot, entries: self.entries };
         kept.check()?;
         Ok(Some(kept))
     }
--- a/crates/hold/src/sled_hold.rs
+++ b/crates/hold/src/sled_hold.rs
@@ -1,10 +1,11 @@
 //! The disk over sled.
 
 use crate::kept::{Kept, Outline};
-use crate::record::{entry_key, piece_key, pieces, Reader, HARD, ME, SNAPSHOT};
+use crate::mark::{Claim, Mark, MARK};
+use crate::record::{entry_key, piece_key, pieces, Found, HardRecord, Reader, Stamp, HARD, ME, SNAPSHOT};
 use crate::sync::{clear, probe, size, sync_folder, trouble, Synced};
 use crate::{Hold, HoldError};
-use nickeljunction_logbook::Write;
+use nickeljunction_logbook::{Hard, Write};
 use std::fs;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::{Path, PathBuf};
@@ -21,13 +22,14 @@
 const OPEN_PAUSE: Duration = Duration::from_millis(5);
 
 /// The store's folder within ours, before its number, and one that isn't complete.
-const STORE: &str = "store.";
+pub(crate) const STORE: &str = "store.";
 const UNDERWAY: &str = "underway";
 
 /// A disk: a sled store in a folder of its own. All calls block for as long as the disk takes, some ms as a rule.
 ///
 /// A store that won't open, or whose records don't fit together, is a wiped one: the folder is cleared, and
-/// [`Hold::load`] gives none. A store that can't be read for the moment is left alone, and the call fails.
+/// [`Hold::load`] gives none. So is one that knows of fewer saves than the mark beside it. A store that can't be read for
+/// the moment, or is of a newer format, is left alone, and the call fails.
 #[derive(Debug)]
 pub struct SledHold {
     dir: PathBuf,
@@ -39,6 +41,11 @@
     saved: Outline,
     /// What there is if the write that failed last is there after all.
     tried: Option<Outline>,
+    /// Of the last save that was synced for sure.
+    stamp: Stamp,
+    mark: Mark,
+    /// Why the store that was here was given up at opening.
+    given_up: Option<String>,
     /// A store larger than this is written anew.
     rewrite_bytes: u64,
 }
@@ -58,30 +65,75 @@
 }
 
 impl SledHold {
-    /// Opens the store in `dir`, which is made where it is missing and belongs to the store alone.
+    /// Opens the store in `dir`, which is made where it is missing and belongs to the store alone. One of an older
+    /// format is brought to this one.
     ///
     /// # Errors
-    /// Where the folder can't be made, read or written for the moment. A broken store is no error.
+    /// Where the folder can't be made, read or written for the moment, or is of a newer format, and then it is untouched.
+    /// A broken store is no error.
     pub fn open(dir: impl AsRef<Path>) -> Result<SledHold, HoldError> {
         let dir = dir.as_ref().to_owned();
         fs::create_dir_all(&dir).map_err(|cause| trouble("create", &dir, cause))?;
+        let mark = Mark::read(&dir)?;
         let mut hold = SledHold {
             dir,
             number: 1,
             store: None,
             saved: Outline::default(),
             tried: None,
+            stamp: Stamp::default(),
+            mark,
+            given_up: None,
             rewrite_bytes: REWRITE_BYTES,
         };
         hold.number = hold.newest()?;
-        match hold.open_store() {
-            Ok(kept) => hold.saved = Outline::of(kept.as_ref()),
-            Err(error) if error.is_bad_content() => hold.start_anew()?,
+        let given_up = match hold.open_store() {
+            Ok((kept, stamp)) => {
+                (hold.saved, hold.stamp) = (Outline::of(kept.as_ref()), stamp);
+                hold.mark.misses(stamp.store, stamp.saves).map(str::to_owned)
+            }
+            Err(error) if error.is_bad_content() => Some(error.to_string()),
             Err(error) => return Err(error),
+        };
+        if given_up.is_some() {
+            hold.given_up = given_up;
+            hold.start_anew()?;
+        }
+        if hold.saved.known && hold.stamp.store == 0 {
+            hold.upgrade()?;
+        }
+        if hold.saved.known {
+            // All of it was synced just now.
+            hold.mark.note(hold.claim());
         }
+        hold.mark.sync_name();
         Ok(hold)
     }
 
+    /// Why the store that was here was given up when it was opened; none where nothing was lost.
+    pub fn given_up(&self) -> Option<&str> {
+        self.given_up.as_deref()
+    }
+
+    /// This folder once held a store that was lost: whoever starts on it is not the system's first.
+    pub fn was_lost(&self) -> bool {
+        self.mark.lost > 0
+    }
+
+    /// Brings a store of format 1 to this one.
+    fn upgrade(&mut self) -> Result<(), HoldError> {
+        let (hard, stamp) = (self.saved.hard, Stamp::default().next());
+        self.ready()?.save(&Write::default(), hard, stamp)?;
+        self.stamp = stamp;
+        Ok(())
+    }
+
+    /// What the mark may say.
+    fn claim(&self) -> Claim {
+        let Stamp { store, saves, .. } = self.stamp;
+        Claim { store, saves, last: self.saved.last, last_term: self.saved.last_term }
+    }
+
     /// Bytes that the store takes on the disk.
     pub fn size(&self) -> u64 {
         size(&self.dir)
@@ -104,6 +156,8 @@
                 .collect()
         };
         let stores = listed().map_err(|cause| trouble("list", &self.dir, cause))?;
+        let stores: Vec<_> =
+            stores.into_iter().filter(|(path, _)| path.file_name().is_none_or(|name| name != MARK)).collect();
         let newest = stores.iter().map(|(_, number)| *number).max().unwrap_or(0).max(1);
         for (path, _) in stores.iter().filter(|(_, number)| *number < newest) {
             // What remains is tried again at the next start.
@@ -119,25 +173,30 @@
         probe(&self.dir)?;
         self.saved = Outline::default();
         self.tried = None;
-        clear(&self.dir)?;
+        self.stamp = Stamp::default();
+        clear(&self.dir, MARK)?;
+        // Later than the clearing: a mark without its store says the same.
+        self.mark.forget()?;
         self.open_store().map(|_| ())
     }
 
     /// Opens the store, syncs all of its files and reads what is in it.
-    fn open_store(&mut self) -> Result<Option<Kept>, HoldError> {
+    fn open_store(&mut self) -> Result<(Option<Kept>, Stamp), HoldError> {
         let mut store = Store::open(&self.store_dir(self.number))?;
         sync_folder(&self.dir)?;
-        let kept = store.read()?;
+        let found = store.read()?;
+        let stamp = found.stamp();
+        let kept = found.kept()?;
         self.store = Some(store);
-        Ok(kept)
+        Ok((kept, stamp))
     }
 
     /// Opens a store again that failed, and makes sure that it has all that it had saved.
     fn reopen(&mut self) -> Result<(), HoldError> {
         self.store = None;
-        let kept = match self.open_store() {
-            Err(error) if error.is_bad_content() => None,
-            kept => kept?,
+        let (kept, stamp) = match self.open_store() {
+            Err(error) if error.is_bad_content() => (None, Stamp::default()),
+            found => found?,
         };
         let mut found = Outline::of(kept.as_ref());
         if !found.is_same(&self.saved) && !self.tried.is_some_and(|tried| found.is_same(&tried)) {
@@ -149,7 +208,7 @@
             // Nothing failed in between: the next write may build on the last one.
             found.ticket = self.saved.ticket;
         }
-        self.saved = found;
+        (self.saved, self.stamp) = (found, stamp);
         self.tried = None;
         Ok(())
     }
@@ -164,22 +223,22 @@
 
     /// Writes a store that has grown too large anew, in a second folder that takes its place when it is complete.
     fn rewrite(&mut self) -> Result<(), HoldError> {
-        let kept = self.ready()?.read()?;
+        let found = self.ready()?.read()?;
+        let stamp = found.stamp();
+        let kept = found.kept()?;
         let underway = self.dir.join(UNDERWAY);
         if underway.exists() {
             fs::remove_dir_all(&underway).map_err(|cause| trouble("remove", &underway, cause))?;
         }
         let mut next = Store::open(&underway)?;
         if let Some(kept) = kept {
-            next.save(&Write {
-                ticket: 0,
-                after: 0,
+            let all = Write {
                 me: Some(kept.me),
-                hard: Some(kept.hard),
-                truncate_from: None,
                 snapshot: kept.snapshot,
                 entries: kept.entries,
-            })?;
+                ..Write::default()
+            };
+            next.save(&all, kept.hard, stamp)?;
         }
         drop(next);
         // Closed, it may have written once more.
@@ -209,12 +268,29 @@
 
     /// Gets a write to the files, but not synced.
     pub(crate) fn save_unsynced(&mut self, write: &Write) {
+        let (hard, stamp) = (self.saved.after(write).unwrap().hard, self.stamp.next());
         let store = self.store.as_mut().unwrap();
         let db = store.db.as_ref().unwrap();
-        db.apply_batch(batch(db, write).unwrap()).unwrap();
+        db.apply_batch(batch(db, write, hard, stamp).unwrap()).unwrap();
         db.flush().unwrap();
     }
 
+    /// As a mark would be that is written before its sync.
+    pub(crate) fn note_early(&mut self) {
+        let claim = self.claim();
+        self.mark.note(Claim { saves: claim.saves + 1, ..claim });
+    }
+
+    /// Leaves out all syncs from here on.
+    pub(crate) fn forget_syncs(&mut self) {
+        self.store.as_mut().unwrap().synced.lazy = true;
+    }
+
+    /// Syncs the true files from here on.
+    pub(crate) fn sync_truly(&mut self) {
+        self.store.as_mut().unwrap().synced.truly = true;
+    }
+
     /// As after a failure.
     pub(crate) fn close(&mut self) {
         self.store = None;
@@ -228,7 +304,7 @@
 
 impl Hold for SledHold {
     fn load(&mut self) -> Result<Option<Kept>, HoldError> {
-        match self.ready()?.read() {
+        match self.ready()?.read().and_then(Found::kept) {
             Err(error) if error.is_bad_content() => {
                 self.start_anew()?;
                 Ok(None)
@@ -240,13 +316,19 @@
     fn save(&mut self, write: &Write) -> Result<(), HoldError> {
         self.ready()?;
         let next = self.saved.after(write)?;
-        if let Err(error) = self.ready()?.save(write) {
+        let stamp = self.stamp.next();
+        if let Err(error) = self.ready()?.save(write, next.hard, stamp) {
             // Once in trouble sled stays so: it is opened again by the next call, when there may be space.
             self.store = None;
             self.tried = Some(next);
             return Err(error);
         }
-        self.saved = next;
+        (self.saved, self.stamp) = (next, stamp);
+        self.mark.note(self.claim());
+        if write.snapshot.is_some() {
+            // Now and then it lasts by itself; else the kernel and the next start see to it.
+            self.mark.sync();
+        }
         if self.store.as_ref().is_some_and(|store| store.synced.size() > self.rewrite_bytes)
             && self.rewrite().is_err()
         {
@@ -265,24 +347,16 @@
         Ok(store)
     }
 
-    fn read(&mut self) -> Result<Option<Kept>, HoldError> {
-        let db = self.db.as_ref();
-        guarded("read", "records", || {
-            let mut reader = Reader::default();
-            for item in db.into_iter().flat_map(|db| db.iter()) {
-                let (key, value) = item.map_err(|cause| refused("read", "records", cause))?;
-                reader.take(&key, &value)?;
-            }
-            reader.finish()
-        })
+    fn read(&mut self) -> Result<Found, HoldError> {
+        read_db(self.db.as_ref())
     }
 
     /// Writes as one batch, flushes and syncs.
-    fn save(&mut self, write: &Write) -> Result<(), HoldError> {
+    fn save(&mut self, write: &Write, hard: Hard, stamp: Stamp) -> Result<(), HoldError> {
         let key = format!("write {}", write.ticket);
         let Some(db) = &self.db else { return Err(HoldError::Broken("write", key)) };
         guarded("write", &key, || {
-            let batch = batch(db, write)?;
+            let batch = batch(db, write, hard, stamp)?;
             db.apply_batch(batch).map_err(|cause| refused("write", &key, cause))?;
             db.flush().map_err(|cause| refused("flush", &key, cause))
         })?;
@@ -290,8 +364,23 @@
     }
 }
 
-/// All that a write changes, deletions first.
-fn batch(db: &sled::Db, write: &Write) -> Result<sled::Batch, HoldError> {
+/// All that a store has, good and bad.
+///
+/// # Errors
+/// Where the store itself can't read on.
+pub(crate) fn read_db(db: Option<&sled::Db>) -> Result<Found, HoldError> {
+    guarded("read", "records", || {
+        let mut reader = Reader::default();
+        for item in db.into_iter().flat_map(|db| db.iter()) {
+            let (key, value) = item.map_err(|cause| refused("read", "records", cause))?;
+            reader.take(&key, &value);
+        }
+        Ok(reader.finish())
+    })
+}
+
+/// All that a write changes, deletions first, with term and vote after it and the store's stamp.
+fn batch(db: &sled::Db, write: &Write, hard: Hard, stamp: Stamp) -> Result<sled::Batch, HoldError> {
     let mut batch = sled::Batch::default();
     let mut gone = Vec::new();
     if let Some(from) = write.truncate_from {
@@ -316,9 +405,7 @@
     if let Some(me) = &write.me {
         put(ME, pieces("me", me)?);
     }
-    if let Some(hard) = &write.hard {
-        put(HARD, pieces("hard", hard)?);
-    }
+    put(HARD, pieces("hard", &HardRecord { hard, stamp })?);
     if let Some(snapshot) = &write.snapshot {
         put(SNAPSHOT, pieces("snapshot", snapshot)?);
     }
@@ -329,7 +416,7 @@
 }
 
 /// Opens sled itself; waits a little for one that was just closed.
-fn open_db(dir: &Path) -> Result<sled::Db, HoldError> {
+pub(crate) fn open_db(dir: &Path) -> Result<sled::Db, HoldError> {
     let config = || {
         sled::Config::new()
             .path(dir)
--- a/crates/hold/src/sync.rs
+++ b/crates/hold/src/sync.rs
@@ -11,7 +11,7 @@
 const LOG: &str = "db";
 
 /// How a file looked when it was last synced.
-type Look = (u64, Option<SystemTime>);
+pub(crate) type Look = (u64, Option<SystemTime>);
 
 /// A folder and how its files looked when they were last synced.
 #[derive(Debug)]
@@ -23,6 +23,12 @@
     /// What a loss of power would leave: tests look there.
     #[cfg(test)]
     pub(crate) shadow: Option<PathBuf>,
+    /// Syncs nothing: to show that tests see what that loses.
+    #[cfg(test)]
+    pub(crate) lazy: bool,
+    /// Syncs the true files.
+    #[cfg(test)]
+    pub(crate) truly: bool,
 }
 
 impl Synced {
@@ -34,6 +40,10 @@
             log: None,
             #[cfg(test)]
             shadow: None,
+            #[cfg(test)]
+            lazy: false,
+            #[cfg(test)]
+            truly: false,
         }
     }
 
@@ -43,6 +53,10 @@
     /// # Errors
     /// Where one could not be synced; the next call syncs everything.
     pub(crate) fn sync(&mut self) -> Result<(), HoldError> {
+        #[cfg(test)]
+        if self.lazy {
+            return Ok(());
+        }
         let done = self.sync_changed();
         if done.is_err() {
             self.looks.clear();
@@ -76,6 +90,12 @@
     }
 
     fn sync_file(&mut self, path: &Path, is_log: bool) -> Result<(), HoldError> {
+        #[cfg(test)]
+        if !self.truly {
+            // The shadow tells what lasts; waiting for the true disk would tell nothing more.
+            self.shadow_file(path);
+            return Ok(());
+        }
         let done = match &self.log {
             Some(log) if is_log => log.sync_all(),
             _ => File::open(path).and_then(|file| {
@@ -87,17 +107,16 @@
         match done {
             // The store clears away its own old files meanwhile.
             Err(cause) if cause.kind() == io::ErrorKind::NotFound && !is_log => Ok(()),
-            done => {
-                #[cfg(test)]
-                self.shadow_file(path);
-                done.map_err(|cause| trouble("sync", path, cause))
-            }
+            done => done.map_err(|cause| trouble("sync", path, cause)),
         }
     }
 
     fn sync_names(&mut self, folder: &Path) -> Result<(), HoldError> {
         #[cfg(test)]
-        self.shadow_folder(folder);
+        if !self.truly {
+            self.shadow_folder(folder);
+            return Ok(());
+        }
         sync_folder(folder)
     }
 
@@ -126,7 +145,11 @@
 }
 
 /// All files under a folder, and all folders from it on.
-fn list(dir: &Path, looks: &mut BTreeMap<PathBuf, Look>, folders: &mut Vec<PathBuf>) -> io::Result<()> {
+pub(crate) fn list(
+    dir: &Path,
+    looks: &mut BTreeMap<PathBuf, Look>,
+    folders: &mut Vec<PathBuf>,
+) -> io::Result<()> {
     folders.push(dir.to_owned());
     for item in fs::read_dir(dir)? {
         let path = item?.path();
@@ -165,17 +188,24 @@
 /// # Errors
 /// Where it could not be synced.
 pub(crate) fn sync_folder(folder: &Path) -> Result<(), HoldError> {
+    if cfg!(test) {
+        // No test's files outlive its machine.
+        return Ok(());
+    }
     File::open(folder).and_then(|folder| folder.sync_all()).map_err(|cause| trouble("sync", folder, cause))
 }
 
-/// Removes all that is in a folder, and makes that last.
+/// Removes all that is in a folder but the file `kept`, and makes that last.
 ///
 /// # Errors
 /// Where something could not be removed.
-pub(crate) fn clear(dir: &Path) -> Result<(), HoldError> {
+pub(crate) fn clear(dir: &Path, kept: &str) -> Result<(), HoldError> {
     let remove = || -> io::Result<()> {
         for item in fs::read_dir(dir)? {
             let path = item?.path();
+            if path.file_name().is_some_and(|name| name == kept) {
+                continue;
+            }
             if path.is_dir() {
                 fs::remove_dir_all(&path)?;
             } else {
--- a/crates/hold/src/tests.rs
+++ b/crates/hold/src/tests.rs
@@ -7,23 +7,29 @@
 use std::path::Path;
 use tempfile::TempDir;
 
-fn seeds() -> std::ops::Range<u64> {
+pub(crate) fn seeds() -> std::ops::Range<u64> {
     0..std::env::var("SEEDS").map_or(12, |count| count.parse().unwrap())
 }
 
+pub(crate) fn temp() -> TempDir {
+    TempDir::new().unwrap()
+}
+
 /// Makes writes as a member of the agreement does.
-struct Writer {
+pub(crate) struct Writer {
     rng: fastrand::Rng,
     ticket: u64,
-    model: Option<Kept>,
+    pub(crate) model: Option<Kept>,
 }
 
 impl Writer {
-    fn new(seed: u64) -> Writer {
+    pub(crate) fn new(seed: u64) -> Writer {
+        // The number that a store draws is of the same luck: it is part of what is torn.
+        fastrand::seed(seed);
         Writer { rng: fastrand::Rng::with_seed(seed), ticket: 0, model: None }
     }
 
-    fn next(&mut self) -> Write {
+    pub(crate) fn next(&mut self) -> Write {
         self.ticket += 1;
         let mut write = Write { ticket: self.ticket, ..Write::default() };
         let Some(kept) = &self.model else {
@@ -55,12 +61,12 @@
         write
     }
 
-    fn done(&mut self, write: &Write) {
+    pub(crate) fn done(&mut self, write: &Write) {
         self.model = Some(Kept::after(self.model.take(), write).unwrap());
     }
 }
 
-fn copy(from: &Path, to: &Path) {
+pub(crate) fn copy(from: &Path, to: &Path) {
     fs::create_dir_all(to).unwrap();
     for item in fs::read_dir(from).unwrap() {
         let path = item.unwrap().path();
@@ -76,7 +82,7 @@
 #[test]
 fn what_was_saved_survives_the_loss_of_power_with_later_writes_torn() {
     for seed in seeds() {
-        let (dir, shadow) = (TempDir::new().unwrap(), TempDir::new().unwrap());
+        let (dir, shadow) = (temp(), temp());
         let mut rng = fastrand::Rng::with_seed(seed);
         let mut writer = Writer::new(seed);
         let mut hold = SledHold::open(dir.path()).unwrap();
@@ -89,7 +95,7 @@
                 continue;
             }
             // The next write reaches the files without a sync; of what it changed each sector is there or not.
-            let lost = TempDir::new().unwrap();
+            let lost = temp();
             copy(shadow.path(), lost.path());
             let next = writer.next();
             hold.save_unsynced(&next);
@@ -105,7 +111,7 @@
 }
 
 /// Of the sectors in which `newer` differs from `older`, some get into `older`.
-fn tear(newer: &Path, older: &Path, rng: &mut fastrand::Rng) {
+pub(crate) fn tear(newer: &Path, older: &Path, rng: &mut fastrand::Rng) {
     const SECTOR: usize = 512;
     let (newer, mut torn) = (fs::read(newer).unwrap(), fs::read(older).unwrap());
     let share = rng.f64();
@@ -126,7 +132,7 @@
 #[test]
 fn a_broken_store_is_a_wiped_one() {
     for seed in seeds() {
-        let dir = TempDir::new().unwrap();
+        let dir = temp();
         let mut rng = fastrand::Rng::with_seed(seed);
         let mut writer = Writer::new(seed);
         let mut hold = SledHold::open(dir.path()).unwrap();
@@ -146,10 +152,11 @@
         fs::write(&path, bytes).unwrap();
         let mut hold = SledHold::open(dir.path()).unwrap();
         let found = hold.load().unwrap();
-        // Whatever remains is a beginning that fits together, or nothing.
-        if let Some(found) = &found {
-            found.check().unwrap();
+        // All of it or nothing: a beginning that fits together is noticed by the mark.
+        if found.is_some() {
+            assert_eq!(found, writer.model, "seed {seed}");
         } else {
+            assert!(hold.given_up().is_some() && hold.was_lost(), "seed {seed}");
             let mut writer = Writer::new(seed);
             for _ in 0..3 {
                 let write = writer.next();
@@ -164,7 +171,7 @@
 
 #[test]
 fn many_saves_stay_small() {
-    let dir = TempDir::new().unwrap();
+    let dir = temp();
     let mut hold = SledHold::open(dir.path()).unwrap();
     let me = Member { id: 7, host: "10.0.0.1".to_owned() };
     let mut most = 0;
@@ -189,7 +196,7 @@
 
 #[test]
 fn a_store_that_grew_is_written_anew() {
-    let dir = TempDir::new().unwrap();
+    let dir = temp();
     let mut writer = Writer::new(3);
     let mut hold = SledHold::open(dir.path()).unwrap();
     hold.bound(2 << 20);
@@ -205,7 +212,7 @@
 
 #[test]
 fn a_failed_store_goes_on_when_it_can_and_tells_a_loss() {
-    let dir = TempDir::new().unwrap();
+    let dir = temp();
     let mut writer = Writer::new(5);
     let mut hold = SledHold::open(dir.path()).unwrap();
     for _ in 0..10 {
@@ -236,7 +243,7 @@
 
 #[test]
 fn a_folder_that_cannot_be_made_is_an_error() {
-    let dir = TempDir::new().unwrap();
+    let dir = temp();
     fs::write(dir.path().join("file"), "").unwrap();
     assert!(matches!(SledHold::open(dir.path().join("file/hold")), Err(HoldError::Io("create", ..))));
 }
@@ -271,3 +278,26 @@
     hold.wipe();
     assert_eq!(hold.load().unwrap(), None);
 }
+
+/// Not a check: `cargo test -p nickeljunction-hold a_save_is_timed -- --nocapture` tells what a save takes here.
+#[test]
+fn a_save_is_timed() {
+    let dir = temp();
+    let mut hold = SledHold::open(dir.path()).unwrap();
+    hold.sync_truly();
+    let mut writer = Writer::new(1);
+    let mut took = Vec::new();
+    for _ in 0..100 {
+        let write = writer.next();
+        let begun = std::time::Instant::now();
+        hold.save(&write).unwrap();
+        took.push(begun.elapsed());
+        writer.done(&write);
+    }
+    took.sort();
+    println!("a save: {:?} at the median, {:?} at the 99th of 100", took[50], took[98]);
+    assert_eq!(hold.load().unwrap(), writer.model);
+    let begun = std::time::Instant::now();
+    (0..1_000).for_each(|_| hold.note_early());
+    println!("the mark of a save: {:?}", begun.elapsed() / 1_000);
+}
