--- a/crates/harbourmaster/src/cli.rs
+++ b/crates/harbourmaster/src/cli.rs
@@ -14,5 +14,44 @@
         optional --log-level level: String
         /// Reads and checks the settings, names what is wrong, and ends.
         optional --check
+        /// Serves until SIGTERM; without a command, too.
+        default cmd serve {}
+        /// The disk of a stopped member: FOLDER is its data_directory.
+        cmd store {
+            /// Checks all of it and names the first fault. Exit code 0: sound, 1: a member would start anew, 2: bad use.
+            cmd verify {
+                required folder: PathBuf
+                /// Prints JSON.
+                optional --json
+            }
+            /// Prints what it is, without the configuration itself.
+            cmd show {
+                required folder: PathBuf
+                /// Prints JSON.
+                optional --json
+            }
+            /// Prints the state that its log makes as JSON: configuration, evacuated zones.
+            cmd export {
+                required folder: PathBuf
+                /// Only the configuration, as `bosun put` takes it.
+                optional --config
+                /// Into this file instead, which must not exist.
+                optional --out file: PathBuf
+            }
+            /// Writes the state into one checked file, which must not exist.
+            cmd snapshot {
+                required folder: PathBuf
+                required file: PathBuf
+            }
+            /// Makes the disk of a new core's first member out of such a file. For the loss of a majority's disks alone.
+            cmd restore {
+                required file: PathBuf
+                required folder: PathBuf
+                /// The ip_address of the machine's settings.
+                required --host ip: String
+                /// FOLDER holds a store: it is renamed to logbook.replaced first.
+                optional --replace
+            }
+        }
     }
 }
--- a/crates/harbourmaster/src/lib.rs
+++ b/crates/harbourmaster/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod peers;
 pub mod resources;
 pub mod serve;
+pub mod store;
 pub mod tell;
--- a/crates/harbourmaster/src/main.rs
+++ b/crates/harbourmaster/src/main.rs
@@ -1,12 +1,16 @@
 //! `harbourmaster`: wires only.
 
 use nickeljunction_chandler::start;
-use nickeljunction_harbourmaster::{cli::Harbourmaster, serve};
+use nickeljunction_harbourmaster::cli::{Harbourmaster, HarbourmasterCmd};
+use nickeljunction_harbourmaster::{serve, store};
 use nickeljunction_manifest::Settings;
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
     let flags = Harbourmaster::from_env_or_exit();
+    if let HarbourmasterCmd::Store(order) = flags.subcommand {
+        return store::run(order.subcommand);
+    }
     let read = || {
         let settings = flags.settings.map_or_else(Settings::from_env, Settings::read)?;
         settings.core_checked().map(|_| settings)
--- a/crates/harbourmaster/src/serve.rs
+++ b/crates/harbourmaster/src/serve.rs
@@ -3,6 +3,7 @@
 use crate::helm::{Helm, Ports};
 use crate::peers::Peers;
 use crate::resources::{self, config, core, evacuations, inner, instances, status};
+use crate::store::LOGBOOK;
 use crate::{disk, follow, hint};
 use nickeljunction_chandler::caller::Caller;
 use nickeljunction_chandler::clock::Clock;
@@ -56,7 +57,7 @@
     dice: &mut fastrand::Rng,
 ) -> Result<Opened, HoldError> {
     let host = addresses.ip.to_string();
-    let mut hold = SledHold::open(addresses.data.join("logbook"))?;
+    let mut hold = SledHold::open(addresses.data.join(LOGBOOK))?;
     if let Some(cause) = hold.given_up() {
         log::error!("event=disk_given_up step=open error={cause:?}");
     }
