Offer figures for machines on an address of the operators' own

What a process counts could be read from its log alone, every 5 s, and what a core member knows only as JSON.

--figures IP:PORT has pilot and harbourmaster answer GET /metrics in the text format 0.0.4: requests, refusals, sends, connections, units and knowledge of a gateway; agreement, registers, units, disk and messages of a core member. Pages are written when asked for, from the counts that exist; new are stale refusals, writes with their times, and messages. Off without the option: no listener, no timer. A bad address ends with 2 and names the option.

--- a/crates/bunker/src/lib.rs
+++ b/crates/bunker/src/lib.rs
@@ -29,5 +29,5 @@
 mod tuning;
 
 pub use counter::{Counter, Roll, TenantStanding};
-pub use purse::{Purse, Spend};
+pub use purse::{Holding, Purse, Spend};
 pub use tuning::{Limit, Tuning};
--- a/crates/bunker/src/purse.rs
+++ b/crates/bunker/src/purse.rs
@@ -196,6 +196,17 @@
     }
 }
 
+/// A tenant's units at a gateway, for operators.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Holding {
+    /// Whose.
+    pub tenant: String,
+    /// Lent, unspent and in force.
+    pub held: u64,
+    /// Spent in the window of now.
+    pub spent: u64,
+}
+
 /// The units that a gateway holds, of all tenants with a limit.
 #[derive(Debug)]
 pub struct Purse {
@@ -596,6 +607,18 @@
         self.pause = (self.pause * 2).min(PAUSE_MS.1);
     }
 
+    /// What is held and spent here, of each tenant with a limit, by name, of the first `most`.
+    pub fn told(&mut self, now: u64, most: usize) -> Vec<Holding> {
+        let (valid, tuning) = (now < self.valid_until, &self.tuning);
+        let holding = |(tenant, batch): (&String, &mut Batch)| {
+            batch.age(now, tuning);
+            let held = if valid { batch.held() } else { 0 };
+            Holding { tenant: tenant.clone(), held, spent: batch.spent.sum() }
+        };
+        let limited = self.batches.iter_mut().filter(|(_, batch)| batch.limit.is_some());
+        limited.take(most).map(holding).collect()
+    }
+
     /// Units held of a tenant that may be spent at `now`.
     pub fn held(&mut self, now: u64, tenant: &str) -> u64 {
         match self.batches.get_mut(tenant) {
--- a/crates/chandler/src/lib.rs
+++ b/crates/chandler/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod caller;
 pub mod clock;
 pub mod desk;
+pub mod figures;
 pub mod link;
 pub mod logs;
 pub mod start;
--- a/crates/harbourmaster/src/disk.rs
+++ b/crates/harbourmaster/src/disk.rs
@@ -6,6 +6,7 @@
 use nickeljunction_logbook::Write;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::time::Instant;
 use tokio::sync::mpsc;
 
 /// Exit code of a process whose store no longer had what it had saved.
@@ -20,8 +21,8 @@
     Hint(Vec<u8>),
 }
 
-/// What became of a write: its ticket, and whether it is on the disk.
-pub type Done = (u64, bool);
+/// What became of a write: its ticket, whether it is on the disk, and how long it took, microseconds.
+pub type Done = (u64, bool, u64);
 
 /// Starts the thread; hints go to `place`. It ends when nobody sends writes any more.
 ///
@@ -44,7 +45,9 @@
                     continue;
                 }
             };
+            let begun = Instant::now();
             let saved = hold.save(&write);
+            let took = begun.elapsed().as_micros() as u64;
             if let Err(error) = &saved {
                 log::warn!(
                     "event=write_failed step=disk ticket={} error={:?}",
@@ -57,7 +60,7 @@
                 log::error!("event=store_lost step=disk ticket={}", write.ticket);
                 std::process::exit(STORE_LOST);
             }
-            if done.send((write.ticket, saved.is_ok())).is_err() {
+            if done.send((write.ticket, saved.is_ok(), took)).is_err() {
                 return;
             }
         }
@@ -68,7 +71,7 @@
 
 /// Tells the agreement what became of its writes, for as long as it is polled.
 pub async fn listen(helm: Rc<Helm>, mut done: mpsc::UnboundedReceiver<Done>) {
-    while let Some((ticket, fine)) = done.recv().await {
-        helm.written(ticket, fine);
+    while let Some((ticket, fine, took_us)) = done.recv().await {
+        helm.written(ticket, fine, took_us);
     }
 }
--- a/crates/harbourmaster/src/helm.rs
+++ b/crates/harbourmaster/src/helm.rs
@@ -1,6 +1,8 @@
 //! The driver of this core member: turns its machine ([`Wheelhouse`]) and carries out what comes out of it. Handlers of
 //! calls come in here.
 
+mod metrics;
+
 use crate::disk::Job;
 use crate::hint;
 use crate::peers::Peers;
@@ -37,6 +39,7 @@
     waits: RefCell<HashMap<Ticket, oneshot::Sender<Answer>, ahash::RandomState>>,
     disk: mpsc::UnboundedSender<Job>,
     peers: Rc<Peers>,
+    syncs: metrics::Syncs,
     /// Something changed: held calls look again.
     pub changed: Notify,
     /// The loop's next wake may have come nearer.
@@ -68,7 +71,18 @@
     ) -> Rc<Helm> {
         let (house, waits) = (RefCell::new(house), RefCell::default());
         let (changed, sooner) = (Notify::new(), Notify::new());
-        Rc::new(Helm { place, ports, wheel, house, waits, disk, peers, changed, sooner })
+        Rc::new(Helm {
+            place,
+            ports,
+            wheel,
+            house,
+            waits,
+            disk,
+            peers,
+            syncs: metrics::Syncs::default(),
+            changed,
+            sooner,
+        })
     }
 
     /// What was known of servers and gateways when this machine's process before ended.
@@ -101,11 +115,13 @@
 
     /// Messages of other members came in.
     pub fn heard(&self, messages: Vec<Envelope>) {
+        self.syncs.heard(messages.len());
         self.turn(|house, now| house.heard(now, messages));
     }
 
-    /// What became of a write.
-    pub fn written(&self, ticket: u64, fine: bool) {
+    /// What became of a write, and how long it took, microseconds.
+    pub fn written(&self, ticket: u64, fine: bool, took_us: u64) {
+        self.syncs.wrote(fine, took_us);
         self.turn(|house, now| house.written(now, ticket, fine));
     }
 
--- /dev/null
+++ b/crates/harbourmaster/src/helm/metrics.rs
@@ -0,0 +1,257 @@
+//! A core member's figures as operators collect them. What only a leader knows is left out at the others.
+
+use super::Helm;
+use nickeljunction_chandler::figures::{Kind, Page, Writer, MOST_LABELLED};
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// What this member has written.
+#[derive(Debug, Default)]
+pub(super) struct Syncs {
+    count: Cell<u64>,
+    failed: Cell<u64>,
+    sum_us: Cell<u64>,
+    most_us: Cell<u64>,
+    /// Messages of other members.
+    heard: Cell<u64>,
+}
+
+impl Syncs {
+    /// A write took so long, synced or failed.
+    pub(super) fn wrote(&self, fine: bool, took_us: u64) {
+        let failed = u64::from(!fine);
+        self.count.set(self.count.get() + 1);
+        self.failed.set(self.failed.get() + failed);
+        self.sum_us.set(self.sum_us.get() + took_us);
+        self.most_us.set(self.most_us.get().max(took_us));
+    }
+
+    /// So many messages came.
+    pub(super) fn heard(&self, messages: usize) {
+        self.heard.set(self.heard.get() + messages as u64);
+    }
+}
+
+impl Helm {
+    /// Writes the page of figures each time that it is asked for.
+    pub fn figures(self: &Rc<Helm>) -> Writer {
+        let helm = self.clone();
+        Rc::new(move |page| helm.write_figures(page))
+    }
+
+    fn write_figures(&self, page: &mut Page) {
+        self.write_agreement(page);
+        self.write_disk(page);
+        self.write_register(page);
+        self.write_lead(page);
+    }
+
+    fn write_agreement(&self, page: &mut Page) {
+        let house = self.house.borrow();
+        let (book, statutes, now) = (house.book(), house.statutes(), self.now());
+        let flag = |is: bool| f64::from(u8::from(is));
+        let gauge = Kind::Gauge;
+        page.one("harbourmaster_term", gauge, "Newest term known.", book.term() as f64);
+        page.one(
+            "harbourmaster_leads",
+            gauge,
+            "1 where it leads and is ready.",
+            flag(house.leads().is_some()),
+        );
+        page.one(
+            "harbourmaster_commit",
+            gauge,
+            "Newest index of the log that is agreed.",
+            book.commit() as f64,
+        );
+        page.one(
+            "harbourmaster_applied",
+            gauge,
+            "Newest index that is in the state.",
+            house.applied() as f64,
+        );
+        page.one("harbourmaster_members", gauge, "Members of the core.", book.members().len() as f64);
+        // A follower has none, a leader without an answer an endless one.
+        page.figure(
+            "harbourmaster_quorum_age_seconds",
+            gauge,
+            "Age of the newest round that a majority answered.",
+        );
+        if book.is_leader() {
+            let age = book.quorum_age(now).map_or(f64::INFINITY, |age| age as f64 / 1_000.0);
+            page.value(&[], age);
+        }
+        page.figure("harbourmaster_member_behind", gauge, "Entries that another machine's disk lacks.");
+        for seen in book.seen(now).iter().take(MOST_LABELLED) {
+            let part = if seen.learner { "learner" } else { "member" };
+            let behind = book.commit().saturating_sub(seen.kept) as f64;
+            page.value(&[("host", &seen.member.host), ("part", part)], behind);
+        }
+        page.one(
+            "harbourmaster_config_version",
+            gauge,
+            "Version of the configuration in the state, 0 before the first.",
+            statutes.version() as f64,
+        );
+        page.one(
+            "harbourmaster_evacuated_zones",
+            gauge,
+            "Zones that are evacuated.",
+            statutes.evacuated().len() as f64,
+        );
+        page.figure("harbourmaster_messages_total", Kind::Counter, "Messages between members.");
+        page.value(&[("way", "in")], self.syncs.heard.get() as f64);
+        page.value(&[("way", "out")], self.peers.sent() as f64);
+    }
+
+    fn write_disk(&self, page: &mut Page) {
+        let sick = f64::from(u8::from(self.house.borrow().book().sick()));
+        let seconds = |us: &Cell<u64>| us.get() as f64 / 1e6;
+        page.one("harbourmaster_disk_sick", Kind::Gauge, "1 where the last write failed.", sick);
+        page.one(
+            "harbourmaster_writes_failed_total",
+            Kind::Counter,
+            "Writes that failed.",
+            self.syncs.failed.get() as f64,
+        );
+        page.one(
+            "harbourmaster_sync_seconds_count",
+            Kind::Counter,
+            "Writes of the log, synced.",
+            self.syncs.count.get() as f64,
+        );
+        page.one(
+            "harbourmaster_sync_seconds_sum",
+            Kind::Counter,
+            "Time that writes and their syncs took.",
+            seconds(&self.syncs.sum_us),
+        );
+        page.one(
+            "harbourmaster_sync_seconds_max",
+            Kind::Gauge,
+            "The longest of them since the start.",
+            seconds(&self.syncs.most_us),
+        );
+    }
+
+    fn write_register(&self, page: &mut Page) {
+        let house = self.house.borrow();
+        let roster = house.roster();
+        let servers = match house.leads() {
+            Some((register, _)) => register.tally(),
+            None => nickeljunction_berths::tally(house.copy().chart().servers.values().map(|line| &**line)),
+        };
+        page.figure("harbourmaster_servers", Kind::Gauge, "Lives of servers, by service and state.");
+        for (service, states) in servers.iter().take(MOST_LABELLED) {
+            for (state, count) in states {
+                page.value(&[("service", service), ("state", state)], *count as f64);
+            }
+        }
+        let ready = roster.iter().filter(|line| line.ready).count();
+        page.figure("harbourmaster_gateways", Kind::Gauge, "Gateways, by whether they take clients.");
+        page.value(&[("ready", "yes")], ready as f64);
+        page.value(&[("ready", "no")], (roster.len() - ready) as f64);
+    }
+
+    /// What only a leader knows.
+    fn write_lead(&self, page: &mut Page) {
+        let house = self.house.borrow();
+        let now = self.now();
+        let standings = house.leads().map_or_else(Vec::new, |(register, _)| register.gateway_standings(now));
+        page.figure(
+            "harbourmaster_gateway_config_version",
+            Kind::Gauge,
+            "Version of the configuration that a gateway has.",
+        );
+        for standing in standings.iter().take(MOST_LABELLED) {
+            if let Some(version) = standing.version {
+                page.value(&[("gateway", &standing.line.name)], version as f64);
+            }
+        }
+        let units = house.leads().map(|(_, counter)| counter.standings(now)).unwrap_or_default();
+        let units: Vec<_> = units.iter().take(MOST_LABELLED).collect();
+        page.figure("harbourmaster_units_cap", Kind::Gauge, "Units of a tenant in all.");
+        for (tenant, of) in &units {
+            page.value(&[("tenant", tenant)], of.cap as f64);
+        }
+        page.figure("harbourmaster_units_lent", Kind::Gauge, "Units that are lent to gateways.");
+        for (tenant, of) in &units {
+            page.value(&[("tenant", tenant)], of.lent as f64);
+        }
+        page.figure(
+            "harbourmaster_units_held_back",
+            Kind::Gauge,
+            "Units that gateways which are gone, or have not told yet, may have spent.",
+        );
+        for (tenant, of) in &units {
+            page.value(&[("tenant", tenant)], (of.ended + of.unheard) as f64);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::helm::Ports;
+    use crate::peers::Peers;
+    use nickeljunction_chandler::caller::Caller;
+    use nickeljunction_chandler::clock::Clock;
+    use nickeljunction_chandler::figures::well_formed;
+    use nickeljunction_chandler::wheel::Wheel;
+    use nickeljunction_logbook::{first_id, Restored, Tuning};
+    use nickeljunction_manifest::Bounds;
+    use nickeljunction_signals::Member;
+    use nickeljunction_wheelhouse::{Place, Wheelhouse};
+
+    /// Operators' boards go by these.
+    const NAMES: &str = "harbourmaster_term harbourmaster_leads harbourmaster_commit harbourmaster_applied \
+        harbourmaster_members harbourmaster_quorum_age_seconds harbourmaster_member_behind \
+        harbourmaster_config_version harbourmaster_evacuated_zones harbourmaster_messages_total \
+        harbourmaster_disk_sick harbourmaster_writes_failed_total harbourmaster_sync_seconds_count \
+        harbourmaster_sync_seconds_sum harbourmaster_sync_seconds_max harbourmaster_servers harbourmaster_gateways \
+        harbourmaster_gateway_config_version harbourmaster_units_cap harbourmaster_units_lent \
+        harbourmaster_units_held_back";
+
+    #[test]
+    fn the_page_reads_as_the_format_wants_and_names_stay() {
+        let me = Member { id: first_id("127.0.0.1"), host: "127.0.0.1".into() };
+        let place = Rc::new(Place {
+            name: "core-1".into(),
+            host: me.host.clone(),
+            zones: Default::default(),
+            bounds: Bounds::default(),
+            heartbeat_ms: 1_500,
+        });
+        let restored = Restored::first(me.clone(), vec![me]);
+        let mut house = Wheelhouse::new(place.clone(), restored, Tuning::default(), 1, 0);
+        for _ in 0..50 {
+            house.tick(house.next_wake());
+            let writes = house.take().writes;
+            // All at one time, or its lease would be over before the wheel's clock has begun.
+            writes.iter().for_each(|write| house.written(0, write.ticket, true));
+        }
+        assert!(house.leads().is_some());
+        let wheel = Wheel::new(Clock::start());
+        let peers = Peers::new(Caller::new(wheel.clone()), 1);
+        let (disk, _jobs) = tokio::sync::mpsc::unbounded_channel();
+        let helm = Helm::new(place, Ports { control: 1, inner: 1 }, wheel, house, disk, peers);
+        helm.syncs.wrote(true, 1_500);
+        helm.syncs.wrote(false, 500);
+        let mut page = Page::new();
+        helm.figures()(&mut page);
+        let text = page.into_text();
+        let names: Vec<String> = NAMES.split_whitespace().map(String::from).collect();
+        assert_eq!(well_formed(&text), Ok(names), "{text}");
+        for line in [
+            "harbourmaster_leads 1",
+            "harbourmaster_members 1",
+            "harbourmaster_sync_seconds_count 2",
+            "harbourmaster_sync_seconds_sum 0.002",
+            "harbourmaster_sync_seconds_max 0.0015",
+            "harbourmaster_writes_failed_total 1",
+            "harbourmaster_gateways{ready=\"no\"} 0",
+        ] {
+            assert!(text.lines().any(|other| other == line), "{line} is not in {text}");
+        }
+    }
+}
--- a/crates/harbourmaster/src/peers.rs
+++ b/crates/harbourmaster/src/peers.rs
@@ -24,12 +24,18 @@
     caller: Rc<Caller>,
     port: u16,
     peers: RefCell<HashMap<String, Peer, ahash::RandomState>>,
+    sent: Cell<u64>,
 }
 
 impl Peers {
     /// No queues yet; every host listens on this port.
     pub fn new(caller: Rc<Caller>, port: u16) -> Rc<Peers> {
-        Rc::new(Peers { caller, port, peers: RefCell::default() })
+        Rc::new(Peers { caller, port, peers: RefCell::default(), sent: Cell::new(0) })
+    }
+
+    /// Messages that were sent on, since the start.
+    pub fn sent(&self) -> u64 {
+        self.sent.get()
     }
 
     /// Sends a message to a host, if it is fit to be sent in time.
@@ -49,6 +55,7 @@
         let peer = &peers[host];
         if peer.waiting.get() < MOST_WAITING && peer.queue.send(message).is_ok() {
             peer.waiting.set(peer.waiting.get() + 1);
+            self.sent.set(self.sent.get() + 1);
         }
     }
 }
--- a/crates/harbourmaster/src/serve.rs
+++ b/crates/harbourmaster/src/serve.rs
@@ -8,6 +8,7 @@
 use nickeljunction_chandler::caller::Caller;
 use nickeljunction_chandler::clock::Clock;
 use nickeljunction_chandler::desk::{Desk, Limits};
+use nickeljunction_chandler::figures;
 use nickeljunction_chandler::start::{listen, Order, Orders, StartError};
 use nickeljunction_chandler::wheel::Wheel;
 use nickeljunction_hold::{Hold, HoldError, SledHold};
@@ -16,6 +17,7 @@
 use nickeljunction_signals::{path, Member};
 use nickeljunction_wheelhouse::{Place, Wheelhouse};
 use quick_error::quick_error;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::mpsc;
 
@@ -104,11 +106,11 @@
     opened
 }
 
-/// Serves until SIGTERM.
+/// Serves until SIGTERM; figures at this address, where one is given.
 ///
 /// # Errors
 /// See [`ServeError`].
-pub async fn run(settings: Settings) -> Result<(), ServeError> {
+pub async fn run(settings: Settings, figures_at: Option<SocketAddr>) -> Result<(), ServeError> {
     let addresses = settings.core_checked()?;
     let mut dice = fastrand::Rng::new();
     let wheel = Wheel::new(Clock::start());
@@ -150,6 +152,9 @@
         (listen("control", addresses.control).await?, Rc::new(control)),
         (listen("inner calls", addresses.inner).await?, Rc::new(inner_desk)),
     ];
+    if let Some(address) = figures_at {
+        figures::offer(&wheel, address, helm.figures()).await?;
+    }
     let open_desks: Vec<Rc<Desk>> = desks.iter().map(|(_, desk)| desk.clone()).collect();
     let mut serving = tokio::task::JoinSet::new();
     for (listener, desk) in desks {
--- a/crates/pilot/src/figures.rs
+++ b/crates/pilot/src/figures.rs
@@ -106,6 +106,22 @@
     }
 }
 
+impl Counts {
+    /// Sends by how they ended.
+    pub(crate) fn outcomes(&self) -> [(&'static str, u64); 8] {
+        [
+            ("served", self.served),
+            ("errors", self.errors),
+            ("turned_away", self.turned_away),
+            ("unconnected", self.unconnected),
+            ("resets", self.resets),
+            ("spoilt", self.spoilt),
+            ("timed_out", self.timed_out),
+            ("called_off", self.called_off),
+        ]
+    }
+}
+
 impl fmt::Display for Counts {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
--- a/crates/pilot/src/front.rs
+++ b/crates/pilot/src/front.rs
@@ -196,6 +196,8 @@
     pub over_quota: Cell<u64>,
     /// Not run, come back later (503).
     pub refused: Cell<u64>,
+    /// Of these, those that the core was out of touch for.
+    pub stale: Cell<u64>,
     /// Failed at a server (502).
     pub failed: Cell<u64>,
     /// Not answered in time (504).
@@ -223,6 +225,24 @@
         });
     }
 
+    /// Requests by what became of them, with the status that their clients got; `*`: a server's.
+    pub(crate) fn outcomes(&self) -> [(&'static str, &'static str, u64); 11] {
+        let stale = self.stale.get();
+        [
+            ("served", "*", self.served.get()),
+            ("broken", "*", self.broken.get()),
+            ("no_route", "404", self.no_route.get()),
+            ("no_key", "401", self.no_key.get()),
+            ("over_quota", "429", self.over_quota.get()),
+            ("stale", "503", stale),
+            ("refused", "503", self.refused.get().saturating_sub(stale)),
+            ("failed", "502", self.failed.get()),
+            ("late", "504", self.late.get()),
+            ("improper", "4xx", self.improper.get()),
+            ("gone", "", self.gone.get()),
+        ]
+    }
+
     /// The counts as pairs for the log.
     pub fn note(&self) -> String {
         let figures = [
@@ -400,7 +420,9 @@
     }
 
     fn stale(&self, error: &'static str) -> Option<Own> {
-        self.admission.stale().map(|pause| Own::refusal(503, error, pause))
+        let pause = self.admission.stale()?;
+        count(&self.counts.stale);
+        Some(Own::refusal(503, error, pause))
     }
 
     /// Admits a request, hands it on and waits for its answer. Dropping this gives it up.
--- a/crates/pilot/src/lib.rs
+++ b/crates/pilot/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod front;
 pub mod lease;
 pub mod link;
+pub mod metrics;
 pub mod parcel;
 mod pool;
 pub mod quay;
--- a/crates/pilot/src/link.rs
+++ b/crates/pilot/src/link.rs
@@ -8,8 +8,9 @@
 use crate::table::{Swap, Table};
 use bytes::Bytes;
 use nickeljunction_berths::{Copy, Leave};
-use nickeljunction_bunker::{Limit, Purse, Spend};
+use nickeljunction_bunker::{Holding, Limit, Purse, Spend};
 use nickeljunction_chandler::caller::Caller;
+use nickeljunction_chandler::figures::MOST_LABELLED;
 use nickeljunction_chandler::wheel::Wheel;
 use nickeljunction_manifest::{Bounds, Config, Document};
 use nickeljunction_signals::{path, Elsewhere, GatewayLine, ServerLine, UnitsAnswer, WatchAnswer};
@@ -57,6 +58,20 @@
     pub directory: bool,
 }
 
+/// What a gateway knows of the core, for operators.
+pub struct Seen {
+    /// Version of the configuration in force; 0: none yet.
+    pub version: u64,
+    /// Term of the leader that told it.
+    pub term: u64,
+    /// Who leads, where one answered last.
+    pub leader: Option<String>,
+    /// How old the knowledge is, ms; infinite before the first answer.
+    pub age_ms: f64,
+    /// Units of tenants.
+    pub units: Vec<Holding>,
+}
+
 /// See the module.
 pub struct Link {
     own: Own,
@@ -147,6 +162,19 @@
         &self.own.zones
     }
 
+    /// What is known here of the core and held of its units, for operators.
+    pub fn seen(&self) -> Seen {
+        let now = self.wheel.now();
+        let copy = self.copy.borrow();
+        Seen {
+            version: copy.chart().version(),
+            term: copy.term(),
+            leader: self.seek.borrow().leader().map(str::to_string),
+            age_ms: self.lease.borrow().age(now),
+            units: self.purse.borrow_mut().told(now as u64, MOST_LABELLED),
+        }
+    }
+
     /// Other seeds' hosts.
     pub fn seeds(&self, hosts: Vec<String>) {
         self.seek.borrow_mut().seeds(hosts);
--- a/crates/pilot/src/main.rs
+++ b/crates/pilot/src/main.rs
@@ -1,19 +1,23 @@
 //! `pilot`: wires only.
 
-use nickeljunction_chandler::start;
+use nickeljunction_chandler::{figures, start};
 use nickeljunction_manifest::Settings;
 use nickeljunction_pilot::{cli::Pilot, serve};
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
     let flags = Pilot::from_env_or_exit();
+    let at = match figures::address("pilot", flags.figures.as_deref()) {
+        Ok(at) => at,
+        Err(code) => return code,
+    };
     let read = || {
         let settings = flags.settings.map_or_else(Settings::from_env, Settings::read)?;
         settings.edge_checked().map(|_| settings)
     };
     match start::prepare("pilot", flags.log_level.as_deref(), read) {
         Ok(_) if flags.check => ExitCode::SUCCESS,
-        Ok(settings) => start::run("pilot", serve::run(settings)),
+        Ok(settings) => start::run("pilot", serve::run(settings, at)),
         Err(code) => code,
     }
 }
--- /dev/null
+++ b/crates/pilot/src/metrics.rs
@@ -0,0 +1,202 @@
+//! The gateway's figures as operators collect them. What is counted elsewhere is read here; nothing is counted twice.
+
+use crate::front::{Front, Lifecycle};
+use crate::link::Link;
+use crate::quay::Quay;
+use nickeljunction_chandler::figures::{Kind, Page, Writer};
+use std::rc::Rc;
+
+/// What the figures are read from.
+pub struct Sources {
+    /// The clients' side.
+    pub front: Rc<Front>,
+    /// Clients' connections.
+    pub lifecycle: Rc<Lifecycle>,
+    /// The servers' side.
+    pub quay: Rc<Quay>,
+    /// What the core told.
+    pub link: Rc<Link>,
+}
+
+impl Sources {
+    /// Writes the page each time that it is asked for.
+    pub fn writer(self) -> Writer {
+        Rc::new(move |page| self.write(page))
+    }
+
+    fn write(&self, page: &mut Page) {
+        self.clients(page);
+        self.servers(page);
+        self.core(page);
+    }
+
+    fn clients(&self, page: &mut Page) {
+        let counts = self.front.counts();
+        let float = |count: u64| count as f64;
+        page.one(
+            "pilot_client_connections_total",
+            Kind::Counter,
+            "Connections taken from clients.",
+            float(counts.connections.get()),
+        );
+        page.one(
+            "pilot_client_connections",
+            Kind::Gauge,
+            "Clients' connections that are open.",
+            self.lifecycle.open_connections() as f64,
+        );
+        page.one(
+            "pilot_requests_total",
+            Kind::Counter,
+            "Requests whose heads were read.",
+            float(counts.requests.get()),
+        );
+        page.figure("pilot_answers_total", Kind::Counter, "Requests by what became of them.");
+        for (outcome, status, count) in counts.outcomes() {
+            page.value(&[("outcome", outcome), ("status", status)], float(count));
+        }
+        page.one(
+            "pilot_requests_in_flight",
+            Kind::Gauge,
+            "Requests that are owed an answer, and answers under way.",
+            self.quay.busy() as f64,
+        );
+    }
+
+    fn servers(&self, page: &mut Page) {
+        let counts = self.quay.counts();
+        let float = |count: u64| count as f64;
+        page.one(
+            "pilot_first_sends_total",
+            Kind::Counter,
+            "First sends of requests to servers.",
+            float(counts.sends),
+        );
+        page.one(
+            "pilot_further_sends_total",
+            Kind::Counter,
+            "Sends beyond the first of a request.",
+            float(counts.repeats),
+        );
+        page.one(
+            "pilot_further_sends_denied_total",
+            Kind::Counter,
+            "Further sends that the budget did not allow.",
+            float(counts.denied),
+        );
+        page.figure("pilot_sends_ended_total", Kind::Counter, "Sends by how they ended.");
+        for (outcome, count) in counts.outcomes() {
+            page.value(&[("outcome", outcome)], float(count));
+        }
+        page.one(
+            "pilot_server_connections_total",
+            Kind::Counter,
+            "Connections opened to servers.",
+            float(counts.connections),
+        );
+        let (open, idle) = self.quay.connections();
+        page.figure("pilot_server_connections", Kind::Gauge, "Connections to servers that are open.");
+        page.value(&[("state", "busy")], open.saturating_sub(idle) as f64);
+        page.value(&[("state", "idle")], idle as f64);
+    }
+
+    fn core(&self, page: &mut Page) {
+        let seen = self.link.seen();
+        page.one(
+            "pilot_ready",
+            Kind::Gauge,
+            "1 where clients are taken.",
+            f64::from(u8::from(self.link.ready())),
+        );
+        page.one(
+            "pilot_config_version",
+            Kind::Gauge,
+            "Version of the configuration in force here, 0 before the first.",
+            seen.version as f64,
+        );
+        page.one(
+            "pilot_knowledge_age_seconds",
+            Kind::Gauge,
+            "How old what the core told is.",
+            seen.age_ms / 1_000.0,
+        );
+        page.one(
+            "pilot_core_term",
+            Kind::Gauge,
+            "Term of the leader that was followed last.",
+            seen.term as f64,
+        );
+        page.figure("pilot_core_leader", Kind::Gauge, "1 for the core machine that is followed.");
+        if let Some(host) = &seen.leader {
+            page.value(&[("host", host)], 1.0);
+        }
+        page.figure("pilot_units_held", Kind::Gauge, "Units held here that may be spent, by tenant.");
+        for units in &seen.units {
+            page.value(&[("tenant", &units.tenant)], units.held as f64);
+        }
+        page.figure("pilot_units_spent", Kind::Gauge, "Units spent here in the window of now, by tenant.");
+        for units in &seen.units {
+            page.value(&[("tenant", &units.tenant)], units.spent as f64);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::berth::Place;
+    use crate::link::Own;
+    use crate::quay::Tuning;
+    use crate::table::{Swap, Table};
+    use nickeljunction_chandler::budget::Budget;
+    use nickeljunction_chandler::caller::Caller;
+    use nickeljunction_chandler::clock::Clock;
+    use nickeljunction_chandler::figures::well_formed;
+    use nickeljunction_chandler::wheel::Wheel;
+    use nickeljunction_manifest::Bounds;
+
+    /// Operators' boards go by these.
+    const NAMES: &str = "pilot_client_connections_total pilot_client_connections pilot_requests_total \
+        pilot_answers_total pilot_requests_in_flight pilot_first_sends_total pilot_further_sends_total \
+        pilot_further_sends_denied_total pilot_sends_ended_total pilot_server_connections_total \
+        pilot_server_connections pilot_ready pilot_config_version pilot_knowledge_age_seconds pilot_core_term \
+        pilot_core_leader pilot_units_held pilot_units_spent";
+
+    #[test]
+    fn the_page_reads_as_the_format_wants_and_names_stay() {
+        let wheel = Wheel::new(Clock::start());
+        let place = Place { name: "edge-1".into(), zone: "z".into(), region: "r".into() };
+        let budget = Budget::new(64);
+        let quay = Quay::new(wheel.clone(), budget.clone(), place.clone(), 1, Tuning::default());
+        let table = Rc::new(Swap::new(Table::unknown()));
+        let own = Own {
+            place,
+            front: "127.0.0.1:1".into(),
+            inner_port: 1,
+            life: 1,
+            bounds: Bounds::default(),
+            zones: Default::default(),
+            directory: false,
+        };
+        let caller = Caller::new(wheel.clone());
+        let link = Link::new(own, wheel.clone(), caller, table.clone(), quay.clone(), Vec::new(), 1);
+        let lifecycle = Rc::new(Lifecycle::default());
+        let front = Front::new(wheel, table, link.clone(), quay.clone(), lifecycle.clone(), budget, 1);
+        let counts = front.counts();
+        counts.refused.set(5);
+        counts.stale.set(2);
+        let mut page = Page::new();
+        Sources { front, lifecycle, quay, link }.writer()(&mut page);
+        let text = page.into_text();
+        let names: Vec<String> = NAMES.split_whitespace().map(String::from).collect();
+        assert_eq!(well_formed(&text), Ok(names), "{text}");
+        for line in [
+            "pilot_answers_total{outcome=\"stale\",status=\"503\"} 2",
+            "pilot_answers_total{outcome=\"refused\",status=\"503\"} 3",
+            "pilot_knowledge_age_seconds +Inf",
+            "pilot_ready 0",
+        ] {
+            assert!(text.lines().any(|other| other == line), "{line} is not in {text}");
+        }
+    }
+}
--- a/crates/pilot/src/pool.rs
+++ b/crates/pilot/src/pool.rs
@@ -172,6 +172,15 @@
         self.opened.get()
     }
 
+    /// Connections to the servers that may be sent to: open, and of these idle.
+    pub(crate) fn open(&self) -> (usize, usize) {
+        let servers = self.servers.borrow();
+        let count = |(open, idle): (usize, usize), server: &Server| {
+            (open + server.open.get(), idle + server.idle.len())
+        };
+        servers.values().fold((0, 0), count)
+    }
+
     /// A server that may be sent to: where it listens, how long a connection may take to come up, ms, and how many may be
     /// open at most.
     pub(crate) fn follow(&self, id: &str, address: SocketAddr, connect_ms: f64, most_open: usize) {
--- a/crates/pilot/src/quay.rs
+++ b/crates/pilot/src/quay.rs
@@ -724,6 +724,11 @@
         Counts { connections: self.shared.pool.opened(), ..self.shared.counts.get() }
     }
 
+    /// Connections to servers: open, and of these idle.
+    pub(crate) fn connections(&self) -> (usize, usize) {
+        self.shared.pool.open()
+    }
+
     /// The counts as a line for the log.
     pub fn note(&self) -> String {
         format!("event=servers {} busy={}", self.counts(), self.busy())
--- a/crates/pilot/src/serve.rs
+++ b/crates/pilot/src/serve.rs
@@ -3,6 +3,7 @@
 use crate::berth::Place;
 use crate::front::{Front, Lifecycle};
 use crate::link::{Link, Own};
+use crate::metrics::Sources;
 use crate::parcel::Admission;
 use crate::quay::{Quay, Tuning};
 use crate::resolve::Resolve;
@@ -11,6 +12,7 @@
 use nickeljunction_chandler::caller::Caller;
 use nickeljunction_chandler::clock::Clock;
 use nickeljunction_chandler::desk::{Answering, Call, Desk, Limits, Resource, Response};
+use nickeljunction_chandler::figures;
 use nickeljunction_chandler::start::{listen, Order, Orders, StartError};
 use nickeljunction_chandler::wheel::Wheel;
 use nickeljunction_manifest::{Settings, SettingsError};
@@ -74,11 +76,11 @@
     seeds.iter().map(|seed| seed.ip().to_string()).collect()
 }
 
-/// Serves until SIGTERM.
+/// Serves until SIGTERM; figures at this address, where one is given.
 ///
 /// # Errors
 /// See [`ServeError`].
-pub async fn run(settings: Settings) -> Result<(), ServeError> {
+pub async fn run(settings: Settings, figures_at: Option<SocketAddr>) -> Result<(), ServeError> {
     let addresses = settings.edge_checked()?;
     let mut dice = fastrand::Rng::new();
     let wheel = Wheel::new(Clock::start());
@@ -119,6 +121,11 @@
     let readiness = listen("readiness", addresses.readiness).await?;
     let desk = Desk::new(wheel.clone(), Limits { connections: 16, ..Limits::default() })
         .route(READINESS, Rc::new(Readiness(link.clone())));
+    if let Some(address) = figures_at {
+        let (front, lifecycle) = (front.clone(), lifecycle.clone());
+        let sources = Sources { front, lifecycle, quay: quay.clone(), link: link.clone() };
+        figures::offer(&wheel, address, sources.writer()).await?;
+    }
     if let Some(address) = addresses.directory {
         let resolve = Resolve::new(link.clone(), dice.u64(..), TTL_S.min(bounds.ttl_max_s));
         let desk = Desk::new(wheel.clone(), Limits { connections: MOST_ASKING, ..Limits::default() });
--- a/crates/wheelhouse/src/machine.rs
+++ b/crates/wheelhouse/src/machine.rs
@@ -311,6 +311,11 @@
         &self.book
     }
 
+    /// Index of the last entry that [`Wheelhouse::statutes`] holds.
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+
     /// What the log makes.
     pub fn statutes(&self) -> &Statutes {
         &self.statutes
