Take no late word of a gateway's units, and model counter and purse in every order

A call that tells all could come late and stand in place of what was lent since: after its life had ended (its lock was dropped), or at a counter of a later term (which then lent the difference to others). The counter now keeps the number of an ended life's last call, and takes such a call only where it names the counter's own term; gateways learn the term with the leader, so that no call more is made.

Nine guards are taken out one at a time, and each is found missing within 4,000 ways.

--- a/crates/bunker/src/counter.rs
+++ b/crates/bunker/src/counter.rs
@@ -3,7 +3,7 @@
 use crate::peak::Peak;
 use crate::ring::Ring;
 use crate::takeover::Takeover;
-use crate::tuning::{Limit, Tuning};
+use crate::tuning::{Guard, Limit, Tuning};
 use nickeljunction_signals::{TenantGrant, TenantUnits, UnitsAnswer, UnitsCall};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -42,7 +42,7 @@
 }
 
 /// What a life has of a tenant.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Lent {
     loan: u64,
     /// A pace that holds until then, whatever the loan is.
@@ -72,7 +72,7 @@
 }
 
 /// A gateway's process.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Life {
     name: String,
     born: u64,
@@ -82,7 +82,7 @@
 }
 
 /// Units of a life that has ended, or is taken to have.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Lock {
     life: u64,
     units: u64,
@@ -91,7 +91,7 @@
     ended: u64,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Book {
     limit: Limit,
     /// Sum of the loans of lives.
@@ -102,14 +102,14 @@
 }
 
 /// The counter of all tenants' units.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Counter {
     term: u64,
     tuning: Tuning,
     books: BTreeMap<String, Book>,
     lives: BTreeMap<u64, Life>,
-    /// Lives that have ended, and when; kept until nothing of theirs is in force.
-    ended: BTreeMap<u64, u64>,
+    /// Lives that have ended, when, and the number of their last call; kept until nothing of theirs is in force.
+    ended: BTreeMap<u64, (u64, u64)>,
     logged: BTreeMap<u64, String>,
     /// Lives that are to leave the log: as if they were not on it.
     leaving: BTreeSet<u64>,
@@ -176,7 +176,7 @@
             self.end(number, ended);
         }
         let span_ms = self.tuning.span_ms();
-        self.ended.retain(|_, ended| *ended + span_ms > now);
+        self.ended.retain(|_, (ended, _)| *ended + span_ms > now);
         for book in self.books.values_mut() {
             book.locks.retain(|lock| lock.ended + span_ms > now);
         }
@@ -197,7 +197,7 @@
             let boosts = lent.boosts.sum();
             book.locks.push(Lock { life: number, units: lent.loan, pace, boosts, ended });
         }
-        self.ended.insert(number, ended);
+        self.ended.insert(number, (ended, life.seq));
     }
 
     fn is_logged(&self, life: u64) -> bool {
@@ -207,7 +207,7 @@
     /// What must be on the agreed log before [`Counter::call`] lends to this life. Once it is committed:
     /// [`Counter::logged`], and then [`Counter::came`].
     pub fn before(&mut self, now: u64, call: &UnitsCall) -> Option<Roll> {
-        if !call.all || call.end || self.is_logged(call.life) {
+        if !call.all || call.end || call.to != self.term || self.is_logged(call.life) {
             return None;
         }
         self.coming.insert(call.life, now);
@@ -257,9 +257,10 @@
             let paced = tuning.in_force(cap, 1, lock.pace, now.saturating_sub(lock.ended));
             lock.units.min(paced + lock.boosts)
         };
-        let ended = book.locks.iter().map(lock).sum();
-        let unheard =
-            self.takeover.as_ref().map_or(0, |takeover| takeover.units(now, tenant, book.limit, tuning));
+        let locks = book.locks.iter().filter(|_| tuning.keeps(Guard::Lock));
+        let ended = locks.map(lock).sum();
+        let rest = self.takeover.as_ref().filter(|_| tuning.keeps(Guard::Rest));
+        let unheard = rest.map_or(0, |takeover| takeover.units(now, tenant, book.limit, tuning));
         let since = book.locks.iter().filter(|held| lock(held) > 0).map(|lock| lock.ended);
         let takeover = self.takeover.as_ref().filter(|_| unheard > 0).map(Takeover::started);
         let held_ms = since.chain(takeover).min().map(|since| now.saturating_sub(since));
@@ -279,7 +280,18 @@
         self.tick(now);
         let mut answer = UnitsAnswer { seq: call.seq, term: self.term, ..UnitsAnswer::default() };
         // Overtaken by a newer one, or a second copy: that one's figures stand, and nothing is lent twice.
-        if self.lives.get(&call.life).is_some_and(|life| life.seq >= call.seq) {
+        if self.lives.get(&call.life).is_some_and(|life| life.seq >= call.seq)
+            && self.tuning.keeps(Guard::Order)
+        {
+            return answer;
+        }
+        // The same after its end: an old figure must not stand in place of what its spent units hold back.
+        if self.ended.get(&call.life).is_some_and(|(_, seq)| *seq >= call.seq) {
+            return answer;
+        }
+        // Told to another counter: more may have been lent since.
+        if call.all && call.to != self.term && self.tuning.keeps(Guard::Meant) {
+            answer.tell = true;
             return answer;
         }
         if !call.all && !self.lives.contains_key(&call.life) || !self.is_logged(call.life) {
--- a/crates/bunker/src/lib.rs
+++ b/crates/bunker/src/lib.rs
@@ -12,11 +12,12 @@
 //!   its lease runs), and a successor is made only after that has ended.
 //! - What [`Counter::before`] names is committed on the agreed log before [`Counter::call`] is called, and told with
 //!   [`Counter::logged`]; what [`Counter::after`] names is put there, too. A new counter gets the list as its log has it.
-//! - A machine has one process of a gateway at a time.
+//! - A machine has one process of a gateway at a time, and the calls of a killed one have come, or are lost, when the next
+//!   one's first call comes.
 //! - A request's first byte is written at `from` at the earliest, and not after `until`.
 //! - Every attempt that is written spends its own unit.
 //!
-//! The gateway's driver, in short: [`Purse::known`] on each configuration; [`Purse::moved`] when another member leads;
+//! The gateway's driver, in short: [`Purse::known`] on each configuration; [`Purse::moved`] when another member leads, the first time included;
 //! [`Purse::poll`] after each of its calls and at [`Purse::next_wake`]; what it returns is sent, and then either
 //! [`Purse::answered`] or [`Purse::failed`] is called. A request that got [`Spend::Wait`] spends again after the next
 //! `answered` or `failed`; after the counter time-out it calls [`Purse::give_up`].
@@ -30,4 +31,6 @@
 
 pub use counter::{Counter, Roll, TenantStanding};
 pub use purse::{Holding, Purse, Spend};
+#[cfg(feature = "mutants")]
+pub use tuning::Guard;
 pub use tuning::{Limit, Tuning};
--- a/crates/bunker/src/purse.rs
+++ b/crates/bunker/src/purse.rs
@@ -2,7 +2,7 @@
 
 use crate::peak::Peak;
 use crate::ring::Ring;
-use crate::tuning::{Limit, Tuning};
+use crate::tuning::{Guard, Limit, Tuning};
 use nickeljunction_signals::{TenantGrant, TenantUnits, UnitsAnswer, UnitsCall};
 use std::collections::BTreeMap;
 
@@ -38,7 +38,7 @@
 const FIRST_MS: u64 = 300;
 
 /// One tenant's batch.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Batch {
     /// `None`: the limit is gone, or not known any more; kept for its spent units.
     limit: Option<Limit>,
@@ -208,7 +208,7 @@
 }
 
 /// The units that a gateway holds, of all tenants with a limit.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Purse {
     name: String,
     life: u64,
@@ -290,16 +290,29 @@
         }
     }
 
-    /// Another core member leads, or may: the next call goes out at once and tells all. A call under way counts as failed.
-    pub fn moved(&mut self, now: u64) {
+    /// Another core member leads, or may, in `term`: the next call goes out at once and tells all. A call under way counts
+    /// as failed.
+    pub fn moved(&mut self, now: u64, term: u64) {
         if self.flight.is_some() {
             self.failed(now);
         }
+        self.heard(term);
         self.tell = true;
         self.silent_until = None;
         self.pause = PAUSE_MS.0;
     }
 
+    /// A counter of this term is there; whether that is news.
+    fn heard(&mut self, term: u64) -> bool {
+        let news = term > self.term;
+        if news {
+            self.term = term;
+            // What the old counter said of its end says nothing of the new one's.
+            self.batches.values_mut().for_each(|batch| batch.empty_until = 0);
+        }
+        news
+    }
+
     /// Drops what is out of date: a gateway that was frozen spends nothing that the counter has written off.
     fn lapse(&mut self, now: u64) {
         if now < self.valid_until {
@@ -462,7 +475,7 @@
         let all = self.tell;
         let mut call = UnitsCall { life: self.life, seq: self.seq, all, end, ..UnitsCall::default() };
         if all {
-            (call.name, call.born_ms) = (self.name.clone(), now - self.born);
+            (call.name, call.born_ms, call.to) = (self.name.clone(), now - self.born, self.term);
         }
         let tuning = &self.tuning;
         for (tenant, batch) in &mut self.batches {
@@ -522,23 +535,19 @@
     /// The counter's answer. Only that to the newest call counts, and only while no newer counter has been heard of.
     pub fn answered(&mut self, now: u64, answer: &UnitsAnswer) {
         let Some((seq, sent)) = self.flight else { return };
-        if answer.seq != seq {
+        if answer.seq != seq && self.tuning.keeps(Guard::Newest) {
             return;
         }
         if answer.term < self.term {
             return self.failed(now);
         }
         self.flight = None;
-        if answer.term > self.term {
-            self.term = answer.term;
-            // What the old counter said of its end says nothing of the new one's.
-            self.batches.values_mut().for_each(|batch| batch.empty_until = 0);
-        }
+        let news = self.heard(answer.term);
         (self.pause, self.silent_until) = (PAUSE_MS.0, None);
         if answer.tell {
             self.batches.values_mut().for_each(|batch| batch.flying = None);
-            // Told to tell though it told all: not at once again.
-            if self.tell {
+            // Told to tell though it told all, and to this counter: not at once again.
+            if self.tell && !news {
                 self.silent_until = Some(now + PAUSE_MS.0);
             }
             self.tell = true;
--- a/crates/bunker/src/takeover.rs
+++ b/crates/bunker/src/takeover.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 /// Of one tenant, over all lives that have told what they have.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Told {
     loans: u64,
     pace: u64,
@@ -13,7 +13,7 @@
 }
 
 /// The rest: logged lives that have not told. Together they have what the old counter may have lent beyond what is told.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Takeover {
     started: u64,
     /// Names of the rest.
--- a/crates/bunker/src/tuning.rs
+++ b/crates/bunker/src/tuning.rs
@@ -10,6 +10,32 @@
 const PACE_WHOLE: u64 = 80;
 const PACE_LEAVES: u64 = 4;
 
+/// A guard that a test may take out, to show that its checks see what it guards against.
+#[cfg(feature = "mutants")]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Guard {
+    /// The counter ignores calls that a newer one of the same life has overtaken.
+    Order,
+    /// The counter takes a life's word for all that it has only if that was meant for it.
+    Meant,
+    /// A gateway takes only the answer to its newest call.
+    Newest,
+    /// What a life that ended may have in force is held back.
+    Lock,
+    /// What lives on the log may have is held back by a new counter.
+    Rest,
+}
+
+#[cfg(not(feature = "mutants"))]
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Guard {
+    Order,
+    Meant,
+    Newest,
+    Lock,
+    Rest,
+}
+
 /// Figures of the counter and of every gateway's purse. All times in ms; both sides must run with the same `window_ms`,
 /// `write_ms`, `life_ms`, `lift_ms` and `depth`.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -42,6 +68,9 @@
     pub urgent_ms: u64,
     /// Least time between two calls of a gateway for units of a tenant whose cap is used up.
     pub hungry_ms: u64,
+    /// A guard that a test takes out.
+    #[cfg(feature = "mutants")]
+    pub without: Option<Guard>,
 }
 
 impl Tuning {
@@ -63,9 +92,21 @@
             fetch_ms: 150,
             urgent_ms: 20,
             hungry_ms: 300,
+            #[cfg(feature = "mutants")]
+            without: None,
         }
     }
 
+    #[cfg(feature = "mutants")]
+    pub(crate) fn keeps(&self, guard: Guard) -> bool {
+        self.without != Some(guard)
+    }
+
+    #[cfg(not(feature = "mutants"))]
+    pub(crate) fn keeps(&self, _: Guard) -> bool {
+        true
+    }
+
     /// So long is a unit in force after its spend, from the counter's side.
     pub(crate) fn span_ms(&self) -> u64 {
         self.window_ms + self.write_ms
--- a/crates/bunker/tests/calls.rs
+++ b/crates/bunker/tests/calls.rs
@@ -23,6 +23,7 @@
 fn pair(cap: u64) -> (Counter, Purse, Log) {
     let mut purse = Purse::new(0, "g", 7, tuning());
     purse.known(0, &limits(cap));
+    purse.moved(0, 1);
     (counter(0, 1, cap, &Log::new()), purse, Log::new())
 }
 
@@ -98,7 +99,7 @@
     assert_eq!(purse.spend(36, "t"), Spend::Wait);
     // A new counter can't know what the old one allowed.
     let mut second = self::counter(100, 2, 80, &log);
-    purse.moved(120);
+    purse.moved(120, 2);
     let all = purse.poll(120).unwrap();
     assert!(all.tenants["t"].boost > 0);
     assert_eq!(call(&mut second, &mut log, 125, &all, 4).tenants["t"].boost, 0);
@@ -131,7 +132,7 @@
     assert_eq!(counter.used(900, "t"), 80);
     let held = TenantStanding { cap: 80, lent: 0, ended: 0, unheard: 80, held_ms: Some(30) };
     assert_eq!(counter.standings(930)["t"], held);
-    purse.moved(950);
+    purse.moved(950, 2);
     let all = purse.poll(950).unwrap();
     assert!(all.all);
     let answer = call(&mut counter, &mut log, 960, &all, 4);
@@ -139,15 +140,46 @@
     // Its machine comes back with another process: what the first one had goes with the window.
     let mut reborn = Purse::new(2_000, "g", 8, tuning());
     reborn.known(2_000, &limits(80));
+    reborn.moved(2_000, 3);
     let mut third = self::counter(2_500, 3, 80, &log);
     let answer = call(&mut third, &mut log, 2_600, &reborn.poll(2_600).unwrap(), 4);
     // Of the process that is gone: its depth, and the cap's pace over 4.5 s of the window, and what was allowed beyond.
     assert_eq!(third.used(2_600, "t"), 4 + 72 + 2 + answer.tenants["t"].granted);
     // The old counter's word is out of date from now on.
     purse.answered(2_605, &UnitsAnswer { seq: all.seq, term: 2, ..UnitsAnswer::default() });
-    purse.moved(2_610);
+    purse.moved(2_610, 3);
     let late = purse.poll(2_610).unwrap();
     let held = purse.held(2_620, "t");
-    purse.answered(2_620, &UnitsAnswer { seq: late.seq, term: 1, ..UnitsAnswer::default() });
+    purse.answered(2_620, &UnitsAnswer { seq: late.seq, term: 2, ..UnitsAnswer::default() });
     assert_eq!(purse.held(2_620, "t"), held);
 }
+
+#[test]
+fn a_call_that_comes_after_its_life_has_ended_changes_nothing() {
+    let (mut counter, mut purse, mut log) = pair(80);
+    let late = purse.poll(0).unwrap();
+    purse.failed(250);
+    let second = purse.poll(400).unwrap();
+    let answer = call(&mut counter, &mut log, 405, &second, 4);
+    purse.answered(410, &answer);
+    assert_eq!(counter.used(8_405 + 1_000, "t"), 10, "its units are in force for a window");
+    assert!(counter.call(8_405 + 1_000, &late, 4).tenants.is_empty());
+    assert_eq!(counter.used(8_405 + 1_000, "t"), 10);
+}
+
+#[test]
+fn a_call_that_was_meant_for_another_counter_is_told_anew() {
+    let (mut counter, mut purse, mut log) = pair(80);
+    let late = purse.poll(0).unwrap();
+    purse.failed(250);
+    let second = purse.poll(400).unwrap();
+    let answer = call(&mut counter, &mut log, 405, &second, 4);
+    purse.answered(410, &answer);
+    assert_eq!(purse.held(410, "t"), 10);
+    let mut counter = self::counter(500, 2, 80, &log);
+    assert!(call(&mut counter, &mut log, 510, &late, 4).tell);
+    assert_eq!(counter.used(510, "t"), 80, "what it told was of before the ten units");
+    purse.moved(520, 2);
+    call(&mut counter, &mut log, 530, &purse.poll(520).unwrap(), 4);
+    assert_eq!(counter.used(530, "t"), 10);
+}
--- /dev/null
+++ b/crates/bunker/tests/units_model.rs
@@ -0,0 +1,480 @@
+//! A small world of the true [`Counter`] and [`Purse`], step by step in every order: two gateways and one tenant with a
+//! cap of four units. Calls and answers are lost, late, doubled and overtaken, gateways freeze (they just do nothing
+//! while time goes on), are killed and come back as new lives, and counters follow each other.
+//!
+//! What can't make a difference to the rule is left out: a gateway spends all that it may at once, and an answer that
+//! comes in time comes at once.
+
+use nickeljunction_bunker::{Counter, Guard, Limit, Purse, Spend, Tuning};
+use nickeljunction_signals::{UnitsAnswer, UnitsCall};
+use stateright::{Checker, Expectation, Model, Property};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Write;
+use std::hash::{Hash, Hasher};
+
+const CAP: u64 = 4;
+const LOWERED: u64 = 2;
+const STEP_MS: u64 = 100;
+const WINDOW_MS: u64 = 3 * STEP_MS;
+/// Calls that are kept on the way, of each gateway, to come late or once more.
+const LATE: usize = 2;
+
+/// Two steps of life, three of window; no time to write, and a call a step.
+fn tuning() -> Tuning {
+    Tuning {
+        window_ms: WINDOW_MS,
+        slot_ms: 1,
+        write_ms: 0,
+        life_ms: 2 * STEP_MS,
+        lift_ms: WINDOW_MS,
+        depth: (1, 1, 1),
+        boost: (1_000, 1),
+        answer_ms: STEP_MS,
+        hold_ms: 0,
+        report_ms: STEP_MS,
+        refresh_ms: STEP_MS,
+        fetch_ms: STEP_MS,
+        urgent_ms: STEP_MS,
+        hungry_ms: STEP_MS,
+        ..Tuning::new(WINDOW_MS)
+    }
+}
+
+fn limits(cap: u64) -> BTreeMap<String, Limit> {
+    BTreeMap::from([("t".to_owned(), Limit { cap, pace: cap })])
+}
+
+#[derive(Debug, Clone)]
+struct World {
+    now: u64,
+    term: u64,
+    counter: Counter,
+    purses: Vec<Purse>,
+    lives: [u64; 2],
+    /// The last gateway that acted in this step: the one before it does so no more.
+    turn: usize,
+    /// A request waits at the gateway.
+    waits: [bool; 2],
+    log: BTreeMap<u64, String>,
+    /// Calls that came nowhere yet, or came and may come once more: from whom.
+    calls: Vec<(usize, UnitsCall)>,
+    /// Answers that have not come yet; to which life.
+    answers: Vec<(u64, UnitsAnswer)>,
+    /// When units were spent in the last window.
+    sent: Vec<u64>,
+    /// The gateways, and last the counter, that know the lower limit.
+    lowered: [bool; 3],
+    /// When the last of them learned of it.
+    all_lowered: Option<u64>,
+    kills: u8,
+    successors: u8,
+}
+
+impl Hash for World {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        struct Sink<'a, H>(&'a mut H);
+        impl<H: Hasher> Write for Sink<'_, H> {
+            fn write_str(&mut self, text: &str) -> std::fmt::Result {
+                self.0.write(text.as_bytes());
+                Ok(())
+            }
+        }
+        let _ = write!(Sink(state), "{self:?}");
+    }
+}
+
+impl PartialEq for World {
+    fn eq(&self, other: &World) -> bool {
+        format!("{self:?}") == format!("{other:?}")
+    }
+}
+
+impl World {
+    fn answer(&mut self, call: &UnitsCall) -> UnitsAnswer {
+        if let Some(roll) = self.counter.before(self.now, call) {
+            self.log.extend(roll.come);
+            self.counter.logged(&self.log);
+            self.counter.came(call.life);
+        }
+        self.counter.call(self.now, call, 2)
+    }
+
+    /// Most units that a window that ends now may have.
+    fn cap(&self) -> u64 {
+        match self.all_lowered {
+            Some(at) if self.now >= at + WINDOW_MS => LOWERED,
+            _ => CAP,
+        }
+    }
+
+    /// Units that may be spent now, were it not for the pace.
+    fn held(&self) -> u64 {
+        self.purses.iter().map(|purse| purse.clone().held(self.now, "t")).sum()
+    }
+
+    /// A life that has units, and that a new counter would not know of.
+    fn unlisted(&self) -> bool {
+        let mut purses = self.purses.clone();
+        (0..2).any(|to| purses[to].held(self.now, "t") > 0 && !self.log.contains_key(&self.lives[to]))
+    }
+}
+
+#[derive(Debug, Clone, PartialEq)]
+enum Act {
+    Tick,
+    /// A gateway spends all that it may.
+    Spend(usize),
+    /// A gateway calls and is answered at once.
+    Exchange(usize),
+    /// A gateway calls.
+    Call(usize),
+    /// A call arrives, for the first time or once more.
+    Arrive(usize),
+    /// An answer comes.
+    Answer(usize),
+    /// A gateway gives its call up.
+    Fail(usize),
+    /// A gateway is killed, and is back at once.
+    Kill(usize),
+    /// Another counter leads.
+    Succeed,
+    /// The log is rid of lives that have nothing in force.
+    Clean,
+    /// A gateway, or (2) the counter, learns of the lower limit.
+    Lower(usize),
+}
+
+#[derive(Debug, Clone)]
+struct Rule {
+    tuning: Tuning,
+    gateways: Tuning,
+    steps: u64,
+    kills: u8,
+    successors: u8,
+    /// Requests wait, for units beyond the pace.
+    waits: bool,
+    /// Calls and answers come late.
+    late: bool,
+    lower: bool,
+    /// A new counter has no list of lives.
+    forgetful: bool,
+}
+
+impl Rule {
+    fn new() -> Rule {
+        Rule {
+            tuning: tuning(),
+            gateways: tuning(),
+            steps: 4,
+            kills: 0,
+            successors: 0,
+            waits: false,
+            late: false,
+            lower: false,
+            forgetful: false,
+        }
+    }
+
+    fn purse(&self, now: u64, to: usize, life: u64, world_term: u64) -> Purse {
+        let mut purse = Purse::new(now, format!("g{to}"), life, self.gateways.clone());
+        purse.known(now, &limits(CAP));
+        purse.moved(now, world_term);
+        purse
+    }
+}
+
+impl Model for Rule {
+    type State = World;
+    type Action = Act;
+
+    fn init_states(&self) -> Vec<World> {
+        let now = 10 * STEP_MS;
+        let mut counter = Counter::new(now, 1, self.tuning.clone(), BTreeMap::new());
+        counter.limits(now, &limits(CAP));
+        vec![World {
+            now,
+            term: 1,
+            counter,
+            purses: (0..2).map(|to| self.purse(now, to, to as u64, 1)).collect(),
+            lives: [0, 1],
+            turn: 0,
+            waits: [false; 2],
+            log: BTreeMap::new(),
+            calls: Vec::new(),
+            answers: Vec::new(),
+            sent: Vec::new(),
+            lowered: [false; 3],
+            all_lowered: None,
+            kills: 0,
+            successors: 0,
+        }]
+    }
+
+    fn actions(&self, world: &World, acts: &mut Vec<Act>) {
+        if world.now < (10 + self.steps) * STEP_MS {
+            acts.push(Act::Tick);
+        }
+        for to in world.turn..2 {
+            acts.extend([Act::Spend(to), Act::Exchange(to)]);
+            if self.late {
+                acts.extend([Act::Call(to), Act::Fail(to)]);
+            }
+            if world.kills < self.kills {
+                acts.push(Act::Kill(to));
+            }
+        }
+        if self.late {
+            acts.extend((0..world.calls.len()).map(Act::Arrive));
+            acts.extend((0..world.answers.len()).map(Act::Answer));
+        }
+        if world.successors < self.successors {
+            acts.push(Act::Succeed);
+        }
+        if self.kills > 0 {
+            acts.push(Act::Clean);
+        }
+        if self.lower {
+            // The counter's machine has agreed on it before a gateway hears of it.
+            let known = |who: &usize| *who == 2 || world.lowered[2];
+            acts.extend((0..3).filter(known).filter(|who| !world.lowered[*who]).map(Act::Lower));
+        }
+    }
+
+    fn next_state(&self, last: &World, act: Act) -> Option<World> {
+        let mut world = last.clone();
+        let now = world.now;
+        if let Act::Spend(to) | Act::Exchange(to) | Act::Call(to) | Act::Fail(to) | Act::Kill(to) = act {
+            world.turn = to;
+        }
+        match act {
+            Act::Tick => {
+                world.now += STEP_MS;
+                world.turn = 0;
+                let now = world.now;
+                world.sent.retain(|at| at + WINDOW_MS > now);
+            }
+            Act::Spend(to) => {
+                let before = world.sent.len();
+                while let Spend::Done { from, .. } = world.purses[to].spend(now, "t") {
+                    world.sent.push(from);
+                }
+                // More who wait ask for more than the cap has.
+                if world.sent.len() == before && (last.waits[to] || !self.waits) {
+                    return None;
+                }
+                world.waits[to] = true;
+            }
+            Act::Exchange(to) => {
+                let call = world.purses[to].poll(now)?;
+                let answer = world.answer(&call);
+                world.purses[to].answered(now, &answer);
+                world.waits[to] = false;
+            }
+            Act::Call(to) => {
+                let call = world.purses[to].poll(now)?;
+                let own = world.calls.iter().filter(|(from, _)| *from == to).count();
+                if own == LATE {
+                    let oldest = world.calls.iter().position(|(from, _)| *from == to)?;
+                    world.calls.remove(oldest);
+                }
+                world.calls.push((to, call));
+            }
+            Act::Arrive(number) => {
+                let (_, call) = world.calls[number].clone();
+                let answer = world.answer(&call);
+                world.answers.retain(|(life, _)| *life != call.life);
+                world.answers.push((call.life, answer));
+            }
+            Act::Answer(number) => {
+                let (life, answer) = world.answers.remove(number);
+                let to = world.lives.iter().position(|own| *own == life)?;
+                world.purses[to].answered(now, &answer);
+                world.waits[to] = false;
+            }
+            Act::Fail(to) => {
+                if world.purses[to].next_wake().is_some() {
+                    return None;
+                }
+                world.purses[to].failed(now);
+            }
+            Act::Kill(to) => {
+                world.kills += 1;
+                world.lives[to] += 2;
+                world.waits[to] = false;
+                // Its last words have come, or are lost: see `lib.rs`.
+                world.calls.retain(|(from, _)| *from != to);
+                world.purses[to] = self.purse(now, to, world.lives[to], world.term);
+                if world.lowered[to] {
+                    world.purses[to].known(now, &limits(LOWERED));
+                }
+            }
+            Act::Succeed => {
+                world.successors += 1;
+                world.term += 1;
+                let log = if self.forgetful { BTreeMap::new() } else { world.log.clone() };
+                world.counter = Counter::new(now, world.term, self.tuning.clone(), log);
+                world.counter.limits(now, &limits(if world.lowered[2] { LOWERED } else { CAP }));
+            }
+            Act::Clean => {
+                let gone = world.counter.after(now)?.gone;
+                world.log.retain(|life, _| !gone.contains(life));
+                world.counter.logged(&world.log);
+            }
+            Act::Lower(who) => {
+                world.lowered[who] = true;
+                match who {
+                    2 => world.counter.limits(now, &limits(LOWERED)),
+                    to => world.purses[to].known(now, &limits(LOWERED)),
+                }
+                if world.lowered.iter().all(|known| *known) {
+                    world.all_lowered = Some(now);
+                }
+            }
+        }
+        Some(world)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always("no window has more than the cap", |_: &Rule, world: &World| {
+                world.sent.len() as u64 <= world.cap()
+            }),
+            Property::always(
+                "what is spent and may be spent is within the cap",
+                |_: &Rule, world: &World| world.lowered[2] || world.sent.len() as u64 + world.held() <= CAP,
+            ),
+            Property::always("a life that has units is on the log", |_: &Rule, world: &World| {
+                !world.unlisted()
+            }),
+            Property::sometimes("the whole cap is spent in a window", |_: &Rule, world: &World| {
+                world.sent.len() as u64 == CAP
+            }),
+        ]
+    }
+}
+
+/// Everything, in every order, up to `acts` acts.
+fn all(rule: Rule, acts: usize) -> BTreeSet<&'static str> {
+    let checker = rule.clone().checker().threads(3).target_max_depth(acts).spawn_bfs().join();
+    println!("{} states", checker.unique_state_count());
+    let found: BTreeSet<&str> = checker.discoveries().into_keys().collect();
+    for property in rule.properties().iter().filter(|rule| matches!(rule.expectation, Expectation::Always)) {
+        assert!(!found.contains(property.name), "{:?}", checker.discovery(property.name));
+    }
+    found
+}
+
+/// Long ways by chance, `ways` of them from `seed` on: where one breaks the rule, what it broke and the acts that led there.
+fn found(rule: &Rule, seed: u64, ways: u64) -> Option<(&'static str, Vec<Act>)> {
+    let properties = rule.properties();
+    let always = || properties.iter().filter(|rule| matches!(rule.expectation, Expectation::Always));
+    for seed in seed..seed + ways {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut world = rule.init_states().remove(0);
+        let (mut done, mut acts) = (Vec::new(), Vec::new());
+        for _ in 0..rule.steps * 12 {
+            acts.clear();
+            rule.actions(&world, &mut acts);
+            let act = acts.swap_remove(rng.usize(..acts.len()));
+            let Some(next) = rule.next_state(&world, act.clone()) else { continue };
+            world = next;
+            done.push(act);
+            if let Some(broken) = always().find(|property| !(property.condition)(rule, &world)) {
+                println!("seed {seed}: {}, after {done:?}", broken.name);
+                return Some((broken.name, done));
+            }
+        }
+    }
+    None
+}
+
+#[test]
+fn the_rule_holds_in_every_order_of_a_calm_world() {
+    let found = all(Rule { steps: 3, ..Rule::new() }, 100);
+    assert!(found.contains("the whole cap is spent in a window"));
+}
+
+#[test]
+fn the_rule_holds_in_every_order_of_a_few_acts_of_a_wild_one() {
+    all(Rule { steps: 3, kills: 1, successors: 1, ..Rule::new() }, 8);
+    all(Rule { steps: 3, late: true, successors: 1, ..Rule::new() }, 7);
+}
+
+fn lost() -> Rule {
+    Rule { steps: 8, kills: 2, successors: 1, ..Rule::new() }
+}
+
+#[test]
+fn the_rule_holds_over_long_ways() {
+    let wild = Rule { steps: 12, kills: 2, successors: 2, late: true, waits: true, ..Rule::new() };
+    let lower = Rule { lower: true, kills: 0, successors: 0, ..wild.clone() };
+    for rule in [wild, lower, lost()] {
+        assert_eq!(found(&rule, 1, 2_000), None);
+    }
+}
+
+/// Without a guard the rule is found broken, on the same ways on which it holds with it.
+fn needed(what: &str, ways: u64, with: &Rule, without: &Rule) {
+    println!("without {what}:");
+    let Some((_, acts)) = found(without, 1, ways) else { panic!("without {what} nothing is found") };
+    println!("{} acts", acts.len());
+    assert_eq!(found(with, 1, ways.min(2_000)), None, "with {what}");
+}
+
+fn without(guard: Guard, rule: &Rule) -> Rule {
+    let out = |tuning: &Tuning| Tuning { without: Some(guard), ..tuning.clone() };
+    Rule { tuning: out(&rule.tuning), gateways: out(&rule.gateways), ..rule.clone() }
+}
+
+#[test]
+fn without_the_pace_it_is_broken() {
+    let hasty = Rule { gateways: Tuning { depth: (1, 9, 9), ..tuning() }, ..lost() };
+    needed("the pace", 4_000, &lost(), &hasty);
+}
+
+#[test]
+fn without_the_names_on_the_log_it_is_broken() {
+    needed("names", 1_000, &lost(), &Rule { forgetful: true, ..lost() });
+}
+
+#[test]
+fn without_the_end_of_loans_it_is_broken() {
+    let lasting = Rule { gateways: Tuning { life_ms: 10 * STEP_MS, ..tuning() }, ..lost() };
+    needed("the end of loans", 1_000, &lost(), &lasting);
+}
+
+#[test]
+fn with_units_back_too_early_it_is_broken() {
+    let calm = Rule { kills: 0, successors: 0, ..lost() };
+    let early = Rule { gateways: Tuning { window_ms: STEP_MS, ..tuning() }, ..calm.clone() };
+    needed("a whole window", 1_000, &calm, &early);
+}
+
+#[test]
+fn without_what_lives_on_the_log_may_have_it_is_broken() {
+    needed("the rest", 2_000, &lost(), &without(Guard::Rest, &lost()));
+}
+
+#[test]
+fn without_what_ended_lives_may_have_it_is_broken() {
+    needed("locks", 2_000, &lost(), &without(Guard::Lock, &lost()));
+}
+
+#[test]
+fn with_overtaken_calls_it_is_broken() {
+    let late = Rule { late: true, ..lost() };
+    needed("the order of calls", 2_000, &late, &without(Guard::Order, &late));
+}
+
+#[test]
+fn with_answers_to_older_calls_it_is_broken() {
+    let late = Rule { steps: 12, late: true, waits: true, successors: 2, ..lost() };
+    needed("the newest answer alone", 2_000, &late, &without(Guard::Newest, &late));
+}
+
+/// A call that tells all, late until another counter leads: it told less than has been lent since.
+#[test]
+fn with_calls_meant_for_an_older_counter_it_is_broken() {
+    let late = Rule { late: true, kills: 0, successors: 2, ..lost() };
+    needed("the counter's own term", 2_000, &late, &without(Guard::Meant, &late));
+}
--- a/crates/bunker/tests/world/mod.rs
+++ b/crates/bunker/tests/world/mod.rs
@@ -125,6 +125,8 @@
         let tuning = self.gateway_tuning.clone();
         let mut purse = Purse::new(self.now, format!("g{number}"), self.rng.u64(..), tuning);
         purse.known(self.now, &self.limits());
+        // It learns who leads before it learns of any tenant.
+        purse.moved(self.now, self.term);
         let (up, wake) = (true, self.now);
         Gateway {
             purse,
@@ -176,7 +178,7 @@
         let now = self.now;
         for gateway in self.gateways.iter_mut().filter(|gateway| gateway.up && gateway.frozen_until <= now) {
             gateway.flight = None;
-            gateway.purse.moved(now);
+            gateway.purse.moved(now, self.term);
             gateway.wake = now + self.rng.u64(0..100);
         }
     }
--- a/crates/drydock/src/gateway.rs
+++ b/crates/drydock/src/gateway.rs
@@ -207,7 +207,7 @@
         self.lease.answered(flight.sent as f64, age);
         let chart = self.copy.chart();
         if applied.leader {
-            self.purse.moved(now);
+            self.purse.moved(now, self.copy.term());
         }
         if let Some(config) = chart.config.as_ref().filter(|_| applied.config) {
             self.purse.known(now, &limits(&config.doc, &Bounds::usual()));
--- a/crates/pilot/src/link.rs
+++ b/crates/pilot/src/link.rs
@@ -310,7 +310,7 @@
         let chart = self.copy.borrow().chart();
         if applied.leader {
             log::info!("event=leader peer={from} term={}", self.copy.borrow().term());
-            self.purse.borrow_mut().moved(now as u64);
+            self.purse.borrow_mut().moved(now as u64, self.copy.borrow().term());
             self.low.notify_one();
         }
         if applied.config {
--- a/crates/signals/src/lib.rs
+++ b/crates/signals/src/lib.rs
@@ -209,6 +209,10 @@
     /// Name of the gateway's machine; in a call that tells all.
     #[serde(default, skip_serializing_if = "String::is_empty")]
     pub name: String,
+    /// Term of the counter that it is meant for, in a call that tells all: any other has it told anew, for such a call
+    /// may be old, and more have been lent since.
+    #[serde(rename = "e", default, skip_serializing_if = "is_zero")]
+    pub to: u64,
     /// So long ago, ms, this life began; in a call that tells all.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub born_ms: u64,
