Test an order on members through whole core members

Orders were tested by what they make of one another, and by the agreement's steps, but not from the call to the member.

--- /dev/null
+++ b/crates/wheelhouse/tests/members.rs
@@ -0,0 +1,123 @@
+//! Orders on who is a member of the core, through whole core members on a clock of their own: each message takes 2 ms, each
+//! write is synced at once.
+
+use nickeljunction_logbook::{draw_id, first_id, Envelope, Restored, Tuning};
+use nickeljunction_manifest::Bounds;
+use nickeljunction_signals::Member;
+use nickeljunction_wheelhouse::{Answer, Place, Ticket, Unfit, Wheelhouse, Wish};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+const WAY_MS: u64 = 2;
+
+struct Core {
+    now: u64,
+    houses: BTreeMap<String, Wheelhouse>,
+    mail: Vec<(u64, String, Envelope)>,
+    answers: Vec<(String, Ticket, Answer)>,
+}
+
+fn host(number: u8) -> String {
+    format!("10.0.0.{number}")
+}
+
+impl Core {
+    fn start(&mut self, number: u8, restored: Restored) {
+        let place = Rc::new(Place {
+            name: format!("core-{number}"),
+            host: host(number),
+            zones: BTreeMap::new(),
+            bounds: Bounds::default(),
+            heartbeat_ms: 1_500,
+        });
+        let mut house = Wheelhouse::new(place, restored, Tuning::default(), number.into(), self.now);
+        house.seek(self.now, &[host(1), host(2), host(3)]);
+        self.houses.insert(host(number), house);
+    }
+
+    fn run(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now += 1;
+            let now = self.now;
+            let (due, later) = std::mem::take(&mut self.mail).into_iter().partition(|(at, ..)| *at <= now);
+            self.mail = later;
+            for (_, to, envelope) in due {
+                if let Some(house) = self.houses.get_mut(&to) {
+                    house.heard(now, vec![envelope]);
+                }
+            }
+            for (at, house) in &mut self.houses {
+                if house.next_wake() <= now {
+                    house.tick(now);
+                }
+                loop {
+                    let effects = house.take();
+                    let sent = effects.send.into_iter().map(|(to, envelope)| (now + WAY_MS, to, envelope));
+                    self.mail.extend(sent);
+                    let told = effects.answers.into_iter();
+                    self.answers.extend(told.map(|(ticket, answer)| (at.clone(), ticket, answer)));
+                    if effects.writes.is_empty() {
+                        break;
+                    }
+                    effects.writes.iter().for_each(|write| house.written(now, write.ticket, true));
+                }
+            }
+        }
+    }
+
+    fn leader(&self) -> String {
+        let leads = self.houses.iter().filter(|(_, house)| house.leads().is_some());
+        leads.max_by_key(|(_, house)| house.book().term()).expect("somebody leads").0.clone()
+    }
+
+    /// Gives an order to whoever leads and waits for its answer.
+    fn order(&mut self, wish: Wish) -> Answer {
+        let leader = self.leader();
+        let ticket = self.houses.get_mut(&leader).expect("it leads").order(self.now, wish);
+        self.run(100);
+        let given = self.answers.iter().rev().find(|(at, of, _)| *at == leader && *of == ticket);
+        given.expect("an answer within 100 ms").2.clone()
+    }
+
+    fn members(&self) -> Vec<String> {
+        let view = self.houses[&self.leader()].core_view(self.now);
+        assert_eq!(view.open, None, "{view:?}");
+        let mut hosts: Vec<String> = view.machines.into_iter().map(|berth| berth.host).collect();
+        hosts.sort();
+        hosts
+    }
+}
+
+#[test]
+fn the_leader_is_replaced_by_order_and_stays_away() {
+    let mut core = Core { now: 0, houses: BTreeMap::new(), mail: Vec::new(), answers: Vec::new() };
+    let founders: Vec<Member> = (1..=3).map(|n| Member { id: first_id(&host(n)), host: host(n) }).collect();
+    for (number, me) in (1..).zip(&founders) {
+        core.start(number, Restored::first(me.clone(), founders.clone()));
+    }
+    core.run(2_000);
+    let old = core.leader();
+    let swap = Wish::Come(host(4), Some(old.clone()));
+    assert_eq!(core.order(swap.clone()), Answer::Taken);
+    assert_eq!(core.order(swap.clone()), Answer::Taken, "the same again");
+    let second = core.order(Wish::Come(host(5), None));
+    assert!(matches!(second, Answer::Unfit(Unfit::Busy(_))), "{second:?}");
+    let view = core.houses[&old].core_view(core.now);
+    assert!(view.machines.iter().any(|berth| berth.host == host(4) && berth.part == "awaited"), "{view:?}");
+    // The machine starts: it comes, the old leader goes and stays away though it asks.
+    core.start(4, Restored::stranger(Member { id: draw_id(77), host: host(4) }));
+    core.run(3_000);
+    let left: Vec<String> = (1..=4).map(host).filter(|host| *host != old).collect();
+    assert_eq!(core.members(), left);
+    core.run(8_000);
+    assert_eq!(core.members(), left);
+    assert_eq!(core.order(swap), Answer::Taken, "it is so");
+    assert_eq!(core.order(Wish::Go(host(4))), Answer::Unfit(Unfit::Few(2)));
+    let unknown = core.order(Wish::Go(host(9)));
+    assert!(matches!(unknown, Answer::Unfit(Unfit::Unknown(..))), "{unknown:?}");
+    // Called back, it is one of four.
+    assert_eq!(core.order(Wish::Come(old, None)), Answer::Taken);
+    core.run(2_000);
+    assert_eq!(core.members(), (1..=4).map(host).collect::<Vec<_>>());
+}
