Refuse a candidate's word that it leads not, which freed a member that came back

Cause, found by the model: a member that comes back is free of its earlier life's word once all others say that they lead not. A candidate said so, too, and led a moment later in the same term by a vote under way; told late, its word freed the member, which elected another one while the first surely led. A candidate says so no more, and the word counts only if it was said in the term of who hears it.

--- a/crates/logbook/src/election.rs
+++ b/crates/logbook/src/election.rs
@@ -184,7 +184,10 @@
             && term >= self.hard.term
             && !self.has_leader()
             && (last_term, last) >= (self.log.last_term(), self.log.last());
-        let free = self.leader.is_none() && !matches!(self.role, Role::Leading(_)) && self.is_member();
+        // One that stands may lead in this term a moment later.
+        let leads = matches!(self.role, Role::Leading(_));
+        let leads = leads || guard!(StandingIsBound, matches!(self.role, Role::Standing { .. }), false);
+        let free = self.leader.is_none() && !leads && self.is_member();
         let free = if free { self.members_sum() } else { 0 };
         self.say(from, Msg::Asked { asked: term, yes, free });
         self.ask_in_return(from);
@@ -206,8 +209,10 @@
     }
 
     fn on_asked(&mut self, from: &Member, term: u64, asked: u64, yes: bool, free: u64) {
-        // An answer to an earlier life may be told late; one of this term can't come from a member that led in it since.
-        if asked == self.hard.term && free == self.members_sum() {
+        // An answer to an earlier life may be told late. Who said so in this term, to a question of this term, has not led
+        // in it since: it did not stand in it, and who stands later does so in a later one.
+        let now = asked == self.hard.term && term == self.hard.term;
+        if now && free == self.members_sum() {
             self.unbind(Some(from.id));
         }
         if !yes && term > self.hard.term {
--- a/crates/logbook/src/messages.rs
+++ b/crates/logbook/src/messages.rs
@@ -272,7 +272,7 @@
 }
 
 /// A host that is not to be a member, by operators' word.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Hash)]
 pub struct Away {
     /// It, as in [`Member::host`].
     pub host: String,
--- a/crates/logbook/src/model.rs
+++ b/crates/logbook/src/model.rs
@@ -46,6 +46,7 @@
     SickTakesNothing,
     SnapshotAhead,
     SnapshotCuts,
+    StandingIsBound,
     TermsMatch,
     VerifiedByTerm,
     VoteSynced,
@@ -54,7 +55,7 @@
 
 impl Guard {
     /// All of them.
-    pub const ALL: [Guard; 36] = [
+    pub const ALL: [Guard; 37] = [
         Guard::CandidacySynced,
         Guard::CaughtUp,
         Guard::ChangeReady,
@@ -87,6 +88,7 @@
         Guard::SickTakesNothing,
         Guard::SnapshotAhead,
         Guard::SnapshotCuts,
+        Guard::StandingIsBound,
         Guard::TermsMatch,
         Guard::VerifiedByTerm,
         Guard::VoteSynced,
@@ -140,7 +142,7 @@
         // All but what is drawn by chance and what never changes.
         (&self.me, self.now, self.hard, &self.log, &self.disk, self.commit, self.delivered).hash(state);
         (&self.role, &self.leader, self.heard_at, self.alone_since, self.deadline).hash(state);
-        (&self.bound, self.hurry).hash(state);
+        (&self.bound, self.hurry, &self.away).hash(state);
         (self.verified, self.round, self.owed, &self.owed_vote, &self.hosts).hash(state);
         (self.join_at, self.pointed_at, self.next_read, &self.out).hash(state);
     }
--- a/crates/logbook/tests/model.rs
+++ b/crates/logbook/tests/model.rs
@@ -142,6 +142,17 @@
     Bounds { stands: &[1], depth: 12, ..Bounds::new("times", 3, 2, &limits) }
 }
 
+/// Machine 2 votes for machine 1 and asks it, which leads a moment later by that vote; then machine 2 has answered it, and
+/// starts anew, while what machine 1 said before it led is under way.
+fn returns() -> Bounds {
+    let stand = [Advance, Advance, Stand(1), Bring(2), Bring(1), Bring(2), Advance, Advance, Stand(2)];
+    let lead = [Questions(1), Orders(1), Orders(2), Orders(1), Restart(2, false), Questions(0)];
+    let limits = [(ADVANCE, 1), (STAND, 1)];
+    let before = [&stand[..], &lead].concat();
+    let all = Bounds::new("returns", 3, 3, &limits);
+    Bounds { late_answers: true, stands: &[2], flight: 7, before, depth: 9, ..all }
+}
+
 /// Machine 2 has lost its disk and come back as a stranger, who asks to be taken in.
 fn strangers() -> Bounds {
     let before = vec![Beat(0), Wipe(2), Quiet, Stand(2), Bring(0)];
@@ -207,6 +218,7 @@
     snapshots_hold: snapshots;
     late_snapshots_hold: late_snapshots;
     times_hold: times;
+    returns_hold: returns;
     strangers_hold: strangers;
     wiped_holds: wiped;
     removals_hold: removals;
@@ -241,6 +253,7 @@
     needs_restart_waits: times, RestartWaits;
     needs_round_begun: times, RoundBegun;
     needs_one_change: removals, OneChange;
+    needs_standing_is_bound: returns, StandingIsBound;
     needs_caught_up: strangers, CaughtUp;
 }
 
@@ -270,6 +283,7 @@
         snapshots(),
         late_snapshots(),
         times(),
+        returns(),
         strangers(),
         wiped(),
         removals(),
--- a/crates/logbook/tests/small_world/mod.rs
+++ b/crates/logbook/tests/small_world/mod.rs
@@ -124,8 +124,10 @@
     /// All that is under way is lost, or comes: for what happens before the checker begins.
     Lose,
     Quiet,
-    /// All that is under way to a machine comes, as before.
+    /// All that is under way to a machine comes, or all but questions and answers to them, or questions alone.
     Bring(usize),
+    Orders(usize),
+    Questions(usize),
 }
 
 /// How a world may go.
@@ -153,6 +155,8 @@
     pub before: Vec<Act>,
     /// So many steps deep.
     pub depth: usize,
+    /// Questions before votes are messages, too, and their answers may be late.
+    pub late_answers: bool,
     /// Silent for so many ticks a member is removed.
     pub gone: u64,
 }
@@ -177,6 +181,7 @@
             old_number: false,
             before: Vec::new(),
             depth: usize::MAX,
+            late_answers: false,
             gone: 100,
         }
     }
@@ -240,7 +245,7 @@
             broken: None,
         };
         // Machine 0 leads in term 1, and all know it.
-        let open = Bounds { flight: 100, slow: false, out: Vec::new(), ..self.clone() };
+        let open = Bounds { flight: 100, slow: false, late_answers: false, out: Vec::new(), ..self.clone() };
         if self.timed() {
             world.now += 2;
         }
@@ -254,7 +259,8 @@
         assert!(world.machines.iter().all(|machine| machine.applied == 1 && machine.book.term() == 1));
         // Disks are quick till then, unless power is lost.
         let slow = self.slow && self.before.iter().any(|act| matches!(act, Act::Sync(_) | Act::Restart(..)));
-        Bounds { out: self.out.clone(), slow, ..open }.script(&mut world, &self.before);
+        Bounds { out: self.out.clone(), slow, late_answers: self.late_answers, ..open }
+            .script(&mut world, &self.before);
         world.spent = [0; KINDS];
         world
     }
@@ -448,6 +454,9 @@
     /// at once.
     fn stand(&self, world: &mut World, number: usize) {
         let now = self.rest(world) + u64::from(!self.timed());
+        if self.late_answers {
+            return self.on(world, number, |book, _| book.tick(now));
+        }
         self.on(world, number, |book, world| {
             book.tick(now);
             let mut out = book.take();
@@ -704,11 +713,18 @@
             }
             Act::Lose => world.net.clear(),
             Act::Quiet => self.quiet(&mut world),
-            Act::Bring(number) => {
-                let (here, rest) =
-                    std::mem::take(&mut world.net).into_iter().partition(|sealed| sealed.0 == number);
+            Act::Bring(number) | Act::Orders(number) | Act::Questions(number) => {
+                let wanted = |sealed: &Seal<(usize, Envelope)>| {
+                    let kind = match sealed.1.msg {
+                        Msg::Ask { .. } => Act::Questions(number),
+                        Msg::Asked { .. } => Act::Bring(number),
+                        _ => Act::Orders(number),
+                    };
+                    sealed.0 == number && (act == Act::Bring(number) || act == kind)
+                };
+                let (here, rest): (Vec<_>, Vec<_>) =
+                    std::mem::take(&mut world.net).into_iter().partition(wanted);
                 world.net = rest;
-                let here: Vec<Seal<(usize, Envelope)>> = here;
                 for sealed in here {
                     self.on(&mut world, number, |book, _| book.step(now, sealed.1.clone()));
                 }
