Make the mark's file in the tests of the store, too

The tests leave out syncs, and with them left out the file that kills look for: two of them failed. Only the sync itself is left out now. Measured: all 13 tests of the crate pass.

--- a/crates/hold/src/mark.rs
+++ b/crates/hold/src/mark.rs
@@ -135,12 +135,8 @@
 
     /// Makes what was noted last.
     pub(crate) fn sync(&mut self) {
-        if cfg!(test) {
-            // As for folders.
-            return;
-        }
-        // Where this fails the mark claims less.
-        let _ = self.file().and_then(File::sync_all);
+        // Where this fails the mark claims less. Tests need the file, but none outlives its machine.
+        let _ = self.file().and_then(|file| if cfg!(test) { Ok(()) } else { file.sync_all() });
     }
 
     /// Makes the file's name last, too.
