--- a/crates/bunker/src/counter.rs
+++ b/crates/bunker/src/counter.rs
@@ -140,6 +140,16 @@
         }
     }
 
+    /// For so long after its start, ms, it holds units back for lives of which an older counter knew, should none of them
+    /// tell what it has; 0 without any.
+    pub fn held_ms(&self) -> u64 {
+        if self.logged.is_empty() {
+            0
+        } else {
+            self.tuning.life_ms + self.tuning.span_ms()
+        }
+    }
+
     /// Tenants with a limit, by the newest configuration. A tenant whose limit goes is forgotten.
     pub fn limits(&mut self, now: u64, limits: &BTreeMap<String, Limit>) {
         self.tick(now);
--- a/crates/bunker/tests/calls.rs
+++ b/crates/bunker/tests/calls.rs
@@ -183,3 +183,15 @@
     call(&mut counter, &mut log, 530, &purse.poll(520).unwrap(), 4);
     assert_eq!(counter.used(530, "t"), 10);
 }
+
+#[test]
+fn a_new_counter_tells_until_when_it_holds_back_for_lives_that_never_tell() {
+    let (held, mut log) = (counter(100, 2, 40, &Log::new()).held_ms(), Log::new());
+    assert_eq!(held, 0, "nobody has had a unit");
+    log.insert(7, "g".to_owned());
+    let mut new = counter(100, 2, 40, &log);
+    let held = new.held_ms();
+    assert!(new.used(100, "t") > 0);
+    assert!(new.used(100 + held * 2 / 3, "t") > 0, "it does not tell far too much");
+    assert_eq!(new.used(100 + held, "t"), 0);
+}
--- a/crates/harbourmaster/src/tell.rs
+++ b/crates/harbourmaster/src/tell.rs
@@ -5,9 +5,9 @@
 /// Logs an event.
 pub fn tell(event: &Event) {
     match event {
-        Event::LeadBegun { term, servers, gateways, .. } => {
-            log::info!("event=lead_begun term={term} servers={servers} gateways={gateways}");
-        }
+        Event::LeadBegun { term, servers, gateways, unheard, held_ms, .. } => log::info!(
+            "event=lead_begun term={term} servers={servers} gateways={gateways} unheard={unheard} held_ms={held_ms}"
+        ),
         Event::LeadEnded { term } => log::info!("event=lead_ended term={term}"),
         Event::ServerSilent { life } => log::info!("event=server_silent life={life}"),
         Event::Server { life, backend, zone, state, cold_ms } => log::info!(
--- a/crates/wheelhouse/src/effects.rs
+++ b/crates/wheelhouse/src/effects.rs
@@ -56,7 +56,7 @@
 #[allow(missing_docs)] // The names tell: term, life (a process's id), index on the log, counts.
 pub enum Event {
     /// It leads, from this many servers and gateways and with this version of the configuration.
-    LeadBegun { term: u64, version: u64, servers: usize, gateways: u32 },
+    LeadBegun { term: u64, version: u64, servers: usize, gateways: u32, unheard: usize, held_ms: u64 },
     /// It leads no more.
     LeadEnded { term: u64 },
     /// A server was not heard of for too long.
--- a/crates/wheelhouse/src/leader.rs
+++ b/crates/wheelhouse/src/leader.rs
@@ -103,14 +103,17 @@
         let tuning = nickeljunction_berths::Tuning::new(self.place.heartbeat_ms, self.place.zones.clone());
         let copy = std::mem::take(&mut self.copy);
         let window = (self.place.bounds.quota_window_s * 1_000.0) as u64;
-        let known = self.statutes.gateways().clone();
-        let counter = Counter::new(now, term, nickeljunction_bunker::Tuning::new(window), known);
+        let logged = self.statutes.gateways().clone();
+        let known = logged.len();
+        let counter = Counter::new(now, term, nickeljunction_bunker::Tuning::new(window), logged);
         let register = Register::new(now, tuning, term, Some(copy));
         self.out.events.push(Event::LeadBegun {
             term,
             version: self.statutes.version(),
             servers: register.servers(),
             gateways: register.gateways(),
+            unheard: known,
+            held_ms: counter.held_ms(),
         });
         self.lead = Some(Lead { term, register, counter, version: 0, forgets: false });
         self.publish(now);
