--- a/crates/drydock/tests/cases.rs
+++ b/crates/drydock/tests/cases.rs
@@ -478,3 +478,32 @@
         world.converge(5_000);
     });
 }
+
+/// A gateway's new process asks a leader whose majority has just gone: it gets no unit that a later leader wouldn't know of.
+#[test]
+fn a_new_gateway_gets_no_units_before_it_is_on_the_log() {
+    over(THREE, |world| {
+        let old = world.settle(1_000);
+        let node = world.edge(0);
+        world.load = 300;
+        for other in others(world, old) {
+            world.cuts.extend([(old, other), (other, old), (node, other), (other, node)]);
+        }
+        world.kill_gateway(0);
+        world.start_gateway(0);
+        let spent = |world: &World, since: u64| {
+            world.audit.spent.iter().filter(|(at, by)| *by == node && *at >= since).count()
+        };
+        let since = world.now;
+        world.run(1_000);
+        assert_eq!(
+            world.gateways[0].version(),
+            world.audit.state.version(),
+            "seed {}: it was told",
+            world.seed
+        );
+        assert_eq!(spent(world, since), 0, "seed {}", world.seed);
+        world.heal();
+        world.converge(5_000);
+    });
+}
