--- a/crates/wheelhouse/tests/member.rs
+++ b/crates/wheelhouse/tests/member.rs
@@ -159,10 +159,11 @@
     }
 }
 
-fn units(life: u64, seq: u64) -> UnitsCall {
+fn units(to: &Wheelhouse, life: u64, seq: u64) -> UnitsCall {
+    let to = to.book().term();
     let want = TenantUnits { want: 10, ..TenantUnits::default() };
     let tenants = BTreeMap::from([("peach".into(), want)]);
-    UnitsCall { life, seq, all: true, name: "edge".into(), tenants, ..UnitsCall::default() }
+    UnitsCall { life, seq, to, all: true, name: "edge".into(), tenants, ..UnitsCall::default() }
 }
 
 #[test]
@@ -199,7 +200,7 @@
     let (now, house) = (core.now, &mut core.houses[leader]);
     assert!(house.leads().is_some());
     assert!(house.watch(now, &watch(7), &held).is_err());
-    assert!(house.units(now, &units(7, 1)).is_err());
+    assert!(house.units(now, &units(house, 7, 1)).is_err());
     assert!(house.beat(now, "i-2", &beat()).is_err());
     assert!(house.come_round(now, &round).is_err(), "not even for want of time");
 }
@@ -209,7 +210,7 @@
     let mut core = Core::new(7);
     let old = core.leader();
     core.cut.insert(old);
-    let Ok(Lent::Later(ticket)) = core.at(old, |house, now| house.units(now, &units(9, 1))) else {
+    let Ok(Lent::Later(ticket)) = core.at(old, |house, now| house.units(now, &units(house, 9, 1))) else {
         panic!("lent before it is on the log");
     };
     core.run(249);
@@ -230,7 +231,7 @@
     assert_eq!(lent(&core, next), 0);
 
     // The same where nothing is lost.
-    let Ok(Lent::Later(ticket)) = core.at(next, |house, now| house.units(now, &units(9, 2))) else {
+    let Ok(Lent::Later(ticket)) = core.at(next, |house, now| house.units(now, &units(house, 9, 2))) else {
         panic!("lent before it is on the log");
     };
     let Some(Answer::Units(answer)) = core.answered(ticket) else { panic!("no answer") };
@@ -238,7 +239,7 @@
     assert!(lent(&core, next) > 0);
     core.run(200);
     assert!(core.houses.iter().all(|house| house.statutes().gateways().contains_key(&9)));
-    assert!(matches!(core.at(next, |house, now| house.units(now, &units(9, 3))), Ok(Lent::Now(_))));
+    assert!(matches!(core.at(next, |house, now| house.units(now, &units(house, 9, 3))), Ok(Lent::Now(_))));
 }
 
 #[test]
