Let dark machines hold nothing up at the return of the core, and its hint outlive power

Cause: after all power was lost members' first messages hung for 300 ms at machines that came up later, gateways asked members without a leader again and again, and the hint of the register was neither synced nor taken after a new start of the machine's steady clock. Connections are given up after 200 ms (100 between members), a watch call where nobody leads waits up to 250 ms for a leader, the hint is synced and dated by the time of day, too, which may be wrong: it costs tries, no rule.

--- a/crates/chandler/src/caller.rs
+++ b/crates/chandler/src/caller.rs
@@ -20,6 +20,9 @@
 /// A kept connection unused for so long is closed here, ms: well before a [`crate::desk::Desk`] closes it, so that a
 /// call seldom crosses the close.
 const KEEP_MS: f64 = 20_000.0;
+/// A connection comes up within this, ms, or is given up: the first packet to a dark machine, or to one whose queue was
+/// full, is sent again only after a second. Twice the longest way between regions and then some.
+const CONNECT_MS: f64 = 200.0;
 /// Longest body of an answer, bytes.
 const MOST_ANSWER: usize = 4 << 20;
 /// What a connection's read buffer holds, bytes.
@@ -109,13 +112,19 @@
 /// A client with kept connections: each carries one call at a time, and parallel calls open further ones.
 pub struct Caller {
     wheel: Wheel,
+    connect_ms: f64,
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
 }
 
 impl Caller {
     /// A client without connections; the wheel bounds its calls.
     pub fn new(wheel: Wheel) -> Rc<Caller> {
-        Rc::new(Caller { wheel, idle: RefCell::default() })
+        Caller::within(wheel, CONNECT_MS)
+    }
+
+    /// The same for peers that are near: a connection that is not up after `connect_ms` is given up.
+    pub fn within(wheel: Wheel, connect_ms: f64) -> Rc<Caller> {
+        Rc::new(Caller { wheel, connect_ms, idle: RefCell::default() })
     }
 
     /// Sends one request, once, and waits for the whole answer, `timeout_ms` at most for all of it. A body is sent as
@@ -157,7 +166,10 @@
         let mut framed = match self.take_idle(to) {
             Some(framed) => framed,
             None => {
-                let stream = link::connect(to).await.map_err(|cause| CallError::Connect(to, cause))?;
+                let connected = self.wheel.timeout(self.connect_ms, link::connect(to)).await;
+                let stream = connected
+                    .ok_or(CallError::TimedOut(to, Step::Connect, self.connect_ms))?
+                    .map_err(|cause| CallError::Connect(to, cause))?;
                 Framed::with_capacity(stream, RegionCodec::new(MOST_ANSWER), READ_BYTES)
             }
         };
--- a/crates/harbourmaster/src/helm.rs
+++ b/crates/harbourmaster/src/helm.rs
@@ -159,7 +159,7 @@
                 let _ = wait.send(answer);
             }
         }
-        if let Some(text) = effects.hint.and_then(|copy| hint::text(&copy, hint::steady_ms())) {
+        if let Some(text) = effects.hint.and_then(|copy| hint::text(&copy, hint::Moment::now())) {
             let _ = self.disk.send(Job::Hint(text));
         }
         if effects.changed {
--- a/crates/harbourmaster/src/resources/inner.rs
+++ b/crates/harbourmaster/src/resources/inner.rs
@@ -8,6 +8,10 @@
 use serde::de::DeserializeOwned;
 use std::rc::Rc;
 
+/// Where nobody is known to lead a watch call waits so long for somebody, ms: whoever asks would only ask again. Less
+/// than a gateway waits for an answer.
+const UNLED_MS: u64 = 250;
+
 fn read<T: DeserializeOwned>(call: &Call) -> Result<T, Response> {
     if call.method != "POST" {
         return Err(Response::error(405, "wants POST").with("Allow", "POST"));
@@ -75,7 +79,18 @@
 impl Watch {
     async fn answer(&self, call: &WatchCall) -> Result<WatchAnswer, Elsewhere> {
         let helm = &self.0;
-        let held = helm.called(call)?;
+        let unled = helm.now() + UNLED_MS;
+        let held = loop {
+            let changed = helm.changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            match helm.called(call) {
+                Ok(held) => break held,
+                Err(elsewhere) if elsewhere.leader.is_some() || helm.now() >= unled => return Err(elsewhere),
+                Err(_) => {}
+            }
+            helm.wheel().timeout(unled.saturating_sub(helm.now()) as f64, changed).await;
+        };
         loop {
             let changed = helm.changed.notified();
             tokio::pin!(changed);
--- a/crates/harbourmaster/src/serve.rs
+++ b/crates/harbourmaster/src/serve.rs
@@ -27,6 +27,8 @@
 const MOST_INNER: usize = 16 << 20;
 /// What is left of `grace_s` after an orderly stop, at most so much is used, ms.
 const STOP_MS: f64 = 1_500.0;
+/// A connection to another member that isn't up by then is given up, ms: messages behind it must not wait for a dark one.
+const PEER_CONNECT_MS: f64 = 100.0;
 /// A disk that can't be opened is tried again so much later, ms.
 const DISK_AGAIN_MS: f64 = 250.0;
 
@@ -129,7 +131,7 @@
     });
     let ports = Ports { control: addresses.control.port(), inner: addresses.inner.port() };
     let caller = Caller::new(wheel.clone());
-    let peers = Peers::new(caller.clone(), ports.inner);
+    let peers = Peers::new(Caller::within(wheel.clone(), PEER_CONNECT_MS), ports.inner);
     let now = wheel.now() as u64;
     let house = Wheelhouse::new(place.clone(), restored, Tuning::default(), dice.u64(..), now);
     let helm = Helm::new(place, ports, wheel.clone(), house, writes, peers);
