Name a gateway away only where its call was held

Cause: a call that waits for a leader and is given up, since the gateway has found one, was logged as event=gateway_away by members that never knew it (5 to 9 lines an election on C). Only a call that the lead has registered is noted as given up.

--- a/crates/harbourmaster/src/resources/inner.rs
+++ b/crates/harbourmaster/src/resources/inner.rs
@@ -5,6 +5,7 @@
 use nickeljunction_chandler::desk::{Answering, Call, Resource, Response};
 use nickeljunction_logbook::Envelope;
 use nickeljunction_signals::{Elsewhere, UnitsCall, WatchAnswer, WatchCall};
+use nickeljunction_wheelhouse::Held as Hold;
 use serde::de::DeserializeOwned;
 use std::rc::Rc;
 
@@ -77,25 +78,29 @@
 }
 
 impl Watch {
-    async fn answer(&self, call: &WatchCall) -> Result<WatchAnswer, Elsewhere> {
+    /// Registers the call with this member's lead. Where nobody is known to lead it waits a while for somebody.
+    async fn called(&self, call: &WatchCall) -> Result<Hold, Elsewhere> {
         let helm = &self.0;
         let unled = helm.now() + UNLED_MS;
-        let held = loop {
+        loop {
             let changed = helm.changed.notified();
             tokio::pin!(changed);
             changed.as_mut().enable();
             match helm.called(call) {
-                Ok(held) => break held,
-                Err(elsewhere) if elsewhere.leader.is_some() || helm.now() >= unled => return Err(elsewhere),
-                Err(_) => {}
+                Err(elsewhere) if elsewhere.leader.is_none() && helm.now() < unled => {}
+                called => return called,
             }
             helm.wheel().timeout(unled.saturating_sub(helm.now()) as f64, changed).await;
-        };
+        }
+    }
+
+    async fn answer(&self, call: &WatchCall, held: &Hold) -> Result<WatchAnswer, Elsewhere> {
+        let helm = &self.0;
         loop {
             let changed = helm.changed.notified();
             tokio::pin!(changed);
             changed.as_mut().enable();
-            if let Some(answer) = helm.watch(call, &held)? {
+            if let Some(answer) = helm.watch(call, held)? {
                 return Ok(answer);
             }
             let left = held.end().saturating_sub(helm.now());
@@ -111,9 +116,13 @@
                 Ok(call) => call,
                 Err(response) => return response,
             };
-            let mut held = Held { helm: &self.0, call: &call, answered: false };
-            let answered = self.answer(&call).await;
-            held.answered = true;
+            let held = match self.called(&call).await {
+                Ok(held) => held,
+                Err(elsewhere) => return misdirected(&elsewhere),
+            };
+            let mut caller = Held { helm: &self.0, call: &call, answered: false };
+            let answered = self.answer(&call, &held).await;
+            caller.answered = true;
             match answered {
                 Ok(answer) => json(200, &answer),
                 Err(elsewhere) => misdirected(&elsewhere),
@@ -121,3 +130,71 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::disk::Job;
+    use crate::helm::Ports;
+    use crate::peers::Peers;
+    use nickeljunction_chandler::caller::Caller as Calls;
+    use nickeljunction_chandler::clock::Clock;
+    use nickeljunction_chandler::wheel::Wheel;
+    use nickeljunction_logbook::{first_id, Hard, Restored, Snapshot, Tuning};
+    use nickeljunction_manifest::Bounds;
+    use nickeljunction_signals::{Caller, Member};
+    use nickeljunction_wheelhouse::{Place, Wheelhouse};
+    use std::task::{Context, Poll};
+    use tokio::sync::mpsc;
+
+    /// A core of one that comes back with its disk: it leads once its vote and first entry are written.
+    fn alone() -> (Rc<Helm>, mpsc::UnboundedReceiver<Job>) {
+        let me = Member { id: first_id("127.0.0.1"), host: "127.0.0.1".into() };
+        let first = Snapshot { index: 0, term: 0, members: vec![me.clone()], state: String::new() };
+        let restored =
+            Restored { me, new: false, hard: Hard::default(), snapshot: Some(first), entries: Vec::new() };
+        let place = Rc::new(Place {
+            name: "core-1".into(),
+            host: "127.0.0.1".into(),
+            zones: Default::default(),
+            bounds: Bounds::default(),
+            heartbeat_ms: 1_000,
+        });
+        let wheel = Wheel::new(Clock::start());
+        let (disk, jobs) = mpsc::unbounded_channel();
+        let peers = Peers::new(Calls::new(wheel.clone()), 1);
+        let house = Wheelhouse::new(place.clone(), restored, Tuning::default(), 1, 0);
+        (Helm::new(place, Ports { control: 1, inner: 1 }, wheel, house, disk, peers), jobs)
+    }
+
+    #[test]
+    fn a_watch_call_waits_for_a_leader_where_nobody_leads() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let (helm, mut jobs) = alone();
+            let ask = nickeljunction_berths::Copy::new().ask(Caller::Core, "core-2", 7, None, 0);
+            let call = Call {
+                method: "POST".into(),
+                target: "/watch".into(),
+                headers: Default::default(),
+                body: serde_json::to_vec(&ask).expect("JSON").into(),
+                peer: ([127, 0, 0, 1], 1).into(),
+            };
+            let watch = Watch(helm.clone());
+            let mut answering = watch.handle(call);
+            // It has come before anybody leads.
+            let polled =
+                |context: &mut Context<'_>| Poll::Ready(answering.as_mut().poll(context).is_pending());
+            assert!(std::future::poll_fn(polled).await);
+            tokio::task::spawn_local(helm.wheel().clone().run());
+            tokio::task::spawn_local(helm.clone().run());
+            let disk = helm.clone();
+            tokio::task::spawn_local(async move {
+                while let Some(Job::Log(write)) = jobs.recv().await {
+                    disk.written(write.ticket, true, 0);
+                }
+            });
+            assert_eq!(answering.await.status, 200);
+        });
+    }
+}
