--- a/crates/bunker/src/tuning.rs
+++ b/crates/bunker/src/tuning.rs
@@ -7,7 +7,7 @@
 /// part of what is above the units that gateways need beside each other's. What is left of the cap is free at once after a
 /// loss of everything, when all that was paced counts as spent.
 const PACE_PART: f64 = 1.06;
-const PACE_WHOLE: u64 = 80;
+const PACE_WHOLE: u64 = 110;
 const PACE_LEAVES: u64 = 4;
 
 /// A guard that a test may take out, to show that its checks see what it guards against.
