--- a/crates/bunker/tests/calls.rs
+++ b/crates/bunker/tests/calls.rs
@@ -154,14 +154,20 @@
     assert_eq!(purse.held(2_620, "t"), held);
 }
 
-#[test]
-fn a_call_that_comes_after_its_life_has_ended_changes_nothing() {
-    let (mut counter, mut purse, mut log) = pair(80);
+/// A pair whose first call is held up on its way: that call, and the pair after the second one was answered at 410 ms.
+fn overtaken(cap: u64) -> (UnitsCall, Counter, Purse, Log) {
+    let (mut counter, mut purse, mut log) = pair(cap);
     let late = purse.poll(0).unwrap();
     purse.failed(250);
     let second = purse.poll(400).unwrap();
     let answer = call(&mut counter, &mut log, 405, &second, 4);
     purse.answered(410, &answer);
+    (late, counter, purse, log)
+}
+
+#[test]
+fn a_call_that_comes_after_its_life_has_ended_changes_nothing() {
+    let (late, mut counter, _, _) = overtaken(80);
     assert_eq!(counter.used(8_405 + 1_000, "t"), 10, "its units are in force for a window");
     assert!(counter.call(8_405 + 1_000, &late, 4).tenants.is_empty());
     assert_eq!(counter.used(8_405 + 1_000, "t"), 10);
@@ -169,12 +175,7 @@
 
 #[test]
 fn a_call_that_was_meant_for_another_counter_is_told_anew() {
-    let (mut counter, mut purse, mut log) = pair(80);
-    let late = purse.poll(0).unwrap();
-    purse.failed(250);
-    let second = purse.poll(400).unwrap();
-    let answer = call(&mut counter, &mut log, 405, &second, 4);
-    purse.answered(410, &answer);
+    let (late, _, mut purse, mut log) = overtaken(80);
     assert_eq!(purse.held(410, "t"), 10);
     let mut counter = self::counter(500, 2, 80, &log);
     assert!(call(&mut counter, &mut log, 510, &late, 4).tell);
