Log which tenants are refused for their quota, and homes that don't meet

Change: `event=over_quota` beside `counts` where somebody was refused, `event=no_common_home` with the configuration that causes it. Nothing is written when nothing happens. Each of the two tests fails with its line taken out.

--- a/crates/pilot/src/front.rs
+++ b/crates/pilot/src/front.rs
@@ -2,6 +2,7 @@
 
 mod terminal;
 
+use crate::beyond::Beyond;
 use crate::parcel::{Admission, Admitted, Body, Dispatch, Parcel};
 use crate::reply::{Own, Reply};
 use crate::table::{self, Found, Route, Swap, Table, Tenant};
@@ -282,6 +283,7 @@
     lifecycle: Rc<Lifecycle>,
     budget: Rc<Budget>,
     counts: Counts,
+    beyond: Beyond,
     lots: RefCell<fastrand::Rng>,
     scratch: RefCell<Box<[u8]>>,
 }
@@ -299,8 +301,8 @@
     ) -> Rc<Front> {
         let lots = RefCell::new(fastrand::Rng::with_seed(seed));
         let scratch = RefCell::new(vec![0; SCRATCH].into_boxed_slice());
-        let counts = Counts::default();
-        Rc::new(Front { wheel, table, admission, dispatch, lifecycle, budget, counts, lots, scratch })
+        let (counts, beyond) = (Counts::default(), Beyond::default());
+        Rc::new(Front { wheel, table, admission, dispatch, lifecycle, budget, counts, beyond, lots, scratch })
     }
 
     /// What has been done so far.
@@ -308,6 +310,11 @@
         &self.counts
     }
 
+    /// Tenants refused for their quota lately.
+    pub fn beyond(&self) -> &Beyond {
+        &self.beyond
+    }
+
     /// Takes clients' connections until [`Lifecycle::stop_accepting`], each in a task of its own (within a `LocalSet`).
     /// A connection without a place in the budget waits in the listener's queue while the longest idle one is closed.
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
@@ -482,7 +489,10 @@
             }
             // The wait may have been long enough for the lease of knowledge to end.
             Admitted::Until(until) => self.stale(KEYS_STALE).map_or(Ok(until), Err),
-            Admitted::Beyond(pause) => Err(Own::refusal(429, "beyond the quota", pause)),
+            Admitted::Beyond(pause) => {
+                self.beyond.add(&tenant.name);
+                Err(Own::refusal(429, "beyond the quota", pause))
+            }
             Admitted::Unknown(pause) => Err(Own::refusal(503, "quota not known, core out of reach", pause)),
         }
     }
--- a/crates/pilot/src/lib.rs
+++ b/crates/pilot/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 pub mod berth;
+pub mod beyond;
 pub mod budget;
 pub mod cli;
 pub mod figures;
--- a/crates/pilot/src/link.rs
+++ b/crates/pilot/src/link.rs
@@ -344,7 +344,16 @@
     }
 
     fn configure(&self, config: &Config) {
-        self.table.set(Table::of(config));
+        let table = Table::of(config);
+        if let Some(apart) = table.apart().filter(|apart| self.table.get().apart() != Some(*apart)) {
+            log::warn!(
+                "event=no_common_home pairs={} route={:?} tenant={:?}",
+                apart.pairs,
+                apart.route,
+                apart.tenant
+            );
+        }
+        self.table.set(table);
         let backend = |backend: &nickeljunction_manifest::Backend| Backend {
             max_connections: backend.max_connections.unwrap_or(0),
             warmup_per_s: backend.warmup_per_s.unwrap_or(0.0),
--- a/crates/pilot/src/serve.rs
+++ b/crates/pilot/src/serve.rs
@@ -162,6 +162,9 @@
         wheel.sleep(NOTE_MS).await;
         log::info!("event=counts {}", front.counts().note());
         log::info!("{}", quay.note());
+        if let Some(line) = front.beyond().take() {
+            log::info!("{line}");
+        }
     }
 }
 
--- a/crates/pilot/tests/front.rs
+++ b/crates/pilot/tests/front.rs
@@ -420,6 +420,9 @@
             );
             assert!(head.contains("X-Attempt-Id: 1\r\n") && world.quay.ids().is_empty(), "{head}");
         }
+        let told = world.front.beyond().take();
+        assert_eq!(told.as_deref(), Some("event=over_quota refused=1 tenants=1 most=\"t\" its=1"));
+        assert_eq!(world.front.beyond().take(), None, "told once");
         assert!(world.desk.asked.borrow().iter().all(|tenant| tenant == "t"));
         // Stale keys don't keep what needs none from being served.
         send(&mut client, &get("/i/", "2")).await;
--- a/crates/rutter/src/lib.rs
+++ b/crates/rutter/src/lib.rs
@@ -99,6 +99,17 @@
     Unknown,
 }
 
+/// Routes that want a key and tenants whose homes have no region in common: nobody may serve such requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Apart {
+    /// How many pairs of a route and a tenant.
+    pub pairs: usize,
+    /// The first of these routes by name, and the first of its tenants.
+    pub route: Box<str>,
+    /// See `route`.
+    pub tenant: Box<str>,
+}
+
 /// A configuration, compiled.
 #[derive(Debug)]
 pub struct Table {
@@ -110,6 +121,7 @@
     keys: Map<Box<str>, Rc<Tenant>>,
     keyed: bool,
     homes: Homes,
+    apart: Option<Apart>,
 }
 
 impl Table {
@@ -155,6 +167,7 @@
             keys.extend(tenant.api_keys.iter().map(|key| (key.as_str().into(), holder.clone())));
         }
         homes.meet();
+        let apart = homes.apart(config);
         let keyed = config.has_tenants();
         Table {
             version: config.config_version,
@@ -163,9 +176,15 @@
             keys,
             keyed,
             homes,
+            apart,
         }
     }
 
+    /// What nobody may serve, if anything: most likely a slip of who wrote the configuration.
+    pub fn apart(&self) -> Option<&Apart> {
+        self.apart.as_ref()
+    }
+
     /// The route for a `Host` line (letters' case and port don't count) and a path without its query: the one with the
     /// longest prefix.
     pub fn find(&self, host: &str, path: &str) -> Found {
@@ -261,6 +280,31 @@
         })
     }
 
+    /// Routes and tenants that have no home in common; after [`Homes::meet`]. There are few lists, whatever the number of
+    /// routes.
+    fn apart(&mut self, config: &Config) -> Option<Apart> {
+        let mut tenants: Map<usize, (usize, &str)> = Map::default();
+        for (name, tenant) in &config.tenants {
+            let same = tenants.entry(self.index(&tenant.home_regions)).or_insert((0, name));
+            same.0 += 1;
+        }
+        let mut apart: Option<Apart> = None;
+        for (name, route) in config.routes.iter().filter(|(_, route)| !route.no_auth) {
+            let homes = self.index(&route.home_regions);
+            let strange = |other: usize| {
+                homes != 0 && other != 0 && homes != other && !self.common.contains_key(&(homes, other))
+            };
+            let strangers = tenants.iter().filter(|(other, _)| strange(**other)).map(|(_, same)| *same);
+            let Some((pairs, tenant)) = strangers.reduce(|one, other| (one.0 + other.0, one.1.min(other.1)))
+            else {
+                continue;
+            };
+            let first = || Apart { pairs: 0, route: name.as_str().into(), tenant: tenant.into() };
+            apart.get_or_insert_with(first).pairs += pairs;
+        }
+        apart
+    }
+
     /// Finds what each two lists have in common.
     fn meet(&mut self) {
         let named = self.lists.len();
@@ -350,6 +394,14 @@
         assert_eq!(route.backend(1.0).map(|backend| &**backend), Some("c"));
     }
 
+    #[test]
+    fn a_tenant_that_shares_no_home_with_a_route_is_told() {
+        // `deep` is at home in s and r, `u` in q alone; `root` and `v` anywhere.
+        let wanted = Apart { pairs: 1, route: "deep".into(), tenant: "u".into() };
+        assert_eq!(table().apart(), Some(&wanted));
+        assert_eq!(Table::unknown().apart(), None);
+    }
+
     #[test]
     fn homes_of_route_and_tenant_both_bind_and_the_tenants_rank_goes_first() {
         let table = table();
