--- a/crates/bunker/tests/world/mod.rs
+++ b/crates/bunker/tests/world/mod.rs
@@ -1,5 +1,7 @@
 //! A virtual world: gateways, a counter, a network that delays, loses, doubles and reorders, freezes, kills; and a
-//! checker of every span of a window over what was spent.
+//! checker of every span of a window over what was spent. What happens is noted down, for whoever checks more.
+
+#![allow(dead_code)]
 
 use nickeljunction_bunker::{Counter, Limit, Purse, Roll, Spend, Tuning};
 use nickeljunction_signals::{UnitsAnswer, UnitsCall};
@@ -12,8 +14,22 @@
 /// A process that was killed is back no sooner; its last words have come by then.
 const LAST_MS: u64 = 100;
 
+/// What happened in a world.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Fact {
+    /// A request of this tenant was sent by this life.
+    Sent(usize, u64),
+    /// A life's call of this number went out.
+    Called(u64, u64),
+    /// The answer to that call came to that life, and it lends or keeps alive.
+    Answered(u64, u64),
+    /// A tenant's cap is this one for all who are up.
+    Cap(usize, u64),
+}
+
 pub struct Gateway {
     pub purse: Purse,
+    pub life: u64,
     pub up: bool,
     killed_at: u64,
     back_at: Option<u64>,
@@ -27,7 +43,8 @@
 
 enum Parcel {
     Call(usize, UnitsCall, u64),
-    Answer(usize, UnitsAnswer),
+    /// To a gateway's process, by its life.
+    Answer(usize, u64, UnitsAnswer),
 }
 
 /// A tenant's traffic and its luck.
@@ -40,7 +57,7 @@
     pub uneven: bool,
     pub sent: Vec<u64>,
     /// Units whose moment lies ahead: from when, until when, and at which gateway.
-    due: Vec<(u64, u64, usize)>,
+    pub due: Vec<(u64, u64, usize)>,
     pub asked: u64,
     pub refused: u64,
     pub waited: u64,
@@ -66,6 +83,10 @@
     net: Vec<(u64, Parcel)>,
     /// The agreed log's list of gateways' processes.
     pub log: BTreeMap<u64, String>,
+    /// The next counter leads on the same machine: calls and answers that are under way reach it, and gateways.
+    pub same: bool,
+    /// When what happened.
+    pub facts: Vec<(u64, Fact)>,
 }
 
 pub fn tenant(number: usize) -> String {
@@ -74,7 +95,11 @@
 
 impl World {
     pub fn new(seed: u64, gateways: usize, tenants: &[(Limit, f64)]) -> World {
-        let tuning = Tuning::new(WINDOW_MS);
+        World::tuned(seed, gateways, tenants, Tuning::new(WINDOW_MS))
+    }
+
+    /// One in which both sides have this tuning.
+    pub fn tuned(seed: u64, gateways: usize, tenants: &[(Limit, f64)], tuning: Tuning) -> World {
         let tenants: Vec<Luck> = tenants
             .iter()
             .map(|&(Limit { cap, pace }, rate)| Luck {
@@ -100,6 +125,8 @@
             log: BTreeMap::new(),
             gateway_tuning: tuning.clone(),
             forgetful: false,
+            same: false,
+            facts: Vec::new(),
             tuning,
         };
         let mut counter = Counter::new(world.now, 1, world.tuning.clone(), BTreeMap::new());
@@ -123,13 +150,15 @@
 
     fn gateway(&mut self, number: usize) -> Gateway {
         let tuning = self.gateway_tuning.clone();
-        let mut purse = Purse::new(self.now, format!("g{number}"), self.rng.u64(..), tuning);
+        let life = self.rng.u64(..);
+        let mut purse = Purse::new(self.now, format!("g{number}"), life, tuning);
         purse.known(self.now, &self.limits());
         // It learns who leads before it learns of any tenant.
         purse.moved(self.now, self.term);
         let (up, wake) = (true, self.now);
         Gateway {
             purse,
+            life,
             up,
             wake,
             killed_at: 0,
@@ -193,6 +222,7 @@
 
     pub fn set_cap(&mut self, number: usize, cap: u64) {
         self.tenants[number].cap = cap;
+        self.facts.push((self.now, Fact::Cap(number, cap)));
         let (now, limits) = (self.now, self.limits());
         if let Some(counter) = &mut self.counter {
             counter.limits(now, &limits);
@@ -292,6 +322,7 @@
                 self.calls += 1;
                 self.bytes += serde_json::to_string(&call).map_or(0, |text| text.len());
                 gateway.flight = Some((call.seq, now + CALL_MS));
+                self.facts.push((now, Fact::Called(call.life, call.seq)));
                 let term = self.term;
                 if gateway.cut_until <= now {
                     self.post(Parcel::Call(to, call, term));
@@ -319,27 +350,32 @@
         match parcel {
             Parcel::Call(from, call, term) => {
                 let gateways = self.gateways.len();
-                let Some(counter) = self.counter.as_mut().filter(|_| term == self.term) else { return };
+                let reaches = term == self.term || self.same;
+                let Some(counter) = self.counter.as_mut().filter(|_| reaches) else { return };
                 if let Some(roll) = counter.before(now, &call) {
                     Self::enroll(counter, &mut self.log, roll);
                     counter.came(call.life);
                 }
                 let answer = counter.call(now, &call, gateways);
                 if self.gateways[from].cut_until <= now {
-                    self.post(Parcel::Answer(from, answer));
+                    self.post(Parcel::Answer(from, call.life, answer));
                 }
             }
-            Parcel::Answer(to, answer) => {
+            Parcel::Answer(to, life, answer) => {
                 let gateway = &mut self.gateways[to];
-                if !gateway.up || answer.term != self.term {
+                // A process that was killed hears nothing more, nor does its successor in its place.
+                if !gateway.up || gateway.life != life || (answer.term != self.term && !self.same) {
                     return;
                 }
                 if gateway.frozen_until > now {
                     let at = gateway.frozen_until + 1;
-                    self.net.push((at, Parcel::Answer(to, answer)));
+                    self.net.push((at, Parcel::Answer(to, life, answer)));
                     return;
                 }
                 self.bytes += serde_json::to_string(&answer).map_or(0, |text| text.len());
+                if !answer.tell {
+                    self.facts.push((now, Fact::Answered(gateway.life, answer.seq)));
+                }
                 gateway.purse.answered(now, &answer);
                 if gateway.flight.is_some_and(|(seq, _)| seq == answer.seq) {
                     gateway.flight = None;
@@ -396,15 +432,18 @@
     /// Sends what is due; a frozen gateway sends when it wakes, if it isn't too late by then.
     fn send_due(&mut self) {
         let (now, gateways) = (self.now, &self.gateways);
-        for luck in &mut self.tenants {
-            let sent = &mut luck.sent;
+        for (number, luck) in self.tenants.iter_mut().enumerate() {
+            let (sent, facts) = (&mut luck.sent, &mut self.facts);
             let mut late = 0;
             luck.due.retain(|(from, until, to)| {
                 if *from > now || gateways[*to].frozen_until > now {
                     return true;
                 }
                 match now <= *until {
-                    true => sent.push(now),
+                    true => {
+                        sent.push(now);
+                        facts.push((now, Fact::Sent(number, gateways[*to].life)));
+                    }
                     false => late += 1,
                 }
                 false
