Refuse orders on the core's members that are never carried out

Change: fewer than three left is refused whatever there is now; whoever takes a place is another host.

--- a/crates/wheelhouse/src/members.rs
+++ b/crates/wheelhouse/src/members.rs
@@ -116,7 +116,8 @@
         }
         Wish::Come(new, Some(old)) => {
             let on_its_way = after(old).is_some_and(|after| after.as_ref() == Some(new));
-            if on_its_way || (is_member(new) && after(old).is_some()) {
+            // A host never takes its own place, though it be there still and about to go.
+            if on_its_way || (new != old && is_member(new) && after(old).is_some()) {
                 return Ok(None);
             }
             refuse_second(open, false)?;
@@ -178,7 +179,8 @@
 fn remain(members: &[(String, bool)], without: &String, one_comes: bool) -> Result<(), Unfit> {
     let rest: Vec<&(String, bool)> = members.iter().filter(|(host, _)| host != without).collect();
     let left = rest.len() + usize::from(one_comes);
-    if left < MEMBERS_MIN.min(members.len()) {
+    // No step of the log goes below it, not even to where it is: a wiped machine may be about to come back.
+    if left < MEMBERS_MIN {
         return Err(Unfit::Few(left));
     }
     let answering = rest.iter().filter(|(_, answers)| *answers).count() + usize::from(one_comes);
@@ -296,6 +298,22 @@
         assert!(order(&come("a"), &next, &all("b c d", "")).expect("fit").is_some(), "a may come again");
     }
 
+    #[test]
+    fn no_order_is_taken_that_the_floor_of_three_keeps_open_for_ever() {
+        // The third machine was wiped, and is not back yet under its new number.
+        let two = all("a b", "");
+        assert_eq!(order(&replace("b", "c"), &CoreOrder::default(), &two), Err(Unfit::Few(2)));
+        assert!(order(&come("c"), &CoreOrder::default(), &two).is_ok());
+    }
+
+    #[test]
+    fn a_host_that_is_to_go_is_not_replaced_by_itself() {
+        let four = all("a b c d", "");
+        let goes = order(&go("a"), &CoreOrder::default(), &four).expect("fit").expect("new");
+        assert_eq!(order(&replace("a", "a"), &goes, &four), Err(Unfit::Busy("removal of a".into())));
+        assert_eq!(order(&replace("a", "a"), &CoreOrder::default(), &four), Err(Unfit::There("a".into())));
+    }
+
     #[test]
     fn what_would_leave_a_core_that_decides_nothing_is_refused() {
         let none = CoreOrder::default();
