--- a/crates/drydock/src/audit.rs
+++ b/crates/drydock/src/audit.rs
@@ -2,7 +2,8 @@
 
 use crate::{Answer, Fact, Node, Question};
 use nickeljunction_manifest::Bounds;
-use nickeljunction_wheelhouse::statutes::{Entry, Statutes};
+use nickeljunction_wheelhouse::statutes::{CoreOrder, Entry, Statutes};
+use nickeljunction_wheelhouse::Wish;
 use std::collections::{BTreeMap, HashMap};
 
 /// A configuration that was acknowledged.
@@ -43,6 +44,10 @@
     pub acked: Vec<Acked>,
     /// Zones whose evacuation was acknowledged.
     pub evacuated: Vec<String>,
+    /// Orders on the core's members that were agreed on, oldest first.
+    pub orders: Vec<CoreOrder>,
+    /// How many of them were acknowledged, repeats included.
+    pub ordered: usize,
     /// Newest version acknowledged or read.
     pub newest: u64,
     versions: HashMap<u64, u64>,
@@ -72,6 +77,10 @@
                     self.applied += 1;
                     if let Some(data) = data {
                         self.state.apply(serde_json::from_str::<Entry>(data).expect("an entry"));
+                        let (number, order) = self.state.core();
+                        if number as usize > self.orders.len() {
+                            self.orders.push(order.clone());
+                        }
                     }
                 }
             }
@@ -123,7 +132,10 @@
         self.said.push(Said { at: now, member, what });
         // What a leader tells, lends or takes by its lease alone: nobody else may lead by then. Acknowledgements and reads of
         // the log are bound by more than that, and checked by what they say.
-        let by_lease = !matches!(question, Question::Put(..) | Question::Evacuate(_) | Question::Get);
+        let by_lease = !matches!(
+            question,
+            Question::Put(..) | Question::Evacuate(_) | Question::Core(_) | Question::Get
+        );
         let newest = self.leaders.iter().max().map(|(term, leader)| (*term, *leader));
         assert!(
             !by_lease || newest.is_some_and(|(_, leader)| leader == member),
@@ -147,6 +159,20 @@
                 self.newest = self.newest.max(version);
             }
             Question::Evacuate(zone) => self.evacuated.push(zone),
+            Question::Core(wish) => {
+                let away =
+                    |order: &CoreOrder, host: &String| order.away.iter().any(|away| away.host == *host);
+                let says = |order: &CoreOrder| match &wish {
+                    Wish::Come(new, old) => {
+                        !away(order, new) && old.as_ref().is_none_or(|old| away(order, old))
+                    }
+                    Wish::Go(host) => away(order, host),
+                };
+                let none = CoreOrder::default();
+                let agreed = self.orders.iter().chain([&none]).any(says);
+                assert!(agreed, "seed {seed}, {now} ms: {wish:?} was acknowledged and isn't on the log");
+                self.ordered += 1;
+            }
             _ => {}
         }
     }
--- a/crates/drydock/src/lib.rs
+++ b/crates/drydock/src/lib.rs
@@ -20,6 +20,7 @@
 use nickeljunction_berths::Beat;
 use nickeljunction_logbook::Envelope;
 use nickeljunction_signals::{UnitsAnswer, UnitsCall, WatchAnswer, WatchCall};
+use nickeljunction_wheelhouse::Wish;
 
 /// A machine's place in the world: core members first, then gateways, then the one of operators and servers.
 pub type Node = usize;
@@ -52,6 +53,8 @@
     Put(u64, u64, String, serde_json::Value),
     /// An operator evacuates a zone.
     Evacuate(String),
+    /// An operator orders who is to be a member of the core.
+    Core(Wish),
     /// A server says that it lives.
     Beat(String, Beat),
     /// A server says that it is gone.
@@ -73,6 +76,8 @@
     Done,
     /// 412.
     Conflict,
+    /// 409: an order that can't be carried out now.
+    Unfit,
     /// 503: not known to be taken.
     Unknown,
     /// 421 or 307, or 503 without a host.
--- a/crates/drydock/src/member.rs
+++ b/crates/drydock/src/member.rs
@@ -8,7 +8,8 @@
 use nickeljunction_signals::{Elsewhere, WatchCall};
 use nickeljunction_wheelhouse::statutes::Statutes;
 use nickeljunction_wheelhouse::{
-    self as wheelhouse, follow, Change, Effects, Event, Held, Lent, Place, Round, Ticket, Wheelhouse,
+    self as wheelhouse, follow, Change, CoreView, Effects, Event, Held, Lent, Place, Round, Ticket,
+    Wheelhouse,
 };
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
@@ -134,6 +135,11 @@
         self.house.as_ref().map(Wheelhouse::statutes)
     }
 
+    /// The core's machines as it sees them, while it leads.
+    pub fn core_view(&self, now: u64) -> Option<CoreView> {
+        self.house.as_ref().filter(|house| house.leads().is_some()).map(|house| house.core_view(now))
+    }
+
     /// It leads, and has an entry of its own term committed.
     pub fn leads(&self) -> bool {
         self.house.as_ref().is_some_and(|house| house.leads().is_some())
@@ -193,6 +199,7 @@
                 wheelhouse::Answer::Conflict(_) => Answer::Conflict,
                 wheelhouse::Answer::Unknown => Answer::Unknown,
                 wheelhouse::Answer::Elsewhere(elsewhere) => elsewhere.into(),
+                wheelhouse::Answer::Unfit(_) if matches!(job.question, Question::Core(_)) => Answer::Unfit,
                 unfit @ (wheelhouse::Answer::Wrong(_) | wheelhouse::Answer::Unfit(_)) => {
                     panic!("{:?}: {unfit:?}", job.question)
                 }
@@ -248,6 +255,10 @@
                 let zone = zone.clone();
                 self.wait(now, job, out, |house| house.zone(now, zone, false));
             }
+            Question::Core(wish) => {
+                let wish = wish.clone();
+                self.wait(now, job, out, |house| house.order(now, wish));
+            }
             Question::Units(units) => {
                 let house = self.house.as_mut()?;
                 let answer = match house.units(now, units) {
