See in the reference that gateways keep a drain and drop old permits at a new leader

Change: who hears a new leader for the first time takes no life back from its drain, and has no permit for a life that the new one doesn't know.

--- a/crates/berths/tests/reference.rs
+++ b/crates/berths/tests/reference.rs
@@ -373,6 +373,7 @@
         let answer = self.harbour.register.answer(&call, 0);
         let answer = answer.unwrap_or_else(|| self.harbour.register.nothing(0));
         self.answers.push(answer.clone());
+        let (before, turn) = (gateway.copy.chart(), gateway.copy.term() < answer.term);
         prop_assert!(gateway.copy.apply(answer).is_ok(), "{} ms: refused by {}", now, name);
         gateway.sent_at = gateway.sent_at.max(now.saturating_sub(held_ms));
         // What it may send to now is there, stays, and is in a zone that is not evacuated.
@@ -382,11 +383,21 @@
         let whole = !self.harbour.register.gathering();
         let truth = self.harbour.chart();
         for (id, line) in chart.servers.iter() {
+            let drained = before.servers.get(id).is_some_and(|old| old.state == ServerState::Draining);
+            let back = turn && drained && line.state == ServerState::InService;
+            prop_assert!(!back, "{} ms: {} takes {} back from its drain", now, name, id);
             if barred(line, name, |zone| chart.evacuated.contains(zone)).is_some() {
                 continue;
             }
             let Some(own) = truth.servers.get(id) else {
                 prop_assert!(!whole, "{} ms: {} sends to {}, which is gone", now, name, id);
+                prop_assert!(
+                    line.cold.is_none(),
+                    "{} ms: {} has the last leader's permit for {}",
+                    now,
+                    name,
+                    id
+                );
                 continue;
             };
             let bar = barred(own, name, |zone| self.reference.zones.contains(zone));
