--- a/crates/manifest/src/config.rs
+++ b/crates/manifest/src/config.rs
@@ -25,6 +25,10 @@
     #[prost(btree_map = "string, message", tag = "5")]
     #[serde(default, deserialize_with = "lenient::or_default")]
     pub tenants: BTreeMap<String, Tenant>,
+    /// Trials by the name of their tenant. A tenant without one has the usual curve.
+    #[prost(btree_map = "string, message", tag = "6")]
+    #[serde(default, deserialize_with = "lenient::or_default")]
+    pub trials: BTreeMap<String, Trial>,
 }
 
 impl Config {
@@ -119,9 +123,23 @@
     #[prost(string, repeated, tag = "11")]
     #[serde(default, deserialize_with = "lenient::or_default")]
     pub home_regions: Vec<String>,
+    /// In which order its requests give way when their tenant's trial lapses, 1 to 3. See [`Route::gives_way`].
+    #[prost(uint32, optional, tag = "12")]
+    #[serde(default, deserialize_with = "lenient::small_or_none")]
+    pub gives_way: Option<u32>,
 }
 
 impl Route {
+    /// In which order its requests give way when their tenant's trial lapses: 1 first and most, 2 later and less, 3 never wait.
+    /// Where nothing is said: downloads 1, other repeatable ones 2, the rest 3.
+    pub fn rank(&self) -> u32 {
+        self.gives_way.unwrap_or(match self.route_type() {
+            RouteType::Download => 1,
+            RouteType::Idempotent => 2,
+            RouteType::NonIdempotent => 3,
+        })
+    }
+
     /// Its services with their weights (0 or more, not all 0): the split, or the one service with weight 1.
     pub fn shares(&self) -> impl Iterator<Item = (&str, f64)> + '_ {
         let single = self.traffic_split.is_empty().then_some((self.backend.as_str(), 1.0));
@@ -257,3 +275,74 @@
         (self.rate_per_s > 0.0).then_some((self.rate_per_s, self.burst_size))
     }
 }
+
+/// What operators want of a trial.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, prost::Enumeration)]
+#[repr(i32)]
+pub enum TrialState {
+    /// Nothing is said.
+    Unsaid = 0,
+    /// At full pace.
+    Running = 1,
+    /// It lapses, stage by stage.
+    Lapsed = 2,
+    /// It goes back to full pace, stage by stage.
+    Restored = 3,
+}
+
+impl TrialState {
+    fn read<'de, D: Deserializer<'de>>(from: D) -> Result<i32, D::Error> {
+        let name = Option::<String>::deserialize(from)?;
+        let state = match name.as_deref() {
+            None => TrialState::Unsaid,
+            Some("running") => TrialState::Running,
+            Some("lapsed") => TrialState::Lapsed,
+            Some("restored") => TrialState::Restored,
+            Some(other) => return Err(D::Error::unknown_variant(other, &["running", "lapsed", "restored"])),
+        };
+        Ok(state.into())
+    }
+}
+
+/// How a tenant is slowed when its trial lapses.
+#[derive(Clone, PartialEq, prost::Message, serde::Deserialize)]
+pub struct Trial {
+    /// An order where it differs from the configuration before; read it with `state()`.
+    #[prost(enumeration = "TrialState", tag = "1")]
+    #[serde(default, deserialize_with = "TrialState::read")]
+    pub state: i32,
+    /// Stages, the mildest first; none: the usual ones. The last one holds until the trial is restored.
+    #[prost(message, repeated, tag = "2")]
+    #[serde(default, deserialize_with = "lenient::or_default")]
+    pub stages: Vec<Stage>,
+    /// Requests a second that the tenant's pace never falls below, over all gateways; 1 where nothing is said.
+    #[prost(double, optional, tag = "3", default = "1.0")]
+    #[serde(default)]
+    pub floor_per_s: Option<f64>,
+}
+
+/// A stage of a trial that lapses.
+#[derive(Clone, PartialEq, prost::Message, serde::Deserialize)]
+pub struct Stage {
+    /// It lasts so long before the next one, s, above 0.
+    #[prost(double, tag = "1")]
+    pub for_s: f64,
+    /// Added wait of requests that give way first, s.
+    #[prost(double, tag = "2")]
+    pub wait_s: f64,
+    /// Added wait of interactive reads, s; `wait_s` at most. A quarter of it where nothing is said.
+    #[prost(double, optional, tag = "3")]
+    #[serde(default)]
+    pub read_wait_s: Option<f64>,
+    /// Part of the tenant's `rate_per_s` that it is paced to, above 0, 1 at most; 1 where nothing is said.
+    #[prost(double, optional, tag = "4", default = "1.0")]
+    #[serde(default)]
+    pub pace: Option<f64>,
+}
+
+impl Stage {
+    /// Added wait of interactive reads, s.
+    pub fn reads_s(&self) -> f64 {
+        self.read_wait_s.unwrap_or(self.wait_s / 4.0)
+    }
+}
--- a/crates/manifest/src/document.rs
+++ b/crates/manifest/src/document.rs
@@ -1,6 +1,6 @@
 //! A configuration whole, as it was sent, with its checked typed view.
 
-use crate::config::{Config, Route};
+use crate::config::{Config, Route, Trial};
 use quick_error::quick_error;
 use serde::de::{Deserialize, Deserializer, Error, MapAccess, SeqAccess, Visitor};
 use serde_json::{Map, Value};
@@ -133,12 +133,15 @@
     };
     wants_object(raw, &|| "body".into())?;
     wants_object(&raw["limits"], &|| "limits".into())?;
-    for table in ["routes", "backends", "tenants"] {
+    for table in ["routes", "backends", "tenants", "trials"] {
         for (name, item) in raw[table].as_object().into_iter().flatten() {
             wants_object(item, &|| format!("{table}.{name}"))?;
             for (at, share) in item["traffic_split"].as_array().into_iter().flatten().enumerate() {
                 wants_object(share, &|| format!("{table}.{name}.traffic_split[{at}]"))?;
             }
+            for (at, stage) in item["stages"].as_array().into_iter().flatten().enumerate() {
+                wants_object(stage, &|| format!("{table}.{name}.stages[{at}]"))?;
+            }
         }
     }
     Ok(())
@@ -236,6 +239,35 @@
             }
         }
     }
+    config.trials.iter().try_for_each(|(name, trial)| check_trial(config, name, trial))
+}
+
+fn check_trial(config: &Config, name: &str, trial: &Trial) -> Result<(), Problem> {
+    if !config.tenants.contains_key(name) {
+        return Err(Problem::at(format!("trials.{name}"), "wants the name of a tenant that is in tenants"));
+    }
+    not_negative(trial.floor_per_s(), || format!("trials.{name}.floor_per_s"))?;
+    let (mut waits, mut pace) = ((0.0, 0.0), 1.0);
+    for (at, stage) in trial.stages.iter().enumerate() {
+        let place = |field: &str| format!("trials.{name}.stages[{at}].{field}");
+        let wants = |field: &str, wants: String| Err(Problem::at(place(field), wants));
+        if !(stage.for_s > 0.0 && stage.for_s.is_finite()) {
+            return wants("for_s", format!("wants a number above 0, got {}", stage.for_s));
+        }
+        not_negative(stage.wait_s, || place("wait_s"))?;
+        let read = stage.reads_s();
+        if !(0.0..=stage.wait_s).contains(&read) {
+            return wants("read_wait_s", format!("wants 0 to wait_s ({}), got {read}", stage.wait_s));
+        }
+        if !(stage.pace() > 0.0 && stage.pace() <= 1.0) {
+            return wants("pace", format!("wants a number above 0, 1 at most, got {}", stage.pace()));
+        }
+        // Else a tenant would be sped up while it lapses.
+        if stage.wait_s < waits.0 || read < waits.1 || stage.pace() > pace {
+            return wants("wait_s", "wants no shorter waits and no higher pace than the stage before".into());
+        }
+        (waits, pace) = ((stage.wait_s, read), stage.pace());
+    }
     Ok(())
 }
 
@@ -255,6 +287,9 @@
         _ => (),
     }
     not_negative(route.target_latency_s.unwrap_or_default(), || format!("routes.{name}.target_latency_s"))?;
+    if !(1..=3).contains(&route.rank()) {
+        return problem("gives_way", format!("wants 1, 2 or 3, got {}", route.rank()));
+    }
     if route.max_attempts == Some(0) {
         return problem("max_attempts", "wants a whole number above 0, got 0".into());
     }
--- a/crates/manifest/src/lib.rs
+++ b/crates/manifest/src/lib.rs
@@ -12,7 +12,7 @@
 mod patch;
 mod settings;
 
-pub use config::{Backend, Config, Limits, Route, RouteType, Share, Tenant};
+pub use config::{Backend, Config, Limits, Route, RouteType, Share, Stage, Tenant, Trial, TrialState};
 pub use digest::{call_digest, if_match, value_digest};
 pub use document::{Document, Problem};
 pub use patch::{apply_delta, delta, Patch, Table};
--- a/crates/manifest/src/patch.rs
+++ b/crates/manifest/src/patch.rs
@@ -13,11 +13,13 @@
     Backends,
     /// `tenants`.
     Tenants,
+    /// `trials`.
+    Trials,
 }
 
 impl Table {
     /// All of them.
-    pub const ALL: [Table; 3] = [Table::Routes, Table::Backends, Table::Tenants];
+    pub const ALL: [Table; 4] = [Table::Routes, Table::Backends, Table::Tenants, Table::Trials];
 
     /// Its name in documents and patches.
     pub fn name(self) -> &'static str {
@@ -25,6 +27,7 @@
             Table::Routes => "routes",
             Table::Backends => "backends",
             Table::Tenants => "tenants",
+            Table::Trials => "trials",
         }
     }
 
--- a/crates/signals/src/lib.rs
+++ b/crates/signals/src/lib.rs
@@ -15,6 +15,8 @@
     pub const WATCH: &str = "/watch";
     /// Counted adds of a gateway: [`super::UnitsCall`], [`super::UnitsAnswer`].
     pub const UNITS: &str = "/units";
+    /// Shares of the paces of lapsed tenants: [`super::EbbCall`], [`super::EbbAnswer`].
+    pub const EBB: &str = "/ebb";
 }
 
 /// Number of a core member: drawn when its disk is first written, and gone with that disk.
@@ -163,6 +165,9 @@
     /// All gateways, where they changed; told to core members, and to gateways that serve the directory.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub roster: Option<Vec<GatewayLine>>,
+    /// All trials that have ever changed, where one did.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub trials: Option<Vec<TrialLine>>,
 }
 
 /// What a gateway tells of one tenant's units.
@@ -263,3 +268,57 @@
     #[serde(rename = "u", default, skip_serializing_if = "BTreeMap::is_empty")]
     pub tenants: BTreeMap<String, TenantGrant>,
 }
+
+/// A tenant's trial as gateways need it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TrialLine {
+    /// Whose.
+    #[serde(rename = "t")]
+    pub tenant: String,
+    /// Rises with each change of this tenant's trial on the agreed log.
+    #[serde(rename = "n")]
+    pub step: u64,
+    /// How far it has lapsed; 0: not at all.
+    #[serde(rename = "s", default, skip_serializing_if = "is_zero_stage")]
+    pub stage: u32,
+    /// From when it holds, ms after this was told; 0: now.
+    #[serde(rename = "i", default, skip_serializing_if = "is_zero")]
+    pub in_ms: u64,
+}
+
+fn is_zero_stage(stage: &u32) -> bool {
+    *stage == 0
+}
+
+/// A gateway asks for its shares of the paces of tenants whose trial lapses. Only while there are some.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct EbbCall {
+    /// Name of the gateway's machine.
+    pub name: String,
+    /// Drawn at the start of its process.
+    #[serde(rename = "i")]
+    pub life: u64,
+    /// Rises with each call of this life.
+    #[serde(rename = "q")]
+    pub seq: u64,
+    /// Requests a second that each tenant sent here lately.
+    #[serde(rename = "d", default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub demand: BTreeMap<String, f64>,
+    /// Shares that it goes by now.
+    #[serde(rename = "h", default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub held: BTreeMap<String, f64>,
+}
+
+/// Shares of paces, good for a while.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct EbbAnswer {
+    /// The call's own number.
+    #[serde(rename = "q")]
+    pub seq: u64,
+    /// Term of the leader.
+    #[serde(rename = "e")]
+    pub term: u64,
+    /// Requests a second that may pass here, by tenant.
+    #[serde(rename = "s", default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub shares: BTreeMap<String, f64>,
+}
