Hold requests of lapsed tenants at the gateway: waits by rank, one pace divided by demand

Cause: a tenant whose trial lapses is to be slowed alike at every gateway, and nothing of it refused outright. Off without a trial: the front looks at one flag.

--- a/crates/ebb/src/sluice.rs
+++ b/crates/ebb/src/sluice.rs
@@ -13,6 +13,11 @@
 const BURST: f64 = 4.0;
 /// Least part of a share for those that give way first, however much the others ask.
 const FLOOR_PART: f64 = 0.1;
+/// Least share, requests a second: a place comes at some time.
+const LEAST_PER_S: f64 = 0.01;
+/// Places are given out for so long ahead, ms: what bookings and reads take beyond the pace is not held against the others for
+/// longer.
+const FARTHEST_MS: f64 = 3_000.0;
 /// Least and most time told to a client, ms.
 const RETRY_MS: (f64, f64) = (20.0, 30_000.0);
 /// Clients come back after a third of the time that they have left at most.
@@ -21,8 +26,13 @@
 const KEPT_MS: f64 = 1_000.0;
 /// Requests that wait here: of one tenant, and of all.
 const MOST_WAITING: (usize, usize) = (64, 256);
+/// A gateway that begins to slow a tenant goes by waits alone for so long, ms: its demand must be known for a share.
+const SETTLE_MS: f64 = 2_000.0;
+/// Part of what a client has left for which it is held at most because of the pace; it is told to come back rather than be
+/// held for longer than it would wait elsewhere.
+const PACE_PART: f64 = 0.3;
 /// Time over which demand is averaged, ms.
-const DEMAND_MS: f64 = 2_000.0;
+const DEMAND_MS: f64 = 4_000.0;
 
 /// A request that has come.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -78,6 +88,8 @@
 struct Demand {
     per_s: f64,
     at: f64,
+    /// Since when it is counted.
+    since: Option<f64>,
 }
 
 impl Demand {
@@ -90,19 +102,21 @@
     fn note(&mut self, now: f64) {
         self.fade(now);
         self.per_s += 1_000.0 / DEMAND_MS;
+        self.since.get_or_insert(now);
     }
 
+    /// Of so short a time that little has come in, the average would be too low.
     fn get(mut self, now: f64) -> f64 {
         self.fade(now);
-        self.per_s
+        let known_ms = self.since.map_or(0.0, |since| now - since).max(DEMAND_MS / 8.0);
+        self.per_s / (1.0 - (-known_ms / DEMAND_MS).exp())
     }
 }
 
-/// The pace of one rank: when the next request may pass (a generic cell rate).
+/// A pace: when the next request may pass (a generic cell rate).
 #[derive(Debug, Clone, Copy, Default)]
 struct Lane {
     next: f64,
-    demand: Demand,
 }
 
 impl Lane {
@@ -114,11 +128,66 @@
         }
     }
 
-    fn take(&mut self, place: f64, per_s: f64) {
+    /// Uses up the next place.
+    fn take(&mut self, now: f64, per_s: f64) {
         if per_s.is_finite() {
-            self.next = place + 1_000.0 / per_s;
+            self.next = (self.place(now, per_s) + 1_000.0 / per_s).min(now + FARTHEST_MS);
         }
     }
+
+    fn give_back(&mut self, per_s: f64) {
+        if per_s.is_finite() {
+            self.next -= 1_000.0 / per_s;
+        }
+    }
+}
+
+/// The paces of one tenant here. All requests use up places of `all`; bookings and reads pass by paces of their own, and are at most
+/// ahead of it: so those that give way first have what the others leave, and never less than the floor.
+#[derive(Debug, Clone, Copy, Default)]
+struct Lanes {
+    all: Lane,
+    floor: Lane,
+    reads: Lane,
+    bookings: Lane,
+}
+
+/// Requests a second of these paces; infinite: not bound.
+#[derive(Debug, Clone, Copy)]
+struct Paces {
+    all: f64,
+    floor: f64,
+    reads: f64,
+}
+
+impl Lanes {
+    fn place(&self, now: f64, rank: Rank, paces: Paces) -> f64 {
+        match rank {
+            Rank::First => self.all.place(now, paces.all).min(self.floor.place(now, paces.floor)),
+            Rank::Later => self.reads.place(now, paces.reads),
+            Rank::Never => self.bookings.place(now, paces.all),
+        }
+    }
+
+    fn own(&mut self, rank: Rank, paces: Paces) -> (&mut Lane, f64) {
+        match rank {
+            Rank::First => (&mut self.floor, paces.floor),
+            Rank::Later => (&mut self.reads, paces.reads),
+            Rank::Never => (&mut self.bookings, paces.all),
+        }
+    }
+
+    fn take(&mut self, now: f64, rank: Rank, paces: Paces) {
+        self.all.take(now, paces.all);
+        let (own, per_s) = self.own(rank, paces);
+        own.take(now, per_s);
+    }
+
+    fn give_back(&mut self, rank: Rank, paces: Paces) {
+        self.all.give_back(paces.all);
+        let (own, per_s) = self.own(rank, paces);
+        own.give_back(per_s);
+    }
 }
 
 #[derive(Debug, Clone)]
@@ -129,10 +198,14 @@
     stage: u32,
     before: u32,
     entered: f64,
+    /// Since when it is slowed.
+    since: f64,
     /// A stage that is to come.
     coming: Option<(u64, u32, f64)>,
     share: f64,
-    lanes: [Lane; 3],
+    lanes: Lanes,
+    /// By rank.
+    demand: [Demand; 3],
     /// Moments of places that were told and are kept, by rank.
     kept: [VecDeque<f64>; 3],
     waiting: usize,
@@ -148,9 +221,11 @@
             stage: 0,
             before: 0,
             entered: f64::NEG_INFINITY,
+            since: f64::NEG_INFINITY,
             coming: None,
             share: f64::INFINITY,
-            lanes: [Lane::default(); 3],
+            lanes: Lanes::default(),
+            demand: [Demand::default(); 3],
             kept: Default::default(),
             waiting: 0,
             held: (0, 0.0),
@@ -159,15 +234,20 @@
     }
 
     fn turn(&mut self, now: f64) {
-        if let Some((step, stage, _)) = self.coming.filter(|(_, _, at)| *at <= now) {
-            (self.before, self.step, self.stage, self.entered) = (self.stage, step, stage, now);
+        if let Some((step, stage, at)) = self.coming.filter(|(_, _, at)| *at <= now) {
+            if self.stage == 0 && now >= self.entered + RAMP_MS {
+                self.since = at;
+            }
+            (self.before, self.step, self.stage, self.entered) = (self.stage, step, stage, at);
             self.coming = None;
         }
-        for (lane, kept) in self.lanes.iter_mut().zip(&mut self.kept) {
+        let paces = self.paces(now);
+        for rank in [Rank::First, Rank::Later, Rank::Never] {
+            let kept = &mut self.kept[rank as usize];
             while kept.front().is_some_and(|moment| moment + KEPT_MS < now) {
                 kept.pop_front();
                 // Nobody came for it: the next one may have it.
-                lane.next = lane.next.min(now);
+                self.lanes.give_back(rank, paces);
             }
         }
     }
@@ -183,25 +263,22 @@
         from + (to - from) * part
     }
 
-    fn slowed(&self) -> bool {
-        self.stage > 0 || self.coming.is_some()
+    /// Also while a restored one's last wait runs off.
+    fn slowed(&self, now: f64) -> bool {
+        self.stage > 0 || self.coming.is_some() || now < self.entered + RAMP_MS
     }
 
-    /// Requests a second that a rank may pass here: bookings all of the share, reads what these leave, the rest what both
-    /// leave.
-    fn per_s(&self, now: f64, rank: Rank, gateways: usize) -> f64 {
-        let pace = self.step_of(self.stage).pace;
-        let share = if self.share.is_finite() { self.share.min(pace) } else { pace / gateways.max(1) as f64 };
-        if !share.is_finite() {
-            return f64::INFINITY;
+    /// Bookings may use up all of the share, reads what these leave, the rest what both leave, or the floor.
+    fn paces(&self, now: f64) -> Paces {
+        // Waits alone slow until its demand is known, here and to the leader.
+        let settled = now >= self.since + SETTLE_MS;
+        let all = self.share.min(self.step_of(self.stage).pace).max(LEAST_PER_S);
+        if !settled || !all.is_finite() {
+            return Paces { all: f64::INFINITY, floor: f64::INFINITY, reads: f64::INFINITY };
         }
-        let demand = |rank: Rank| self.lanes[rank as usize].demand.get(now);
-        let left = match rank {
-            Rank::Never => share,
-            Rank::Later => share - demand(Rank::Never),
-            Rank::First => share - demand(Rank::Never) - demand(Rank::Later),
-        };
-        left.max(FLOOR_PART * share).max(1e-3)
+        let floor = FLOOR_PART * all;
+        let bookings = self.demand[Rank::Never as usize].get(now);
+        Paces { all, floor, reads: (all - bookings).max(floor) }
     }
 }
 
@@ -210,15 +287,9 @@
 pub struct Sluice {
     tenants: BTreeMap<String, Tenant>,
     waiting: usize,
-    gateways: usize,
 }
 
 impl Sluice {
-    /// So many gateways there are: a share that was not told yet is an even one.
-    pub fn fleet(&mut self, gateways: usize) {
-        self.gateways = gateways;
-    }
-
     /// A trial as the leader told it: `step` rises with each change, `stage` holds from `in_ms` on. What is not higher than
     /// known is dropped: a gateway never goes back. Whether it was news.
     pub fn told(&mut self, now: f64, tenant: &str, step: u64, stage: u32, in_ms: f64) -> bool {
@@ -240,8 +311,8 @@
     }
 
     /// Some tenant is slowed, or about to be.
-    pub fn active(&self) -> bool {
-        self.tenants.values().any(Tenant::slowed)
+    pub fn active(&self, now: f64) -> bool {
+        self.tenants.values().any(|tenant| tenant.slowed(now))
     }
 
     /// Shares of paces, as the leader answered; they hold until the next ones.
@@ -254,15 +325,15 @@
     }
 
     /// Shares that are gone by, of tenants that are slowed.
-    pub fn shares_held(&self) -> BTreeMap<String, f64> {
-        let slowed = self.tenants.iter().filter(|(_, tenant)| tenant.slowed() && tenant.share.is_finite());
+    pub fn shares_held(&self, now: f64) -> BTreeMap<String, f64> {
+        let slowed = self.tenants.iter().filter(|(_, tenant)| tenant.slowed(now) && tenant.share.is_finite());
         slowed.map(|(name, tenant)| (name.clone(), tenant.share)).collect()
     }
 
     /// Requests a second that each slowed tenant sends here.
     pub fn demand(&self, now: f64) -> BTreeMap<String, f64> {
-        let slowed = self.tenants.iter().filter(|(_, tenant)| tenant.slowed());
-        let sum = |tenant: &Tenant| tenant.lanes.iter().map(|lane| lane.demand.get(now)).sum();
+        let slowed = self.tenants.iter().filter(|(_, tenant)| tenant.slowed(now));
+        let sum = |tenant: &Tenant| tenant.demand.iter().map(|demand| demand.get(now)).sum();
         slowed.map(|(name, tenant)| (name.clone(), sum(tenant))).collect()
     }
 
@@ -270,41 +341,43 @@
     pub fn arrive(&mut self, now: f64, tenant: &str, arrival: &Arrival) -> Verdict {
         let Some(tenant) = self.tenants.get_mut(tenant) else { return Verdict::Pass };
         tenant.turn(now);
-        // Also while a restored one's last wait runs off.
-        if tenant.stage == 0 && now >= tenant.entered + RAMP_MS {
+        if !tenant.slowed(now) {
             return Verdict::Pass;
         }
         let Arrival { rank, left_ms, expected_ms, again } = *arrival;
         let at = rank as usize;
         let free_ms = (left_ms - expected_ms - MARGIN_MS).max(0.0);
         if !again {
-            tenant.lanes[at].demand.note(now);
+            tenant.demand[at].note(now);
         } else if tenant.kept[at].pop_front().is_some() {
             // Its place, or that of one like it whose client came to another gateway.
             return Verdict::Pass;
         }
-        let per_s = tenant.per_s(now, rank, self.gateways);
-        let place = tenant.lanes[at].place(now, per_s);
+        let paces = tenant.paces(now);
+        let place = tenant.lanes.place(now, rank, paces);
         // Who comes back has waited. It passes before those that wait, at their cost, as long as there is a place in its time.
         if again && place <= now + free_ms {
-            tenant.lanes[at].take(place, per_s);
+            tenant.lanes.take(now, rank, paces);
             return Verdict::Pass;
         }
         let wait = tenant.wait(now, rank).min(PART[at] * free_ms);
         let until = place.max(now + wait);
         // A booking waits for nothing; a little ahead of the pace it may be.
-        let latest = if rank == Rank::Never { now + BURST * 1_000.0 / per_s } else { now + free_ms };
+        let latest = match rank {
+            Rank::Never => now + BURST * 1_000.0 / paces.all,
+            _ => now + free_ms.min(wait.max(PACE_PART * left_ms)),
+        };
         let full = tenant.waiting >= MOST_WAITING.0 || self.waiting >= MOST_WAITING.1;
         if until <= latest && rank == Rank::Never {
-            tenant.lanes[at].take(place, per_s);
+            tenant.lanes.take(now, rank, paces);
             return Verdict::Pass;
         }
         if until <= now + 1.0 && until <= latest {
-            tenant.lanes[at].take(place, per_s);
+            tenant.lanes.take(now, rank, paces);
             return Verdict::Pass;
         }
         if until <= latest && !full {
-            tenant.lanes[at].take(place, per_s);
+            tenant.lanes.take(now, rank, paces);
             tenant.waiting += 1;
             self.waiting += 1;
             tenant.held = (tenant.held.0 + 1, tenant.held.1 + (until - now));
@@ -314,7 +387,7 @@
         let retry_after_ms = (place - now).clamp(RETRY_MS.0, RETRY_MS.1);
         // A place is kept for who can be there: else it would be lost to the others.
         if !full && retry_after_ms <= left_ms * RETURN_PART {
-            tenant.lanes[at].take(place, per_s);
+            tenant.lanes.take(now, rank, paces);
             tenant.kept[at].push_back(now + retry_after_ms);
         }
         Verdict::ComeBack { retry_after_ms }
--- /dev/null
+++ b/crates/pilot/src/ebb.rs
@@ -0,0 +1,227 @@
+//! Holds requests of tenants whose trial lapsed, as `nickeljunction-ebb` says, and asks the leader for shares of their paces.
+//! Without such a tenant it does nothing.
+
+use crate::link::Link;
+use nickeljunction_chandler::wheel::Wheel;
+use nickeljunction_ebb::{Arrival, Curve, Rank, Sluice, Standing, Verdict};
+use nickeljunction_manifest::Config;
+use nickeljunction_signals::{path, EbbAnswer, EbbCall, TrialLine};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// Between two calls for shares, ms.
+const ASK_MS: f64 = 500.0;
+/// How long such a call may take, ms.
+const ANSWER_MS: f64 = 300.0;
+/// A client that has less than this part of the longest time that any had on its route has been here before.
+const AGAIN_PART: f64 = 0.93;
+/// Weight of a new time of service against those before.
+const NEW_PART: f64 = 0.1;
+/// Once the order to leave has come, nothing is held for longer than this, ms: what is taken must be answered in time.
+const LEAVING_MS: f64 = 1_000.0;
+
+/// A request as it is to be slowed.
+#[derive(Debug, Clone, Copy)]
+pub struct Slow<'a> {
+    /// Its tenant.
+    pub tenant: &'a str,
+    /// Its route.
+    pub route: &'a str,
+    /// In which order it gives way: 1 first, 2 later, else never.
+    pub gives_way: u32,
+    /// Time within which its route's answers earn their full worth, ms.
+    pub aim_ms: f64,
+    /// What its client said that it waits, ms; infinite where it said nothing.
+    pub deadline_ms: f64,
+    /// Time that it may be held, ms.
+    pub left_ms: f64,
+}
+
+/// What is known of a route, from its requests since a tenant is slowed.
+#[derive(Debug, Clone, Copy, Default)]
+struct Known {
+    /// Longest time that a client had, ms.
+    longest_ms: f64,
+    /// Mean and mean deviation of times of service, ms.
+    served: Option<(f64, f64)>,
+}
+
+impl Known {
+    fn expected_ms(&self, aim_ms: f64) -> f64 {
+        self.served.map_or(aim_ms / 2.0, |(mean, deviation)| mean + 2.0 * deviation)
+    }
+}
+
+/// See the module.
+pub struct Ebb {
+    wheel: Wheel,
+    sluice: RefCell<Sluice>,
+    routes: RefCell<BTreeMap<Box<str>, Known>>,
+    active: Cell<bool>,
+    leaving: Cell<bool>,
+    /// The order to leave came.
+    left: Notify,
+    /// A tenant is slowed that was not before.
+    began: Notify,
+    seq: Cell<u64>,
+}
+
+/// A request that is held; dropping it ends that, also where its client has gone.
+struct Held<'a>(&'a Ebb, &'a str);
+
+impl Drop for Held<'_> {
+    fn drop(&mut self) {
+        self.0.sluice.borrow_mut().done(self.1);
+    }
+}
+
+impl Ebb {
+    /// Nobody is slowed yet.
+    pub fn new(wheel: Wheel) -> Ebb {
+        Ebb {
+            wheel,
+            sluice: RefCell::default(),
+            routes: RefCell::default(),
+            active: Cell::new(false),
+            leaving: Cell::new(false),
+            left: Notify::new(),
+            began: Notify::new(),
+            seq: Cell::new(0),
+        }
+    }
+
+    /// Some tenant is slowed, or its last wait runs off.
+    pub fn active(&self) -> bool {
+        self.active.get()
+    }
+
+    /// Trials as the leader told them just now, by the configuration in force.
+    pub fn told(&self, trials: &[TrialLine], config: Option<&Config>) {
+        let now = self.wheel.now();
+        let mut sluice = self.sluice.borrow_mut();
+        for line in trials {
+            if sluice.told(now, &line.tenant, line.step, line.stage, line.in_ms as f64) {
+                log::info!(
+                    "event=trial tenant={:?} step={} stage={} in_ms={}",
+                    line.tenant,
+                    line.step,
+                    line.stage,
+                    line.in_ms
+                );
+            }
+        }
+        drop(sluice);
+        if let Some(config) = config {
+            self.configured(config);
+        }
+        self.look();
+    }
+
+    /// Another configuration is in force.
+    pub fn configured(&self, config: &Config) {
+        let known = |tenant: &str| config.tenants.contains_key(tenant);
+        self.sluice.borrow_mut().curves(|tenant| known(tenant).then(|| Curve::of(config, tenant)));
+    }
+
+    fn look(&self) {
+        let active = self.sluice.borrow().active(self.wheel.now());
+        if !active {
+            self.routes.borrow_mut().clear();
+        }
+        if active && !self.active.replace(active) {
+            self.began.notify_one();
+        }
+        self.active.set(active);
+    }
+
+    /// The order to leave.
+    pub fn leave(&self) {
+        self.leaving.set(true);
+        self.left.notify_waiters();
+    }
+
+    /// Holds a request for as long as its tenant is slowed.
+    ///
+    /// # Errors
+    /// It would be too late: when its client is to come back, ms.
+    pub async fn slow(&self, slow: Slow<'_>) -> Result<(), f64> {
+        let now = self.wheel.now();
+        let (again, expected_ms) = {
+            let mut routes = self.routes.borrow_mut();
+            if !routes.contains_key(slow.route) {
+                routes.insert(slow.route.into(), Known::default());
+            }
+            let Some(known) = routes.get_mut(slow.route) else { return Ok(()) };
+            let told = slow.deadline_ms.is_finite();
+            if told {
+                known.longest_ms = known.longest_ms.max(slow.deadline_ms);
+            }
+            (told && slow.deadline_ms < AGAIN_PART * known.longest_ms, known.expected_ms(slow.aim_ms))
+        };
+        let rank = match slow.gives_way {
+            1 => Rank::First,
+            2 => Rank::Later,
+            _ => Rank::Never,
+        };
+        let arrival = Arrival { rank, left_ms: slow.left_ms, expected_ms, again };
+        let verdict = self.sluice.borrow_mut().arrive(now, slow.tenant, &arrival);
+        match verdict {
+            Verdict::Pass => Ok(()),
+            Verdict::ComeBack { retry_after_ms } => Err(retry_after_ms),
+            Verdict::Hold { until } => {
+                let held = Held(self, slow.tenant);
+                if !self.leaving.get() {
+                    self.wheel.timeout(until - now, self.left.notified()).await;
+                }
+                let rest = (until - self.wheel.now()).min(LEAVING_MS);
+                if rest > 0.0 {
+                    self.wheel.sleep(rest).await;
+                }
+                drop(held);
+                Ok(())
+            }
+        }
+    }
+
+    /// A request of this route was served, ms after it was handed on.
+    pub fn served(&self, route: &str, took_ms: f64) {
+        if let Some(known) = self.routes.borrow_mut().get_mut(route) {
+            let (mean, deviation) = known.served.unwrap_or((took_ms, took_ms / 4.0));
+            let off = (took_ms - mean).abs();
+            known.served =
+                Some((mean + NEW_PART * (took_ms - mean), deviation + NEW_PART * (off - deviation)));
+        }
+    }
+
+    /// How slowed tenants stand here, for operators.
+    pub fn standings(&self) -> Vec<Standing> {
+        self.sluice.borrow_mut().standings(self.wheel.now())
+    }
+
+    /// Asks the leader for shares while a tenant is slowed, for as long as it is polled.
+    pub async fn share(self: Rc<Self>, link: Rc<Link>) {
+        loop {
+            if !self.active.get() {
+                self.began.notified().await;
+            }
+            self.ask(&link).await;
+            self.wheel.sleep(ASK_MS).await;
+            self.look();
+        }
+    }
+
+    async fn ask(&self, link: &Link) {
+        self.seq.set(self.seq.get() + 1);
+        let (demand, held) = {
+            let (now, sluice) = (self.wheel.now(), self.sluice.borrow());
+            (sluice.demand(now), sluice.shares_held(now))
+        };
+        let call = EbbCall { demand, held, seq: self.seq.get(), ..link.ebb_call() };
+        let Some(answer) = link.ask_leader::<_, EbbAnswer>(path::EBB, &call, ANSWER_MS).await else { return };
+        if answer.seq == call.seq {
+            self.sluice.borrow_mut().shares(&answer.shares);
+        }
+    }
+}
--- a/crates/pilot/src/front.rs
+++ b/crates/pilot/src/front.rs
@@ -2,6 +2,7 @@
 
 mod terminal;
 
+use crate::ebb::Slow;
 use crate::parcel::{Admission, Admitted, Body, Dispatch, Parcel};
 use crate::reply::{Own, Reply};
 use crate::table::{self, Found, Route, Swap, Table, Tenant};
@@ -270,6 +271,8 @@
     tenant: Option<Rc<Tenant>>,
     homes: Rc<[String]>,
     arrived: f64,
+    /// As the client said it; infinite where it said nothing.
+    deadline_ms: f64,
     patience_ms: f64,
 }
 
@@ -401,7 +404,7 @@
         if patience_ms <= 0.0 {
             return Err(Own::refusal(503, "no time left on arrival", 0.0));
         }
-        Ok(Ask { attempt_id, route, tenant, homes, arrived, patience_ms })
+        Ok(Ask { attempt_id, route, tenant, homes, arrived, deadline_ms: left, patience_ms })
     }
 
     /// The holder of the key that a request carries.
@@ -427,12 +430,16 @@
 
     /// Admits a request, hands it on and waits for its answer. Dropping this gives it up.
     async fn pass_on(self: Rc<Self>, head: RequestHead, ask: Ask, body: Body) -> Reply {
+        if let Err(own) = self.slow(&ask).await {
+            return Reply::Own(own);
+        }
         let unit_until = match self.admit(&ask).await {
             Ok(until) => until,
             Err(own) => return Reply::Own(own),
         };
-        let Ask { attempt_id, route, tenant, homes, arrived, patience_ms } = ask;
-        if self.wheel.now() >= arrived + patience_ms {
+        let Ask { attempt_id, route, tenant, homes, arrived, patience_ms, .. } = ask;
+        let sent = self.wheel.now();
+        if sent >= arrived + patience_ms {
             return Reply::Own(Own::refusal(503, "no time left before a server was asked", 0.0));
         }
         let Some(backend) = route.backend(self.lots.borrow_mut().f64()).cloned() else {
@@ -457,7 +464,11 @@
             unit_until,
             reply,
         });
-        match answer.await {
+        let answer = answer.await;
+        if let (Ok(Answer::Served(_)), Some(ebb)) = (&answer, self.admission.ebb()) {
+            ebb.served(&route.name, self.wheel.now() - sent);
+        }
+        match answer {
             Ok(Answer::Served(served)) => Reply::Served(served),
             Ok(Answer::ShortOnCapacityReply(pause)) => Reply::Own(Own::refusal(503, "no server free", pause)),
             // Also where the servers' side has let go of it: then it may have run.
@@ -468,6 +479,23 @@
         }
     }
 
+    /// Holds a request of a tenant whose trial has lapsed, or tells it when to come back: no server was asked then.
+    async fn slow(&self, ask: &Ask) -> Result<(), Own> {
+        let (Some(tenant), Some(ebb)) = (&ask.tenant, self.admission.ebb()) else { return Ok(()) };
+        let Ask { route, deadline_ms, patience_ms, arrived, .. } = ask;
+        let slow = Slow {
+            tenant: &tenant.name,
+            route: &route.name,
+            gives_way: route.gives_way,
+            aim_ms: route.aim_ms,
+            deadline_ms: *deadline_ms,
+            left_ms: arrived + patience_ms - self.wheel.now(),
+        };
+        ebb.slow(slow)
+            .await
+            .map_err(|pause| Own::refusal(429, "the tenant's trial has lapsed, come back", pause))
+    }
+
     /// Until when the request's first byte may be sent, ms of the program's clock.
     async fn admit(&self, ask: &Ask) -> Result<f64, Own> {
         let Some(tenant) = &ask.tenant else { return Ok(f64::INFINITY) };
--- a/crates/pilot/src/lib.rs
+++ b/crates/pilot/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod berth;
 pub mod budget;
 pub mod cli;
+pub mod ebb;
 pub mod figures;
 pub mod front;
 pub mod lease;
--- a/crates/pilot/src/link.rs
+++ b/crates/pilot/src/link.rs
@@ -1,6 +1,7 @@
 //! The links to the core: one held call that brings what is new, and the counted adds.
 
 use crate::berth::Place;
+use crate::ebb::Ebb;
 use crate::lease::Lease;
 use crate::parcel::{Admission, Admitted};
 use crate::quay::{Backend, Quay};
@@ -13,7 +14,8 @@
 use nickeljunction_chandler::figures::MOST_LABELLED;
 use nickeljunction_chandler::wheel::Wheel;
 use nickeljunction_manifest::{Bounds, Config, Document};
-use nickeljunction_signals::{path, Elsewhere, GatewayLine, ServerLine, UnitsAnswer, WatchAnswer};
+use nickeljunction_signals::{path, EbbCall, Elsewhere, GatewayLine, ServerLine, UnitsAnswer, WatchAnswer};
+use serde::{de::DeserializeOwned, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -83,6 +85,7 @@
     copy: RefCell<Copy>,
     purse: RefCell<Purse>,
     lease: RefCell<Lease>,
+    ebb: Rc<Ebb>,
     leaving: Cell<bool>,
     permits_told: Cell<bool>,
     /// The held call should end: this gateway has something to say, or doubts the leader.
@@ -110,6 +113,7 @@
         let purse = Purse::new(wheel.now() as u64, own.place.name.clone(), own.life, tuning);
         let lease = Lease::new(own.bounds.revocation_strict, own.bounds.revoke_timeout_s * 1_000.0);
         let seek = Seek::new(seeds);
+        let ebb = Rc::new(Ebb::new(wheel.clone()));
         Rc::new(Link {
             own,
             wheel,
@@ -120,6 +124,7 @@
             copy: RefCell::new(Copy::new()),
             purse: RefCell::new(purse),
             lease: RefCell::new(lease),
+            ebb,
             leaving: Cell::new(false),
             permits_told: Cell::new(false),
             recall: Notify::new(),
@@ -149,9 +154,40 @@
     /// The order to leave: the core is told at once.
     pub fn leave(&self) {
         self.leaving.set(true);
+        self.ebb.leave();
         self.recall.notify_one();
     }
 
+    /// What slows tenants here.
+    pub fn ebb(&self) -> &Rc<Ebb> {
+        &self.ebb
+    }
+
+    /// Who asks for shares of paces.
+    pub(crate) fn ebb_call(&self) -> EbbCall {
+        EbbCall { name: self.own.place.name.clone(), life: self.own.life, ..EbbCall::default() }
+    }
+
+    /// A call to the leader, where one is known; its answer, where it leads.
+    pub(crate) async fn ask_leader<C: Serialize, A: DeserializeOwned>(
+        &self,
+        path: &str,
+        call: &C,
+        timeout_ms: f64,
+    ) -> Option<A> {
+        let host = self.seek.borrow().leader()?.to_string();
+        let to = self.address(&host)?;
+        let body = serde_json::to_vec(call).ok()?;
+        match self.caller.call(to, "POST", path, &[], &body, timeout_ms).await {
+            Ok(reply) if reply.status == 200 => serde_json::from_slice(&reply.body).ok(),
+            Ok(_) => None,
+            Err(error) => {
+                log::debug!("event=core_silent step={path} peer={to} error={:?}", error.to_string());
+                None
+            }
+        }
+    }
+
     /// All gateways, as far as is known here.
     pub fn roster(&self) -> Rc<Vec<GatewayLine>> {
         self.copy.borrow().chart().roster.clone()
@@ -302,6 +338,7 @@
             log::warn!("event=answer_unreadable step=watch peer={from} error={:?}", error.to_string());
         })?;
         let (age, ready) = (answer.age_ms as f64, self.ready());
+        let trials = answer.trials.clone();
         let applied = self.copy.borrow_mut().apply(answer).map_err(|error| {
             log::warn!("event=answer_refused step=watch peer={from} error={:?}", error.to_string());
         })?;
@@ -326,6 +363,11 @@
                 }
             }
         }
+        if let Some(trials) = trials.filter(|trials| !trials.is_empty()) {
+            // Stages count down from here; curves come with the configuration, which may be older.
+            let document = chart.config.as_ref().and_then(|config| Document::of(config.doc.clone()).ok());
+            self.ebb.told(&trials, document.as_ref().map(Document::config));
+        }
         if applied.gateways {
             self.quay.fleet(chart.gateways);
         }
@@ -358,6 +400,7 @@
             Some((name.clone(), Limit::with_margin(rate, burst, window, overrun, slack)?))
         });
         self.purse.borrow_mut().known(self.wheel.now() as u64, &limits.collect());
+        self.ebb.configured(config);
         self.low.notify_one();
         log::info!("event=config version={} routes={}", config.config_version, config.routes.len());
     }
@@ -494,4 +537,8 @@
     fn stale(&self) -> Option<f64> {
         (!self.lease.borrow().holds(self.wheel.now())).then_some(STALE_MS)
     }
+
+    fn ebb(&self) -> Option<&Ebb> {
+        self.ebb.active().then_some(&*self.ebb)
+    }
 }
--- a/crates/pilot/src/metrics.rs
+++ b/crates/pilot/src/metrics.rs
@@ -3,7 +3,8 @@
 use crate::front::{Front, Lifecycle};
 use crate::link::Link;
 use crate::quay::Quay;
-use nickeljunction_chandler::figures::{Kind, Page, Writer};
+use nickeljunction_chandler::figures::{Kind, Page, Writer, MOST_LABELLED};
+use nickeljunction_ebb::Standing;
 use std::rc::Rc;
 
 /// What the figures are read from.
@@ -138,6 +139,25 @@
         for units in &seen.units {
             page.value(&[("tenant", &units.tenant)], units.spent as f64);
         }
+        self.trials(page);
+    }
+
+    fn trials(&self, page: &mut Page) {
+        let standings = self.link.ebb().standings();
+        let standings = &standings[..standings.len().min(MOST_LABELLED)];
+        let mut each = |name: &'static str, kind: Kind, help: &str, value: &dyn Fn(&Standing) -> f64| {
+            page.figure(name, kind, help);
+            for standing in standings {
+                page.value(&[("tenant", &standing.tenant)], value(standing));
+            }
+        };
+        let (gauge, counter) = (Kind::Gauge, Kind::Counter);
+        each("pilot_trial_stage", gauge, "Stage of a lapsed trial in force here.", &|at| f64::from(at.stage));
+        each("pilot_trial_waiting", gauge, "Requests held here for a lapsed trial.", &|at| at.waiting as f64);
+        each("pilot_trial_held_total", counter, "Requests that were held for it.", &|at| at.held.0 as f64);
+        let seconds = |at: &Standing| at.held.1 / 1_000.0;
+        each("pilot_trial_held_seconds_total", counter, "For how long, added up.", &seconds);
+        each("pilot_trial_told_total", counter, "Requests told when to come back.", &|at| at.told as f64);
     }
 }
 
@@ -160,7 +180,8 @@
         pilot_answers_total pilot_requests_in_flight pilot_first_sends_total pilot_further_sends_total \
         pilot_further_sends_denied_total pilot_sends_ended_total pilot_server_connections_total \
         pilot_server_connections pilot_ready pilot_config_version pilot_knowledge_age_seconds pilot_core_term \
-        pilot_core_leader pilot_units_held pilot_units_spent";
+        pilot_core_leader pilot_units_held pilot_units_spent pilot_trial_stage pilot_trial_waiting \
+        pilot_trial_held_total pilot_trial_held_seconds_total pilot_trial_told_total";
 
     #[test]
     fn the_page_reads_as_the_format_wants_and_names_stay() {
--- a/crates/pilot/src/parcel.rs
+++ b/crates/pilot/src/parcel.rs
@@ -1,5 +1,6 @@
 //! What travels between the client's side and the servers' side of a gateway.
 
+use crate::ebb::Ebb;
 use bytes::Bytes;
 use nickeljunction_core::facade::Repeat;
 use nickeljunction_core::life::Answer;
@@ -121,4 +122,8 @@
     fn also(&self, tenant: &str) -> bool;
     /// `None`: keys may be taken as known. Else for so many ms they may not: revocations bind machines out of touch, too.
     fn stale(&self) -> Option<f64>;
+    /// Where a tenant's trial has lapsed: what holds its requests. `None`: nobody is slowed.
+    fn ebb(&self) -> Option<&Ebb> {
+        None
+    }
 }
--- a/crates/pilot/src/serve.rs
+++ b/crates/pilot/src/serve.rs
@@ -138,6 +138,7 @@
     tokio::task::spawn_local(front.clone().serve(clients));
     tokio::task::spawn_local(link.clone().watch());
     tokio::task::spawn_local(link.clone().count());
+    tokio::task::spawn_local(link.ebb().clone().share(link.clone()));
     let leaving = quay.clone();
     tokio::task::spawn_local(note(wheel.clone(), front, quay));
     log::info!("event=serving name={} front={}", settings.node_name, addresses.frontend);
--- a/crates/rutter/src/lib.rs
+++ b/crates/rutter/src/lib.rs
@@ -46,6 +46,8 @@
     pub max_attempts: u32,
     /// Requests need no key.
     pub open: bool,
+    /// In which order its requests give way where their tenant is slowed: 1 first, 2 later, 3 never.
+    pub gives_way: u32,
     priority: u32,
     shares: Box<[(Rc<str>, f64)]>,
     homes: usize,
@@ -134,6 +136,7 @@
                 timeout_ms: route.timeout_ms(),
                 aim_ms: route.aim_ms(),
                 max_attempts: route.max_attempts().max(1),
+                gives_way: route.rank(),
                 open: route.no_auth,
                 priority: route.priority(),
                 shares: shares.collect(),
