--- /dev/null
+++ b/crates/ebb/src/sluice.rs
@@ -0,0 +1,420 @@
+//! The gateway's side: whether a request of a tenant whose trial lapses passes, waits, or is told when to come back.
+
+use crate::curve::{Curve, Rank, Step};
+use std::collections::{BTreeMap, VecDeque};
+
+/// A stage's waits are reached over so long, ms: a moment's difference between two gateways is no step.
+const RAMP_MS: f64 = 1_000.0;
+/// Most of what a client has left beyond its expected time of service that a stage's wait takes.
+const PART: [f64; 3] = [0.5, 0.25, 0.0];
+/// Time kept free for the ways beside the expected time of service, ms.
+const MARGIN_MS: f64 = 20.0;
+/// So many requests may pass at once at a pace that wasn't used before.
+const BURST: f64 = 4.0;
+/// Least part of a share for those that give way first, however much the others ask.
+const FLOOR_PART: f64 = 0.1;
+/// Least share, requests a second: a place comes at some time.
+const LEAST_PER_S: f64 = 0.01;
+/// Places are given out for so long ahead, ms: what bookings and reads take beyond the pace is not held against the others for
+/// longer.
+const FARTHEST_MS: f64 = 3_000.0;
+/// Least and most time told to a client, ms.
+const RETRY_MS: (f64, f64) = (20.0, 30_000.0);
+/// Clients come back after a third of the time that they have left at most.
+const RETURN_PART: f64 = 1.0 / 3.0;
+/// A kept place is given up so long after its moment, ms.
+const KEPT_MS: f64 = 1_000.0;
+/// Requests that wait here: of one tenant, and of all.
+const MOST_WAITING: (usize, usize) = (64, 256);
+/// A gateway that begins to slow a tenant goes by waits alone for so long, ms: its demand must be known for a share.
+const SETTLE_MS: f64 = 2_000.0;
+/// Part of what a client has left for which it is held at most because of the pace; it is told to come back rather than be
+/// held for longer than it would wait elsewhere.
+const PACE_PART: f64 = 0.3;
+/// Time over which demand is averaged, ms.
+const DEMAND_MS: f64 = 4_000.0;
+
+/// A request that has come.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Arrival {
+    /// In which order it gives way.
+    pub rank: Rank,
+    /// Time that it may be held, ms.
+    pub left_ms: f64,
+    /// Time that a server is expected to take, ms.
+    pub expected_ms: f64,
+    /// Its client has been told to come back before, as far as can be seen.
+    pub again: bool,
+}
+
+/// What becomes of it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Verdict {
+    /// It goes on at once.
+    Pass,
+    /// It goes on at `until`, ms of the caller's clock; [`Sluice::done`] is told then, or when its client has gone.
+    Hold {
+        /// That moment.
+        until: f64,
+    },
+    /// It would be too late: its client is told at once, and has a place at that time.
+    ComeBack {
+        /// After so long, ms.
+        retry_after_ms: f64,
+    },
+}
+
+/// How a tenant stands here, for operators.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Standing {
+    /// Who.
+    pub tenant: String,
+    /// Stage in force.
+    pub stage: u32,
+    /// Step that it came with.
+    pub step: u64,
+    /// Requests that wait.
+    pub waiting: usize,
+    /// Share of the pace, requests a second; infinite: not bound.
+    pub per_s: f64,
+    /// Requests that were held, and for how long in all, ms.
+    pub held: (u64, f64),
+    /// Requests that were told to come back.
+    pub told: u64,
+}
+
+/// Demand, requests a second, averaged over [`DEMAND_MS`].
+#[derive(Debug, Clone, Copy, Default)]
+struct Demand {
+    per_s: f64,
+    at: f64,
+    /// Since when it is counted.
+    since: Option<f64>,
+}
+
+impl Demand {
+    fn fade(&mut self, now: f64) {
+        let gap = (now - self.at).max(0.0);
+        self.per_s *= (-gap / DEMAND_MS).exp();
+        self.at = now.max(self.at);
+    }
+
+    fn note(&mut self, now: f64) {
+        self.fade(now);
+        self.per_s += 1_000.0 / DEMAND_MS;
+        self.since.get_or_insert(now);
+    }
+
+    /// Of so short a time that little has come in, the average would be too low.
+    fn get(mut self, now: f64) -> f64 {
+        self.fade(now);
+        let known_ms = self.since.map_or(0.0, |since| now - since).max(DEMAND_MS / 8.0);
+        self.per_s / (1.0 - (-known_ms / DEMAND_MS).exp())
+    }
+}
+
+/// A pace: when the next request may pass (a generic cell rate).
+#[derive(Debug, Clone, Copy, Default)]
+struct Lane {
+    next: f64,
+}
+
+impl Lane {
+    /// When a request that comes now may pass, at `per_s` requests a second.
+    fn place(&self, now: f64, per_s: f64) -> f64 {
+        match per_s.is_finite() {
+            true => self.next.max(now - BURST * 1_000.0 / per_s),
+            false => now,
+        }
+    }
+
+    /// Uses up the next place.
+    fn take(&mut self, now: f64, per_s: f64) {
+        if per_s.is_finite() {
+            self.next = (self.place(now, per_s) + 1_000.0 / per_s).min(now + FARTHEST_MS);
+        }
+    }
+
+    fn give_back(&mut self, per_s: f64) {
+        if per_s.is_finite() {
+            self.next -= 1_000.0 / per_s;
+        }
+    }
+}
+
+/// The paces of one tenant here. All requests use up places of `all`; bookings and reads pass by paces of their own, and are at most
+/// ahead of it: so those that give way first have what the others leave, and never less than the floor.
+#[derive(Debug, Clone, Copy, Default)]
+struct Lanes {
+    all: Lane,
+    floor: Lane,
+    reads: Lane,
+    bookings: Lane,
+}
+
+/// Requests a second of these paces; infinite: not bound.
+#[derive(Debug, Clone, Copy)]
+struct Paces {
+    all: f64,
+    floor: f64,
+    reads: f64,
+}
+
+impl Lanes {
+    fn place(&self, now: f64, rank: Rank, paces: Paces) -> f64 {
+        match rank {
+            Rank::First => self.all.place(now, paces.all).min(self.floor.place(now, paces.floor)),
+            Rank::Later => self.reads.place(now, paces.reads),
+            Rank::Never => self.bookings.place(now, paces.all),
+        }
+    }
+
+    fn own(&mut self, rank: Rank, paces: Paces) -> (&mut Lane, f64) {
+        match rank {
+            Rank::First => (&mut self.floor, paces.floor),
+            Rank::Later => (&mut self.reads, paces.reads),
+            Rank::Never => (&mut self.bookings, paces.all),
+        }
+    }
+
+    fn take(&mut self, now: f64, rank: Rank, paces: Paces) {
+        self.all.take(now, paces.all);
+        let (own, per_s) = self.own(rank, paces);
+        own.take(now, per_s);
+    }
+
+    fn give_back(&mut self, rank: Rank, paces: Paces) {
+        self.all.give_back(paces.all);
+        let (own, per_s) = self.own(rank, paces);
+        own.give_back(per_s);
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Tenant {
+    curve: Option<Curve>,
+    /// Step and stage in force, and the stage before.
+    step: u64,
+    stage: u32,
+    before: u32,
+    entered: f64,
+    /// Since when it is slowed.
+    since: f64,
+    /// A stage that is to come.
+    coming: Option<(u64, u32, f64)>,
+    share: f64,
+    lanes: Lanes,
+    /// By rank.
+    demand: [Demand; 3],
+    /// Moments of places that were told and are kept, by rank.
+    kept: [VecDeque<f64>; 3],
+    waiting: usize,
+    held: (u64, f64),
+    told: u64,
+}
+
+impl Tenant {
+    fn new() -> Tenant {
+        Tenant {
+            curve: None,
+            step: 0,
+            stage: 0,
+            before: 0,
+            entered: f64::NEG_INFINITY,
+            since: f64::NEG_INFINITY,
+            coming: None,
+            share: f64::INFINITY,
+            lanes: Lanes::default(),
+            demand: [Demand::default(); 3],
+            kept: Default::default(),
+            waiting: 0,
+            held: (0, 0.0),
+            told: 0,
+        }
+    }
+
+    fn turn(&mut self, now: f64) {
+        if let Some((step, stage, at)) = self.coming.filter(|(_, _, at)| *at <= now) {
+            if self.stage == 0 && now >= self.entered + RAMP_MS {
+                self.since = at;
+            }
+            (self.before, self.step, self.stage, self.entered) = (self.stage, step, stage, at);
+            self.coming = None;
+        }
+        let paces = self.paces(now);
+        for rank in [Rank::First, Rank::Later, Rank::Never] {
+            let kept = &mut self.kept[rank as usize];
+            while kept.front().is_some_and(|moment| moment + KEPT_MS < now) {
+                kept.pop_front();
+                // Nobody came for it: the next one may have it.
+                self.lanes.give_back(rank, paces);
+            }
+        }
+    }
+
+    fn step_of(&self, stage: u32) -> Step {
+        self.curve.as_ref().map_or(Step::NONE, |curve| curve.step(stage))
+    }
+
+    /// Added wait of a rank as it is now, on the way from the stage before.
+    fn wait(&self, now: f64, rank: Rank) -> f64 {
+        let (from, to) = (self.step_of(self.before).wait(rank), self.step_of(self.stage).wait(rank));
+        let part = ((now - self.entered) / RAMP_MS).clamp(0.0, 1.0);
+        from + (to - from) * part
+    }
+
+    /// Also while a restored one's last wait runs off.
+    fn slowed(&self, now: f64) -> bool {
+        self.stage > 0 || self.coming.is_some() || now < self.entered + RAMP_MS
+    }
+
+    /// Bookings may use up all of the share, reads what these leave, the rest what both leave, or the floor.
+    fn paces(&self, now: f64) -> Paces {
+        // Waits alone slow until its demand is known, here and to the leader.
+        let settled = now >= self.since + SETTLE_MS;
+        let all = self.share.min(self.step_of(self.stage).pace).max(LEAST_PER_S);
+        if !settled || !all.is_finite() {
+            return Paces { all: f64::INFINITY, floor: f64::INFINITY, reads: f64::INFINITY };
+        }
+        let floor = FLOOR_PART * all;
+        let bookings = self.demand[Rank::Never as usize].get(now);
+        Paces { all, floor, reads: (all - bookings).max(floor) }
+    }
+}
+
+/// All slowed tenants at one gateway. Without one it keeps nothing and costs a look at an empty map.
+#[derive(Debug, Clone, Default)]
+pub struct Sluice {
+    tenants: BTreeMap<String, Tenant>,
+    waiting: usize,
+}
+
+impl Sluice {
+    /// A trial as the leader told it: `step` rises with each change, `stage` holds from `in_ms` on. What is not higher than
+    /// known is dropped: a gateway never goes back. Whether it was news.
+    pub fn told(&mut self, now: f64, tenant: &str, step: u64, stage: u32, in_ms: f64) -> bool {
+        let entry = self.tenants.entry(tenant.to_owned()).or_insert_with(Tenant::new);
+        entry.turn(now);
+        if step <= entry.coming.map_or(entry.step, |(step, _, _)| step) {
+            return false;
+        }
+        entry.coming = Some((step, stage, now + in_ms));
+        entry.turn(now);
+        true
+    }
+
+    /// The curves in force, by a new configuration.
+    pub fn curves(&mut self, curve: impl Fn(&str) -> Option<Curve>) {
+        for (name, tenant) in &mut self.tenants {
+            tenant.curve = curve(name);
+        }
+    }
+
+    /// Some tenant is slowed, or about to be.
+    pub fn active(&self, now: f64) -> bool {
+        self.tenants.values().any(|tenant| tenant.slowed(now))
+    }
+
+    /// Shares of paces, as the leader answered; they hold until the next ones.
+    pub fn shares(&mut self, shares: &BTreeMap<String, f64>) {
+        for (name, per_s) in shares {
+            if let Some(tenant) = self.tenants.get_mut(name).filter(|_| *per_s >= 0.0) {
+                tenant.share = *per_s;
+            }
+        }
+    }
+
+    /// Shares that are gone by, of tenants that are slowed.
+    pub fn shares_held(&self, now: f64) -> BTreeMap<String, f64> {
+        let slowed = self.tenants.iter().filter(|(_, tenant)| tenant.slowed(now) && tenant.share.is_finite());
+        slowed.map(|(name, tenant)| (name.clone(), tenant.share)).collect()
+    }
+
+    /// Requests a second that each slowed tenant sends here.
+    pub fn demand(&self, now: f64) -> BTreeMap<String, f64> {
+        let slowed = self.tenants.iter().filter(|(_, tenant)| tenant.slowed(now));
+        let sum = |tenant: &Tenant| tenant.demand.iter().map(|demand| demand.get(now)).sum();
+        slowed.map(|(name, tenant)| (name.clone(), sum(tenant))).collect()
+    }
+
+    /// What becomes of a request of this tenant.
+    pub fn arrive(&mut self, now: f64, tenant: &str, arrival: &Arrival) -> Verdict {
+        let Some(tenant) = self.tenants.get_mut(tenant) else { return Verdict::Pass };
+        tenant.turn(now);
+        if !tenant.slowed(now) {
+            return Verdict::Pass;
+        }
+        let Arrival { rank, left_ms, expected_ms, again } = *arrival;
+        let at = rank as usize;
+        let free_ms = (left_ms - expected_ms - MARGIN_MS).max(0.0);
+        if !again {
+            tenant.demand[at].note(now);
+        } else if tenant.kept[at].pop_front().is_some() {
+            // Its place, or that of one like it whose client came to another gateway.
+            return Verdict::Pass;
+        }
+        let paces = tenant.paces(now);
+        let place = tenant.lanes.place(now, rank, paces);
+        // Who comes back has waited. It passes before those that wait, at their cost, as long as there is a place in its time.
+        if again && place <= now + free_ms {
+            tenant.lanes.take(now, rank, paces);
+            return Verdict::Pass;
+        }
+        let wait = tenant.wait(now, rank).min(PART[at] * free_ms);
+        let until = place.max(now + wait);
+        // A booking waits for nothing; a little ahead of the pace it may be.
+        let latest = match rank {
+            Rank::Never => now + BURST * 1_000.0 / paces.all,
+            _ => now + free_ms.min(wait.max(PACE_PART * left_ms)),
+        };
+        let full = tenant.waiting >= MOST_WAITING.0 || self.waiting >= MOST_WAITING.1;
+        if until <= latest && rank == Rank::Never {
+            tenant.lanes.take(now, rank, paces);
+            return Verdict::Pass;
+        }
+        if until <= now + 1.0 && until <= latest {
+            tenant.lanes.take(now, rank, paces);
+            return Verdict::Pass;
+        }
+        if until <= latest && !full {
+            tenant.lanes.take(now, rank, paces);
+            tenant.waiting += 1;
+            self.waiting += 1;
+            tenant.held = (tenant.held.0 + 1, tenant.held.1 + (until - now));
+            return Verdict::Hold { until };
+        }
+        tenant.told += 1;
+        let retry_after_ms = (place - now).clamp(RETRY_MS.0, RETRY_MS.1);
+        // A place is kept for who can be there: else it would be lost to the others.
+        if !full && retry_after_ms <= left_ms * RETURN_PART {
+            tenant.lanes.take(now, rank, paces);
+            tenant.kept[at].push_back(now + retry_after_ms);
+        }
+        Verdict::ComeBack { retry_after_ms }
+    }
+
+    /// A request that was held goes on, or its client has gone.
+    pub fn done(&mut self, tenant: &str) {
+        if let Some(tenant) = self.tenants.get_mut(tenant) {
+            tenant.waiting = tenant.waiting.saturating_sub(1);
+        }
+        self.waiting = self.waiting.saturating_sub(1);
+    }
+
+    /// How each tenant that ever was slowed stands here.
+    pub fn standings(&mut self, now: f64) -> Vec<Standing> {
+        let tenants = self.tenants.iter_mut().map(|(name, tenant)| {
+            tenant.turn(now);
+            Standing {
+                tenant: name.clone(),
+                stage: tenant.stage,
+                step: tenant.step,
+                waiting: tenant.waiting,
+                per_s: tenant.share.min(tenant.step_of(tenant.stage).pace),
+                held: tenant.held,
+                told: tenant.told,
+            }
+        });
+        tenants.collect()
+    }
+}
--- a/crates/pilot/src/lib.rs
+++ b/crates/pilot/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod beyond;
 pub mod budget;
 pub mod cli;
+pub mod ebb;
 pub mod figures;
 pub mod front;
 pub mod lease;
