--- a/crates/berths/src/chart.rs
+++ b/crates/berths/src/chart.rs
@@ -2,7 +2,7 @@
 
 use crate::register::PERMIT_LIFE_MS;
 use nickeljunction_signals::{
-    Caller, ConfigLine, GatewayLine, ServerLine, ServerState, WatchAnswer, WatchCall,
+    Caller, ConfigLine, GatewayLine, ServerLine, ServerState, TrialLine, WatchAnswer, WatchCall,
 };
 use quick_error::quick_error;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -26,6 +26,8 @@
     pub core: Rc<Vec<String>>,
     /// All gateways; told to core members, and to gateways that serve the directory.
     pub roster: Rc<Vec<GatewayLine>>,
+    /// Step and stage of each tenant whose trial ever changed. From when they hold is told once, in [`Applied::trials`].
+    pub trials: Rc<BTreeMap<String, (u64, u32)>>,
 }
 
 impl Chart {
@@ -103,6 +105,8 @@
     pub core: bool,
     /// The list of gateways changed.
     pub roster: bool,
+    /// Trials with a higher step than was held.
+    pub trials: Vec<TrialLine>,
     /// The answer came from another leader than the one before.
     pub leader: bool,
 }
@@ -117,6 +121,7 @@
             || self.gateways
             || self.core
             || self.roster
+            || !self.trials.is_empty()
     }
 }
 
@@ -194,6 +199,7 @@
             gateways: Some(chart.gateways),
             core: Some(chart.core.to_vec()),
             roster: Some(chart.roster.to_vec()),
+            trials: (!chart.trials.is_empty()).then(|| chart.trials.iter().map(line).collect()),
             ..WatchAnswer::default()
         }
     }
@@ -270,6 +276,15 @@
             chart.roster = Rc::new(roster);
             applied.roster = true;
         }
+        // A leader's log has all steps that any leader told: a lower one is from an answer that was overtaken.
+        let higher =
+            |line: &TrialLine| chart.trials.get(&line.tenant).is_none_or(|(step, _)| line.step > *step);
+        applied.trials = answer.trials.into_iter().flatten().filter(higher).collect();
+        if !applied.trials.is_empty() {
+            let news = applied.trials.iter().map(|line| (line.tenant.clone(), (line.step, line.stage)));
+            chart.trials =
+                Rc::new(chart.trials.iter().map(|(name, held)| (name.clone(), *held)).chain(news).collect());
+        }
         self.gone.retain(|id| !chart.servers.contains_key(id));
         self.gone.extend(applied.gone.iter().cloned());
         let surplus = self.gone.len().saturating_sub(MOST_GONE);
@@ -284,6 +299,10 @@
     }
 }
 
+fn line((tenant, (step, stage)): (&String, &(u64, u32))) -> TrialLine {
+    TrialLine { tenant: tenant.clone(), step: *step, stage: *stage, in_ms: 0 }
+}
+
 /// The servers' part of an answer.
 struct Fresh {
     lines: Vec<ServerLine>,
--- a/crates/berths/src/lib.rs
+++ b/crates/berths/src/lib.rs
@@ -9,8 +9,8 @@
 //!
 //! # Driving a register
 //!
-//! After a take-over call [`Register::new`], then at once [`Register::evacuated`], [`Register::config`] and
-//! [`Register::core`] with what the agreed log says, and only then answer watch calls. Call [`Register::tick`] every
+//! After a take-over call [`Register::new`], then at once [`Register::evacuated`], [`Register::trials`],
+//! [`Register::config`] and [`Register::core`] with what the agreed log says, and only then answer watch calls. Call [`Register::tick`] every
 //! 100 to 500 ms. After any call check the held watch calls again if [`Register::seq`] rose.
 
 mod chart;
@@ -23,6 +23,6 @@
 pub use chart::{barred, Applied, Bar, Chart, Copy, Leave, Refused};
 pub use directory::{directory, MOST_ADDRESSES};
 pub use gateways::{GatewayStanding, Seen};
-pub use register::{Reach, Register, Tuning, PERMIT_LIFE_MS};
+pub use register::{Reach, Register, Tide, Tuning, PERMIT_LIFE_MS};
 pub use servers::{Beat, BeatKind, BeatOutcome, ServerStanding};
 pub use tally::{state, tally, Tally};
--- a/crates/berths/src/register.rs
+++ b/crates/berths/src/register.rs
@@ -4,7 +4,7 @@
 use crate::gateways::{GatewayStanding, Gateways, Seen};
 use crate::servers::{Beat, BeatKind, BeatOutcome, ServerStanding, Servers};
 use crate::tally::{tally, Tally};
-use nickeljunction_signals::{Caller, ConfigLine, GatewayLine, WatchAnswer, WatchCall};
+use nickeljunction_signals::{Caller, ConfigLine, GatewayLine, TrialLine, WatchAnswer, WatchCall};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
@@ -110,6 +110,27 @@
 /// Something published: what it is, and the number of its last change. `None`: not told yet.
 type Told<T> = Option<(T, u64)>;
 
+/// How far a tenant's trial has lapsed, by the agreed log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Tide {
+    /// Whose.
+    pub tenant: String,
+    /// Rises with each change.
+    pub step: u64,
+    /// 0: not at all.
+    pub stage: u32,
+    /// From then on it holds, ms of this leader's clock.
+    pub holds: u64,
+}
+
+impl Tide {
+    /// As it is told now.
+    fn line(&self, now: u64) -> TrialLine {
+        let in_ms = self.holds.saturating_sub(now);
+        TrialLine { tenant: self.tenant.clone(), step: self.step, stage: self.stage, in_ms }
+    }
+}
+
 /// A start without a copy.
 #[derive(Debug)]
 struct Gathering {
@@ -135,6 +156,8 @@
     /// The copy's evacuated zones, until the log's are told.
     before: BTreeSet<String>,
     core: Told<Vec<String>>,
+    /// All trials that ever changed.
+    trials: Told<Vec<Tide>>,
     config: Option<Rc<ConfigLine>>,
     /// When `config` came, to the tick.
     config_at: u64,
@@ -166,6 +189,7 @@
             evacuated: None,
             before: BTreeSet::clone(&chart.evacuated),
             core: None,
+            trials: None,
             config: None,
             config_at: now,
             whole_at: 0,
@@ -300,6 +324,14 @@
         }
     }
 
+    /// All trials that ever changed, by the agreed log. None: there is nothing to tell.
+    pub fn trials(&mut self, tides: Vec<Tide>) {
+        let told = self.trials.as_ref().map_or(&[][..], |(told, _)| told);
+        if told != tides {
+            self.trials = Some((tides, self.numbers.next()));
+        }
+    }
+
     /// The newest configuration that was agreed on; an older one than is held changes nothing.
     pub fn config(&mut self, config: Rc<ConfigLine>) {
         if self.config.as_ref().is_none_or(|held| held.version < config.version) {
@@ -319,7 +351,7 @@
 
     /// What the caller lacks; `None`: nothing, and the call is to be held. `age_ms`: so long ago a majority agreed that
     /// this member leads.
-    pub fn answer(&self, call: &WatchCall, age_ms: u64) -> Option<WatchAnswer> {
+    pub fn answer(&self, now: u64, call: &WatchCall, age_ms: u64) -> Option<WatchAnswer> {
         if call.term > self.term {
             return None;
         }
@@ -343,6 +375,8 @@
         let evacuated = self.evacuated.as_ref().filter(|(_, at)| *at > since);
         answer.evacuated = evacuated.map(|(zones, _)| zones.iter().cloned().collect());
         answer.core = self.core.as_ref().filter(|(_, at)| *at > since).map(|(hosts, _)| hosts.clone());
+        let trials = self.trials.as_ref().filter(|(_, at)| *at > since);
+        answer.trials = trials.map(|(tides, _)| tides.iter().map(|tide| tide.line(now)).collect());
         answer.gateways = (self.gateways.count_at() > since).then(|| self.gateways.count());
         if (call.who == Caller::Core || call.directory) && self.gateways.roster_at() > since {
             answer.roster = Some(self.gateways.roster().to_vec());
@@ -354,6 +388,7 @@
             || answer.config.is_some()
             || answer.evacuated.is_some()
             || answer.core.is_some()
+            || answer.trials.is_some()
             || answer.gateways.is_some()
             || answer.roster.is_some();
         news.then_some(answer)
--- a/crates/berths/tests/common/mod.rs
+++ b/crates/berths/tests/common/mod.rs
@@ -113,7 +113,7 @@
     /// Tells a watcher what it lacks, if anything.
     pub fn tell(&self, copy: &mut Copy, who: Caller) -> Option<Applied> {
         let call = copy.ask(who, "watcher", 7, None, 1_000);
-        let answer = self.register.answer(&call, 0)?;
+        let answer = self.register.answer(self.now, &call, 0)?;
         Some(copy.apply(answer).expect("leads back"))
     }
 
--- a/crates/berths/tests/watching.rs
+++ b/crates/berths/tests/watching.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
-use nickeljunction_berths::{Copy, Leave, Refused, Seen};
-use nickeljunction_signals::{Caller, ConfigLine, ServerState, WatchAnswer, WatchCall};
+use nickeljunction_berths::{Copy, Leave, Refused, Seen, Tide};
+use nickeljunction_signals::{Caller, ConfigLine, ServerState, TrialLine, WatchAnswer, WatchCall};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::rc::Rc;
@@ -62,6 +62,36 @@
     assert_eq!(silent(&harbour), [None]);
 }
 
+#[test]
+fn trials_are_told_where_one_changed_with_the_moment_from_which_they_hold_and_never_lead_back() {
+    let mut harbour = Harbour::new();
+    harbour.register.trials(Vec::new());
+    let mut copy = Copy::new();
+    let ask = |copy: &Copy| copy.ask(Caller::Gateway, "g", 1, None, 1_000);
+    let first = harbour.register.answer(harbour.now, &ask(&copy), 0).expect("the first");
+    assert!(!serde_json::to_string(&first).expect("plain data").contains("trials"), "none has ever changed");
+    copy.apply(first).expect("the first");
+    let tide = |step, stage, holds| Tide { tenant: "t".into(), step, stage, holds };
+    let (seq, holds) = (harbour.register.seq(), harbour.now + 300);
+    harbour.register.trials(vec![tide(4, 1, holds)]);
+    assert!(harbour.register.seq() > seq, "held calls look again");
+    harbour.wait(100);
+    let early = harbour.register.answer(harbour.now, &ask(&copy), 0).expect("news");
+    harbour.register.trials(vec![tide(5, 2, holds)]);
+    let news = harbour.register.answer(harbour.now, &ask(&copy), 0).expect("news");
+    let line = |step, stage, in_ms| TrialLine { tenant: "t".into(), step, stage, in_ms };
+    assert_eq!(copy.apply(news).expect("newer").trials, [line(5, 2, 200)]);
+    assert!(harbour.register.answer(harbour.now, &ask(&copy), 0).is_none(), "all is told");
+    // A new leader that lags behind, and the same step once more.
+    let of_another = WatchAnswer { term: early.term + 1, ..early };
+    assert_eq!(copy.apply(of_another).expect("a new leader").trials, []);
+    assert_eq!(copy.chart().trials.get("t"), Some(&(5, 2)));
+    assert_eq!(copy.whole().trials, Some(vec![line(5, 2, 0)]));
+    harbour.wait(300);
+    let late = harbour.register.answer(harbour.now, &ask(&Copy::new()), 0).and_then(|answer| answer.trials);
+    assert_eq!(late, Some(vec![line(5, 2, 0)]), "who hears late has it at once");
+}
+
 #[test]
 fn a_replaced_life_says_nothing_more() {
     let mut harbour = Harbour::new();
@@ -115,7 +145,7 @@
         harbour.beat(&format!("x{n}"), &beat("x:1", "a1", 1));
     }
     let call = copy.ask(Caller::Core, "watcher", 7, None, 0);
-    assert!(harbour.register.answer(&call, 0).is_some_and(|answer| answer.whole));
+    assert!(harbour.register.answer(harbour.now, &call, 0).is_some_and(|answer| answer.whole));
     harbour.tell(&mut copy, Caller::Core);
     assert_eq!(copy.chart(), harbour.chart());
 }
@@ -255,7 +285,7 @@
                 let told = Some(line(name, ZONES[gateway % 3], ready));
                 let call = copy.ask(Caller::Gateway, name, 1, told, 1_000);
                 self.harbour.register.called(now, &call);
-                let answer = self.harbour.register.answer(&call, 0);
+                let answer = self.harbour.register.answer(now, &call, 0);
                 copy.apply(answer.unwrap_or_else(|| self.harbour.register.nothing(0))).expect("leads back");
                 *sent_at = (*sent_at).max(now.saturating_sub(held_ms));
             }
--- a/crates/wheelhouse/src/calls.rs
+++ b/crates/wheelhouse/src/calls.rs
@@ -1,4 +1,4 @@
-//! Calls that wait for the agreement: reads, changes, zones, and gateways' processes that are new.
+//! Calls that wait for the agreement: reads, changes, zones, trials, and gateways' processes that are new.
 
 use crate::change::{Change, Fit};
 use crate::effects::{Answer, Event, Ticket};
@@ -22,6 +22,8 @@
     Get(Ticket),
     Change(Ticket, Change),
     Core(Ticket, Wish),
+    /// Whose trial is to lapse, or else to be restored.
+    Trial(Ticket, String, bool),
 }
 
 /// A call whose entry is on its way.
@@ -37,6 +39,10 @@
     Core { ticket: Ticket, wish: Wish },
     /// A zone is evacuated, or taken back.
     Zone { ticket: Ticket, zone: String, back: bool },
+    /// An order on a tenant's trial.
+    Trial { ticket: Ticket, tenant: String, lapse: bool },
+    /// The leader's own: the next stage of a trial, on a step.
+    Stage { tenant: String, base: u64 },
 }
 
 /// A call that can go on.
@@ -86,16 +92,26 @@
         ticket
     }
 
+    /// An operator has a tenant's trial lapse, or else restores it: [`Answer::Taken`] once that is its direction.
+    pub fn trial(&mut self, now: u64, tenant: String, lapse: bool) -> Ticket {
+        let ticket = self.ticket();
+        self.confirm(now, Reading::Trial(ticket, tenant, lapse));
+        ticket
+    }
+
     /// Nobody waits for this answer any more: what was not begun for it is not done.
     pub fn leave_off(&mut self, ticket: Ticket) {
         self.reads.retain(|_, (_, reading)| match reading {
-            Reading::Get(of) | Reading::Change(of, _) | Reading::Core(of, _) => *of != ticket,
+            Reading::Get(of) | Reading::Change(of, _) | Reading::Core(of, _) | Reading::Trial(of, ..) => {
+                *of != ticket
+            }
         });
         self.waits.retain(|_, (.., proposed)| match proposed {
-            Proposed::Forget => true,
+            Proposed::Forget | Proposed::Stage { .. } => true,
             Proposed::Lend(of, _)
             | Proposed::Put { ticket: of, .. }
             | Proposed::Core { ticket: of, .. }
+            | Proposed::Trial { ticket: of, .. }
             | Proposed::Zone { ticket: of, .. } => *of != ticket,
         });
     }
@@ -128,6 +144,23 @@
         }
     }
 
+    /// The same, for an entry on a trial.
+    pub(crate) fn propose_trial(&mut self, now: u64, entry: &Entry, proposed: Proposed) {
+        self.propose(now, entry, now + PROPOSAL_MS, proposed);
+    }
+
+    /// Has a trial's order put on the log, where that is needed; else its answer.
+    fn order_trial(&mut self, now: u64, ticket: Ticket, tenant: String, lapse: bool) -> Option<Answer> {
+        match self.trial_entry(&tenant, lapse) {
+            Ok(Some(entry)) => {
+                self.propose_trial(now, &entry, Proposed::Trial { ticket, tenant, lapse });
+                None
+            }
+            Ok(None) => Some(Answer::Taken),
+            Err(wants) => Some(Answer::Missing(wants)),
+        }
+    }
+
     fn enroll(&mut self, now: u64, roll: Roll, until: u64, proposed: Proposed) {
         let Roll { come, gone } = roll;
         let names = come.values().cloned().collect();
@@ -166,8 +199,17 @@
                 Ok(None) => (ticket, Answer::Taken),
                 Err(unfit) => (ticket, Answer::Unfit(unfit)),
             },
+            Settled::Read(Reading::Trial(ticket, tenant, lapse), true) => {
+                match self.order_trial(now, ticket, tenant, lapse) {
+                    Some(answer) => (ticket, answer),
+                    None => return,
+                }
+            }
             Settled::Read(
-                Reading::Get(ticket) | Reading::Change(ticket, _) | Reading::Core(ticket, _),
+                Reading::Get(ticket)
+                | Reading::Change(ticket, _)
+                | Reading::Core(ticket, _)
+                | Reading::Trial(ticket, ..),
                 false,
             ) => (ticket, Answer::Elsewhere(self.elsewhere())),
             Settled::Entry(Proposed::Forget, _) => {
@@ -197,6 +239,18 @@
                 };
                 (ticket, answer)
             }
+            Settled::Entry(Proposed::Stage { tenant, base }, _) => {
+                return self.stage_settled(now, &tenant, base)
+            }
+            Settled::Entry(Proposed::Trial { ticket, tenant, lapse }, outcome) => match outcome {
+                Some(Outcome::Taken) => (ticket, Answer::Taken),
+                // A stage came first, or another operator: made anew on top of it.
+                Some(Outcome::Conflict) => match self.order_trial(now, ticket, tenant, lapse) {
+                    Some(answer) => (ticket, answer),
+                    None => return,
+                },
+                None => (ticket, Answer::Unknown),
+            },
             Settled::Entry(Proposed::Zone { ticket, zone, back }, Some(_)) => {
                 self.out.events.push(Event::Evacuation { zone, back });
                 (ticket, Answer::Taken)
--- a/crates/wheelhouse/src/effects.rs
+++ b/crates/wheelhouse/src/effects.rs
@@ -1,7 +1,7 @@
 //! What comes out of the machine.
 
 use crate::members::{Unfit, Wish};
-use crate::statutes::Outcome;
+use crate::statutes::{Outcome, Trial};
 use nickeljunction_berths::Copy;
 use nickeljunction_logbook::{Entry, Envelope, Write};
 use nickeljunction_signals::{Elsewhere, ServerState, UnitsAnswer};
@@ -45,6 +45,8 @@
     Unfit(Unfit),
     /// It can't be taken; what is wanted.
     Wrong(String),
+    /// What it names isn't there; what is wanted.
+    Missing(String),
     /// Whether it will be taken is not known: it is to be repeated unchanged.
     Unknown,
     /// This member doesn't lead, or is not sure of it.
@@ -75,6 +77,8 @@
     CoreOrder { wish: Wish, outcome: Option<Outcome> },
     /// A zone was evacuated, or taken back.
     Evacuation { zone: String, back: bool },
+    /// A tenant's trial changed, as it stands now.
+    Trial { tenant: String, trial: Trial },
     /// The log takes nothing more at the moment.
     ProposalRefused { error: String },
     /// A snapshot that this program didn't write, though the disk has checked it.
--- a/crates/wheelhouse/src/leader.rs
+++ b/crates/wheelhouse/src/leader.rs
@@ -2,6 +2,7 @@
 
 use crate::effects::{Event, Ticket};
 use crate::machine::Wheelhouse;
+use crate::tides::Tides;
 use nickeljunction_berths::{Beat, BeatKind, Register, Seen};
 use nickeljunction_bunker::{Counter, Limit};
 use nickeljunction_manifest::{Bounds, Document};
@@ -25,6 +26,7 @@
     pub term: u64,
     pub register: Register,
     pub counter: Counter,
+    pub tides: Tides,
     /// Version of the configuration that `register` and `counter` know.
     pub version: u64,
     /// The counter's wish to forget lives is on its way to the log.
@@ -90,7 +92,7 @@
                 // What it knew is what the next leader starts from, which may be this very member: one whose majority
                 // was away for seconds would else begin with an empty register.
                 let ask = self.copy.ask(Caller::Core, &self.place.name, 0, None, 0);
-                if let Some(answer) = lead.register.answer(&ask, 0) {
+                if let Some(answer) = lead.register.answer(now, &ask, 0) {
                     let _ = self.copy.apply(answer);
                 }
                 self.out.changed = true;
@@ -115,13 +117,15 @@
             unheard: known,
             held_ms: counter.held_ms(),
         });
-        self.lead = Some(Lead { term, register, counter, version: 0, forgets: false });
+        self.lead =
+            Some(Lead { term, register, counter, tides: Tides::default(), version: 0, forgets: false });
         self.publish(now);
         self.out.changed = true;
     }
 
     /// Tells registers and counter what the log says.
     pub(crate) fn publish(&mut self, now: u64) {
+        self.publish_tides(now);
         let Some(lead) = &mut self.lead else { return };
         lead.register.evacuated(now, self.statutes.evacuated().clone());
         lead.register.core(self.book.members().iter().map(|member| member.host.clone()).collect());
@@ -150,7 +154,11 @@
     }
 
     /// Does something with the registers and the counter, if this member surely leads; with the lease's age.
-    fn with_lead<R>(&mut self, now: u64, act: impl FnOnce(&mut Lead, u64) -> R) -> Result<R, Elsewhere> {
+    pub(crate) fn with_lead<R>(
+        &mut self,
+        now: u64,
+        act: impl FnOnce(&mut Lead, u64) -> R,
+    ) -> Result<R, Elsewhere> {
         // A leader that was frozen or cut off may have a successor by now: it must not answer as one.
         let age = self.book.quorum_age(now).filter(|age| *age < self.lease_ms);
         let (Some(age), Some(lead)) = (age, &mut self.lead) else { return Err(self.elsewhere()) };
@@ -207,7 +215,7 @@
     ) -> Result<Option<WatchAnswer>, Elsewhere> {
         let last = held.brief || now >= held.end;
         self.with_lead(now, |lead, age| {
-            let news = lead.register.answer(call, age);
+            let news = lead.register.answer(now, call, age);
             news.or_else(|| last.then(|| lead.register.nothing(age)))
         })
     }
--- a/crates/wheelhouse/src/lib.rs
+++ b/crates/wheelhouse/src/lib.rs
@@ -15,9 +15,9 @@
 //!   .seek(now, hosts)   .resign(now)   .remember(Copy)
 //! for callers that wait for the agreement, answered by ticket in time of their own:
 //!   .read(now) -> Ticket   .change(now, Change) -> Ticket   .zone(now, zone, back) -> Ticket   .leave_off(ticket)
-//!   .order(now, Wish) -> Ticket   .core_view(now) -> CoreView
+//!   .order(now, Wish) -> Ticket   .core_view(now) -> CoreView   .trial(now, tenant, lapse) -> Ticket   .trials(now)
 //! for callers of the leader, by its lease:
-//!   .units(now, &call) -> Result<Lent, Elsewhere>
+//!   .units(now, &call) -> Result<Lent, Elsewhere>   .ebb(now, &call) -> Result<EbbAnswer, Elsewhere>
 //!   .called(now, &call) -> Result<Held, Elsewhere>   .watch(now, &call, &held) -> Result<Option<WatchAnswer>, Elsewhere>
 //!   .beat(now, id, &beat) -> Result<Option<Round>, Elsewhere>   .gone(now, id)   .come_round(now, &round)
 //! for followers: .elsewhere() .ask(life) .learned(answer); to look at: .book() .statutes() .copy() .leads()
@@ -33,9 +33,11 @@
 mod machine;
 mod members;
 pub mod statutes;
+mod tides;
 
 pub use change::Change;
 pub use effects::{Answer, Effects, Event, Ticket};
 pub use leader::{limits, Held, Lent, Round};
 pub use machine::{Place, Wheelhouse, HINT_GOOD_MS};
 pub use members::{Berth, CoreView, Unfit, Wish};
+pub use tides::{TrialView, HOLDS_AFTER_MS};
--- a/crates/wheelhouse/src/machine.rs
+++ b/crates/wheelhouse/src/machine.rs
@@ -106,7 +106,11 @@
     pub fn next_wake(&self) -> u64 {
         let late = self.waits.values().map(|(_, until, _)| *until);
         let late = late.chain(self.reads.values().map(|(until, _)| *until));
-        late.chain([self.book.next_wake(), self.age_at, self.hint_at]).min().unwrap_or(self.age_at)
+        let tides = self.lead.iter().filter_map(|lead| lead.tides.wake());
+        late.chain(tides)
+            .chain([self.book.next_wake(), self.age_at, self.hint_at])
+            .min()
+            .unwrap_or(self.age_at)
     }
 
     /// Lets time pass; due whenever [`Wheelhouse::next_wake`] is reached. Early and late calls are harmless.
@@ -118,6 +122,7 @@
             self.age_at = now + AGE_MS;
             self.age(now);
         }
+        self.turn_tides(now);
         if self.hint_at <= now {
             self.hint_at = now + HINT_MS;
             self.note_down(now);
@@ -266,7 +271,7 @@
             Some(lead) => {
                 let mut copy = Copy::new();
                 let ask = copy.ask(Caller::Core, &self.place.name, 0, None, 0);
-                if let Some(answer) = lead.register.answer(&ask, 0) {
+                if let Some(answer) = lead.register.answer(now, &ask, 0) {
                     let _ = copy.apply(WatchAnswer { config: None, ..answer });
                 }
                 copy
--- a/crates/wheelhouse/src/statutes.rs
+++ b/crates/wheelhouse/src/statutes.rs
@@ -1,5 +1,5 @@
-//! What must outlive everything, as the agreed log makes it: the configuration with its version, the evacuated zones, and which
-//! gateways' processes have units. No I/O and no clock: entries go in, one after the other and the same at every member.
+//! What must outlive everything, as the agreed log makes it: the configuration with its version, the evacuated zones, tenants'
+//! trials, and which gateways' processes have units. No I/O and no clock: entries go in, one after the other and the same at every member.
 
 use nickeljunction_logbook::Away;
 use serde::{Deserialize, Serialize};
@@ -36,6 +36,17 @@
         /// It, whole.
         order: CoreOrder,
     },
+    /// A tenant's trial lapses, is restored, or goes on by a stage, on top of the step before.
+    Trial {
+        /// Whose.
+        tenant: String,
+        /// The step that it was made for; 0: none.
+        base: u64,
+        /// What is to become of it.
+        order: TrialOrder,
+        /// How many stages it has, by the configuration that who proposed this went by.
+        most: u32,
+    },
     /// Processes of gateways that the counter may lend units to.
     Gateways {
         /// Those that come, by the number that each drew, with the names of their machines.
@@ -58,6 +69,56 @@
     pub away: Vec<Away>,
 }
 
+/// What is to become of a tenant's trial.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TrialOrder {
+    /// It lapses from now on: the first stage at once.
+    Lapse,
+    /// It goes back from now on: by one stage at once.
+    Restore,
+    /// The next stage in its direction: the time of the last one is over.
+    Stage,
+}
+
+/// How far a tenant's trial has lapsed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Trial {
+    /// Rises with each change. It never falls, whatever becomes of the tenant: gateways only take higher ones.
+    pub step: u64,
+    /// It lapses; else it goes back, or has.
+    pub lapses: bool,
+    /// Stage in force; 0: full pace.
+    pub stage: u32,
+}
+
+impl Trial {
+    /// What an order makes of it, where there are so many stages; the same where it changes nothing.
+    fn after(self, order: TrialOrder, most: u32) -> Trial {
+        let back = self.stage.min(most).saturating_sub(1);
+        let (lapses, stage) = match order {
+            // The direction in force.
+            TrialOrder::Lapse if self.lapses => return self,
+            TrialOrder::Restore if !self.lapses => return self,
+            TrialOrder::Lapse => (true, self.stage.max(1)),
+            TrialOrder::Restore => (false, back),
+            TrialOrder::Stage if self.lapses => (true, (self.stage + 1).min(most.max(self.stage))),
+            TrialOrder::Stage => (false, back),
+        };
+        let changed = (lapses, stage) != (self.lapses, self.stage);
+        Trial { step: self.step + u64::from(changed), lapses, stage }
+    }
+}
+
+/// What a document orders for a tenant's trial; `None`: nothing.
+fn ordered(doc: &Value, tenant: &str) -> Option<TrialOrder> {
+    match doc["trials"][tenant]["state"].as_str()? {
+        "lapsed" => Some(TrialOrder::Lapse),
+        "restored" | "running" => Some(TrialOrder::Restore),
+        _ => None,
+    }
+}
+
 /// What an entry came to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
@@ -87,6 +148,9 @@
     /// How many orders on the core's members were taken, and the last one.
     #[serde(default, skip_serializing_if = "is_none_yet")]
     core: (u64, CoreOrder),
+    /// Trials by tenant, all that ever changed.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    trials: BTreeMap<String, Trial>,
 }
 
 fn is_none_yet(core: &(u64, CoreOrder)) -> bool {
@@ -105,7 +169,9 @@
                 if base != self.version || version <= self.version {
                     return Outcome::Conflict;
                 }
-                (self.version, self.doc) = (version, doc);
+                let before = std::mem::replace(&mut self.doc, doc);
+                self.version = version;
+                self.trials_of(&before);
                 self.taken.push_back(Taken { version, digest });
                 if self.taken.len() > REMEMBERED {
                     self.taken.pop_front();
@@ -120,6 +186,13 @@
             // Each order is made with the ones before it in view: of two made at once the first wins.
             Entry::Core { base, .. } if base != self.core.0 => return Outcome::Conflict,
             Entry::Core { base, order } => self.core = (base + 1, order),
+            // Of an order and a leader's late stage the first holds: the other was made without it in view.
+            Entry::Trial { tenant, base, .. } if base != self.trial(&tenant).step => {
+                return Outcome::Conflict
+            }
+            // An order that was on its way when a configuration took its tenant away.
+            Entry::Trial { tenant, .. } if !self.has_tenant(&tenant) => return Outcome::Conflict,
+            Entry::Trial { tenant, order, most, .. } => self.turn(&tenant, order, most),
             Entry::Gateways { come, gone } => {
                 self.gateways.retain(|life, _| !gone.contains(life));
                 self.gateways.extend(come);
@@ -128,6 +201,48 @@
         Outcome::Taken
     }
 
+    fn turn(&mut self, tenant: &str, order: TrialOrder, most: u32) {
+        let (before, after) = (self.trial(tenant), self.trial(tenant).after(order, most));
+        if before != after {
+            self.trials.insert(tenant.to_owned(), after);
+        }
+    }
+
+    /// Orders that the document in force gives, where the one before gave another, and trials of tenants that are gone.
+    fn trials_of(&mut self, before: &Value) {
+        let named = self.doc["trials"].as_object().into_iter().flat_map(|trials| trials.keys());
+        let orders: Vec<(String, TrialOrder)> = named
+            .filter(|tenant| before["trials"][tenant]["state"] != self.doc["trials"][tenant]["state"])
+            .filter_map(|tenant| Some((tenant.clone(), ordered(&self.doc, tenant)?)))
+            .collect();
+        for (tenant, order) in orders {
+            self.turn(&tenant, order, u32::MAX);
+        }
+        // Its step stays: should there be a tenant of this name again, gateways know higher ones only.
+        let tenants = &self.doc["tenants"];
+        for (_, trial) in self.trials.iter_mut().filter(|(tenant, _)| tenants.get(tenant.as_str()).is_none())
+        {
+            if (trial.lapses, trial.stage) != (false, 0) {
+                *trial = Trial { step: trial.step + 1, ..Trial::default() };
+            }
+        }
+    }
+
+    /// Trials by tenant, all that ever changed.
+    pub fn trials(&self) -> &BTreeMap<String, Trial> {
+        &self.trials
+    }
+
+    /// How far a tenant's trial has lapsed.
+    pub fn trial(&self, tenant: &str) -> Trial {
+        self.trials.get(tenant).copied().unwrap_or_default()
+    }
+
+    /// The configuration in force has this tenant.
+    pub fn has_tenant(&self, tenant: &str) -> bool {
+        self.doc["tenants"].get(tenant).is_some()
+    }
+
     /// This very call was taken before.
     pub fn knows(&self, version: u64, digest: &str) -> bool {
         self.taken.iter().any(|taken| taken.version == version && taken.digest == digest)
@@ -217,4 +332,87 @@
         assert_eq!(back.apply(put(0, 4, "a")), Outcome::Taken, "repeats are known after a snapshot, too");
         assert!(Statutes::from_text("{").is_err());
     }
+
+    fn with(base: u64, version: u64, tenants: &[&str], state: Option<&str>) -> Entry {
+        let named: BTreeMap<&str, Value> = tenants.iter().map(|name| (*name, Value::Null)).collect();
+        let trials = state.map(|state| serde_json::json!({ "peach": { "state": state } }));
+        let doc = serde_json::json!({ "tenants": named, "trials": trials });
+        Entry::Put { base, version, digest: version.to_string(), doc }
+    }
+
+    fn trial(base: u64, order: TrialOrder) -> Entry {
+        Entry::Trial { tenant: "peach".into(), base, order, most: 3 }
+    }
+
+    /// Step, whether it lapses, stage.
+    fn stands(state: &Statutes) -> (u64, bool, u32) {
+        let trial = state.trial("peach");
+        (trial.step, trial.lapses, trial.stage)
+    }
+
+    #[test]
+    fn a_trial_goes_by_one_stage_at_a_time_and_of_two_entries_on_one_step_the_first_holds() {
+        use TrialOrder::{Lapse, Restore, Stage};
+        let mut state = Statutes::default();
+        assert_eq!(state.apply(trial(0, Lapse)), Outcome::Conflict, "no such tenant");
+        state.apply(with(0, 1, &["peach"], None));
+        assert!(
+            !state.to_text().contains("\"lapses\""),
+            "where no trial changed, snapshots are as they were"
+        );
+        assert_eq!((state.apply(trial(0, Restore)), stands(&state)), (Outcome::Taken, (0, false, 0)));
+        assert_eq!((state.apply(trial(0, Stage)), stands(&state)), (Outcome::Taken, (0, false, 0)));
+        for (base, order, then) in [
+            (0, Lapse, (1, true, 1)),
+            (1, Lapse, (1, true, 1)),
+            (1, Stage, (2, true, 2)),
+            (2, Stage, (3, true, 3)),
+            // The last one stays.
+            (3, Stage, (3, true, 3)),
+            (3, Restore, (4, false, 2)),
+            (4, Restore, (4, false, 2)),
+            // Again right after: the stage in force, and up from there.
+            (4, Lapse, (5, true, 2)),
+            (5, Restore, (6, false, 1)),
+            (6, Stage, (7, false, 0)),
+            (7, Stage, (7, false, 0)),
+        ] {
+            assert_eq!(
+                (state.apply(trial(base, order)), stands(&state)),
+                (Outcome::Taken, then),
+                "{order:?}"
+            );
+        }
+        assert_eq!((state.apply(trial(6, Lapse)), stands(&state)), (Outcome::Conflict, (7, false, 0)));
+        let back = Statutes::from_text(&state.to_text()).expect("own text");
+        assert_eq!((stands(&back), &back), ((7, false, 0), &state));
+    }
+
+    #[test]
+    fn a_document_orders_where_it_says_another_thing_than_the_one_before() {
+        let mut state = Statutes::default();
+        let mut put = |version: u64, tenants: &[&str], says: Option<&str>| {
+            assert_eq!(state.apply(with(version - 1, version, tenants, says)), Outcome::Taken);
+            stands(&state)
+        };
+        assert_eq!(put(1, &["peach"], Some("running")), (0, false, 0));
+        assert_eq!(put(2, &["peach"], Some("lapsed")), (1, true, 1));
+        assert_eq!(put(3, &["peach", "plum"], Some("lapsed")), (1, true, 1), "it says what it said");
+        assert_eq!(put(4, &["peach"], None), (1, true, 1), "it says nothing");
+        assert_eq!(put(5, &["peach"], Some("restored")), (2, false, 0));
+        assert_eq!(put(6, &["peach"], Some("lapsed")), (3, true, 1));
+        assert_eq!(put(7, &["plum"], None), (4, false, 0), "the tenant is gone");
+        assert_eq!(put(8, &["peach"], Some("lapsed")), (5, true, 1), "steps never fall");
+        // An operator's order came between: the document repeats nothing.
+        state.apply(trial(5, TrialOrder::Restore));
+        state.apply(with(8, 9, &["peach"], Some("lapsed")));
+        assert_eq!(stands(&state), (6, false, 0));
+    }
+
+    #[test]
+    fn a_curve_with_fewer_stages_than_were_entered_is_left_by_its_own() {
+        let long = Trial { step: 9, lapses: true, stage: 6 };
+        assert_eq!(long.after(TrialOrder::Stage, 2), long);
+        assert_eq!(long.after(TrialOrder::Restore, 2), Trial { step: 10, lapses: false, stage: 1 });
+    }
 }
