--- a/crates/drydock/src/audit.rs
+++ b/crates/drydock/src/audit.rs
@@ -2,7 +2,7 @@
 
 use crate::{Answer, Fact, Node, Question};
 use nickeljunction_manifest::Bounds;
-use nickeljunction_wheelhouse::statutes::{Entry, Statutes};
+use nickeljunction_wheelhouse::statutes::{Entry, Statutes, Trial};
 use std::collections::{BTreeMap, HashMap};
 
 /// A configuration that was acknowledged.
@@ -28,6 +28,32 @@
     pub what: &'static str,
 }
 
+/// A trial changed on the log.
+#[derive(Debug, Clone)]
+pub struct Tide {
+    /// When the first member had it.
+    pub at: u64,
+    /// Whose.
+    pub tenant: String,
+    /// As it stood from then on.
+    pub trial: Trial,
+}
+
+/// A gateway learned of a trial.
+#[derive(Debug, Clone)]
+pub struct Told {
+    /// Who.
+    pub gateway: Node,
+    /// Its process.
+    life: u64,
+    /// Whose.
+    pub tenant: String,
+    /// Step of the log.
+    pub step: u64,
+    /// From when it holds there.
+    pub holds: u64,
+}
+
 /// What was seen, and the rules over it.
 #[derive(Debug, Default)]
 pub struct Audit {
@@ -54,6 +80,12 @@
     pub said: Vec<Said>,
     /// Reads answered.
     pub reads: usize,
+    /// Changes of trials.
+    pub tides: Vec<Tide>,
+    /// What gateways learned of them.
+    pub told: Vec<Told>,
+    /// Orders on trials that were acknowledged.
+    pub trial_acks: usize,
 }
 
 impl Audit {
@@ -71,7 +103,14 @@
                 while let Some((_, data)) = self.committed.get(&(self.applied + 1)) {
                     self.applied += 1;
                     if let Some(data) = data {
+                        let before = self.state.trials().clone();
                         self.state.apply(serde_json::from_str::<Entry>(data).expect("an entry"));
+                        let turned = self.state.trials().iter();
+                        for (tenant, trial) in
+                            turned.filter(|(tenant, trial)| before.get(*tenant) != Some(trial))
+                        {
+                            self.tides.push(Tide { at: now, tenant: tenant.clone(), trial: *trial });
+                        }
                     }
                 }
             }
@@ -106,6 +145,19 @@
                     "seed {seed}, {now} ms: gateway {node} takes keys of {version}: {missed:?}"
                 );
             }
+            Fact::Tide { life, tenant, step, stage, holds } => {
+                let before = self.told.iter().rev().find(|told| told.life == life && told.tenant == tenant);
+                assert!(
+                    before.is_none_or(|told| told.step < step),
+                    "seed {seed}, {now} ms: gateway {node} goes from {before:?} to {step}"
+                );
+                let logged = self.tides.iter().find(|tide| tide.tenant == tenant && tide.trial.step == step);
+                assert!(
+                    logged.is_some_and(|tide| tide.trial.stage == stage),
+                    "seed {seed}, {now} ms: gateway {node} is told step {step}, stage {stage}; the log has {logged:?}"
+                );
+                self.told.push(Told { gateway: node, life, tenant, step, holds });
+            }
             Fact::Spends => self.spent.push((now, node)),
             Fact::Sends(id) => self.sent.push((now, node, id)),
         }
@@ -123,7 +175,10 @@
         self.said.push(Said { at: now, member, what });
         // What a leader tells, lends or takes by its lease alone: nobody else may lead by then. Acknowledgements and reads of
         // the log are bound by more than that, and checked by what they say.
-        let by_lease = !matches!(question, Question::Put(..) | Question::Evacuate(_) | Question::Get);
+        let by_lease = !matches!(
+            question,
+            Question::Put(..) | Question::Evacuate(_) | Question::Trial(..) | Question::Get
+        );
         let newest = self.leaders.iter().max().map(|(term, leader)| (*term, *leader));
         assert!(
             !by_lease || newest.is_some_and(|(_, leader)| leader == member),
@@ -147,6 +202,18 @@
                 self.newest = self.newest.max(version);
             }
             Question::Evacuate(zone) => self.evacuated.push(zone),
+            Question::Trial(tenant, lapse, asked) => {
+                self.trial_acks += 1;
+                // Its direction was in force at some moment between its call and now.
+                let of = self.tides.iter().filter(|tide| tide.tenant == tenant);
+                let then =
+                    of.clone().rev().find(|tide| tide.at < asked).is_some_and(|tide| tide.trial.lapses);
+                let since = of.filter(|tide| tide.at >= asked).map(|tide| tide.trial.lapses);
+                assert!(
+                    [then].into_iter().chain(since).any(|lapses| lapses == lapse),
+                    "seed {seed}, {now} ms: lapse {lapse}, asked at {asked}, was acknowledged and isn't on the log"
+                );
+            }
             _ => {}
         }
     }
--- a/crates/drydock/src/gateway.rs
+++ b/crates/drydock/src/gateway.rs
@@ -3,6 +3,7 @@
 use crate::{host, node_of, Answer, Fact, Node, Out, Packet, Question, TENANT, WINDOW_MS};
 use nickeljunction_berths::{Copy, Leave};
 use nickeljunction_bunker::{Purse, Spend};
+use nickeljunction_ebb::Sluice;
 use nickeljunction_manifest::Bounds;
 use nickeljunction_pilot::lease::Lease;
 use nickeljunction_pilot::seek::Seek;
@@ -40,6 +41,8 @@
     pub purse: Purse,
     /// Its search for the leader.
     pub seek: Seek,
+    /// Trials that lapse.
+    pub sluice: Sluice,
     rng: fastrand::Rng,
     watch: Option<Flight>,
     /// Calls to all who may lead, and whom they asked; while no leader is known.
@@ -76,6 +79,7 @@
             lease: Lease::new(strict, Bounds::usual().revoke_timeout_s * 1_000.0),
             purse: Purse::new(now, format!("g{node}"), life, tuning),
             seek: Seek::new(seeds.to_vec()),
+            sluice: Sluice::default(),
             // Answers to the life before are not taken for its own.
             next_call: rng.u64(..1 << 40),
             rng,
@@ -102,6 +106,12 @@
         self.copy.chart().version()
     }
 
+    /// Step and stage that it goes by.
+    pub fn tide(&self, now: u64) -> (u64, u32) {
+        let standings = self.sluice.clone().standings(now as f64);
+        standings.iter().find(|one| one.tenant == TENANT).map_or((0, 0), |one| (one.step, one.stage))
+    }
+
     /// `Link::ask`.
     fn ask(&mut self, now: u64, to: Node, hold: u64, out: &mut Out) -> Flight {
         self.next_call += 1;
@@ -212,6 +222,12 @@
         if let Some(config) = chart.config.as_ref().filter(|_| applied.config) {
             self.purse.known(now, &limits(&config.doc, &Bounds::usual()));
         }
+        for line in applied.trials {
+            let (tenant, step, stage) = (line.tenant, line.step, line.stage);
+            let news = self.sluice.told(now as f64, &tenant, step, stage, line.in_ms as f64);
+            assert!(news, "gateway {}: step {step} is news to its copy alone", self.node);
+            out.facts.push(Fact::Tide { life: self.life, tenant, step, stage, holds: now + line.in_ms });
+        }
         if applied.core {
             self.seek.known(&chart.core);
         }
--- a/crates/drydock/src/lib.rs
+++ b/crates/drydock/src/lib.rs
@@ -11,7 +11,7 @@
 mod people;
 mod world;
 
-pub use audit::{Acked, Audit, Said};
+pub use audit::{Acked, Audit, Said, Tide, Told};
 pub use gateway::Gateway;
 pub use member::Member;
 pub use people::{Order, People, Server};
@@ -52,6 +52,8 @@
     Put(u64, u64, String, serde_json::Value),
     /// An operator evacuates a zone.
     Evacuate(String),
+    /// An operator has a tenant's trial lapse, or else restores it; asked at this time.
+    Trial(String, bool, u64),
     /// A server says that it lives.
     Beat(String, Beat),
     /// A server says that it is gone.
@@ -103,6 +105,8 @@
     Knows { life: u64, version: u64, at: u64 },
     /// A gateway takes a request, by this version.
     Takes { version: u64 },
+    /// A gateway's life learns of a trial: whose, its step and stage, and from when they hold.
+    Tide { life: u64, tenant: String, step: u64, stage: u32, holds: u64 },
     /// A gateway spends a unit.
     Spends,
     /// A gateway sends to the server of this id.
--- a/crates/drydock/src/member.rs
+++ b/crates/drydock/src/member.rs
@@ -193,7 +193,9 @@
                 wheelhouse::Answer::Conflict(_) => Answer::Conflict,
                 wheelhouse::Answer::Unknown => Answer::Unknown,
                 wheelhouse::Answer::Elsewhere(elsewhere) => elsewhere.into(),
-                unfit @ (wheelhouse::Answer::Wrong(_) | wheelhouse::Answer::Unfit(_)) => {
+                unfit @ (wheelhouse::Answer::Wrong(_)
+                | wheelhouse::Answer::Unfit(_)
+                | wheelhouse::Answer::Missing(_)) => {
                     panic!("{:?}: {unfit:?}", job.question)
                 }
             };
@@ -248,6 +250,10 @@
                 let zone = zone.clone();
                 self.wait(now, job, out, |house| house.zone(now, zone, false));
             }
+            Question::Trial(tenant, lapse, _) => {
+                let (tenant, lapse) = (tenant.clone(), *lapse);
+                self.wait(now, job, out, |house| house.trial(now, tenant, lapse));
+            }
             Question::Units(units) => {
                 let house = self.house.as_mut()?;
                 let answer = match house.units(now, units) {
--- a/crates/drydock/src/world.rs
+++ b/crates/drydock/src/world.rs
@@ -1,10 +1,15 @@
 //! The clock, the network, and what befalls machines.
 
-use crate::{host, Answer, Audit, Gateway, Member, Node, Out, Packet, People, Question};
+use crate::{host, Answer, Audit, Gateway, Member, Node, Out, Packet, People, Question, TENANT};
 use nickeljunction_logbook::{draw_id, first_id, Restored, Tuning};
 use nickeljunction_manifest::value_digest;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+/// A stage of a trial lasts so long, s.
+const STAGE_S: u64 = 2;
+/// Waits of its stages, s.
+const STAGES: [f64; 4] = [0.1, 0.2, 0.4, 0.8];
+
 /// What a world begins with.
 #[derive(Debug, Clone, Copy)]
 pub struct Plan {
@@ -387,6 +392,7 @@
             "config_version": version, "limits": null, "backends": {"b": {}},
             "routes": {"r": {"hostname": "h", "path_prefix": "/", "backend": "b"}},
             "tenants": {"peach": {"api_keys": [format!("k{version}")], "rate_per_s": rate, "burst_size": rate}},
+            "trials": {"peach": {"stages": STAGES.map(|wait_s| serde_json::json!({"for_s": STAGE_S, "wait_s": wait_s}))}},
         })
     }
 
@@ -426,6 +432,11 @@
         }
     }
 
+    /// An operator has the trial lapse, or else restores it, at this member first.
+    pub fn trial(&mut self, to: Node, lapse: bool) -> usize {
+        self.order(to, Question::Trial(TENANT.into(), lapse, self.now))
+    }
+
     /// A server comes up.
     pub fn server(&mut self, id: &str, address: &str, backend: &str, zone: &str) -> usize {
         self.people.server(self.now, id, address, backend, zone)
@@ -439,7 +450,14 @@
     /// All gateways have the newest version, all members the log's state.
     pub fn converged(&self) -> bool {
         let version = self.audit.state.version();
+        let steps = |gateway: &Gateway| {
+            let told = gateway.copy.chart().trials.clone();
+            self.audit.state.trials().iter().all(|(name, trial)| {
+                told.get(name).is_some_and(|(step, stage)| (*step, *stage) == (trial.step, trial.stage))
+            })
+        };
         self.sure_leader().is_some()
+            && self.gateways.iter().all(steps)
             && self.gateways.iter().all(|gateway| gateway.version() == version && gateway.ready(self.now))
             && self.members.iter().all(|member| member.statutes() == Some(&self.audit.state))
     }
--- a/crates/drydock/tests/storms.rs
+++ b/crates/drydock/tests/storms.rs
@@ -60,8 +60,9 @@
     }
 }
 
-/// ms from the calm to a leader, and to all being at one; acknowledgements, reads, units.
-fn storm(seed: u64) -> [u64; 5] {
+/// ms from the calm to a leader, and to all being at one; acknowledgements, reads, units, orders on trials, changes of them,
+/// and how often a gateway learned of one.
+fn storm(seed: u64) -> [u64; 8] {
     let mut dice = fastrand::Rng::with_seed(seed);
     let members = if seed.is_multiple_of(3) { 5 } else { 3 };
     let seeds = if members == 5 && dice.bool() { 3 } else { members };
@@ -97,6 +98,13 @@
                     world.order(to, Question::Evacuate(zone));
                 }
             }
+            8 => {
+                // Two operators, of one mind or not.
+                let (lapse, again) = (world.rng.bool(), world.rng.bool());
+                world.trial(to, lapse);
+                let to = world.rng.usize(..members);
+                world.trial(to, again);
+            }
             _ => {}
         }
         let ms = world.rng.u64(..250);
@@ -115,7 +123,9 @@
     let (most, cap) = (world.audit.most_units(WINDOW_MS), cap());
     assert!(most <= cap, "seed {seed}: {most} units of {cap} in a window");
     let audit = &world.audit;
-    [led, at_one, audit.acked.len() as u64, audit.reads as u64, audit.spent.len() as u64]
+    let of = [audit.acked.len(), audit.reads, audit.spent.len(), audit.tides.len(), audit.told.len()];
+    let [acked, reads, spent, tides, told] = of.map(|count| count as u64);
+    [led, at_one, acked, reads, spent, audit.trial_acks as u64, tides, told]
 }
 
 fn cap() -> u64 {
@@ -142,6 +152,8 @@
     let sum = |field: usize| seen.iter().map(|one| one[field]).sum::<u64>();
     println!("{of}: to a leader, ms (median, 99%, most): {:?}; to all at one: {:?}", median(0), median(1));
     println!("{of}: {} acknowledged, {} reads, {} units", sum(2), sum(3), sum(4));
+    println!("{of}: {} orders on trials, {} changes, learned {} times", sum(5), sum(6), sum(7));
+    assert!(sum(5) > STORMS && sum(7) > sum(6), "the storms slowed nobody");
     assert!(median(0).0 <= 1_500, "leaders take long");
     assert!(sum(2) > STORMS && sum(3) > STORMS, "the storms left nothing to check");
 }
