--- a/crates/wheelhouse/tests/member.rs
+++ b/crates/wheelhouse/tests/member.rs
@@ -3,7 +3,9 @@
 use nickeljunction_berths::Beat;
 use nickeljunction_logbook::{first_id, Envelope, Restored, Tuning};
 use nickeljunction_manifest::Bounds;
-use nickeljunction_signals::{Caller, GatewayLine, Member, ServerState, TenantUnits, UnitsCall, WatchCall};
+use nickeljunction_signals::{
+    Caller, EbbCall, GatewayLine, Member, ServerState, TenantUnits, UnitsCall, WatchCall,
+};
 use nickeljunction_wheelhouse::{Answer, Change, Held, Lent, Place, Ticket, Wheelhouse};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
@@ -201,10 +203,63 @@
     assert!(house.leads().is_some());
     assert!(house.watch(now, &watch(7), &held).is_err());
     assert!(house.units(now, &units(house, 7, 1)).is_err());
+    assert!(house.ebb(now, &EbbCall::default()).is_err());
     assert!(house.beat(now, "i-2", &beat()).is_err());
     assert!(house.come_round(now, &round).is_err(), "not even for want of time");
 }
 
+/// Two gateways ask in turn, each with its demand; gives their shares and the pace that the leader tells.
+fn shares(core: &mut Core, seq: u64) -> (Vec<f64>, Option<f64>) {
+    let leader = core.leader();
+    for life in [1, 2] {
+        let call = WatchCall { name: format!("edge-{life}"), ..watch(life) };
+        core.at(leader, |house, now| house.called(now, &call)).expect("it leads");
+    }
+    let mut ask = |life: u64, demand: f64| {
+        let demand = BTreeMap::from([("peach".to_string(), demand)]);
+        let call = EbbCall { name: format!("edge-{life}"), life, seq, demand, ..EbbCall::default() };
+        let answer = core.at(leader, |house, now| house.ebb(now, &call)).expect("it leads");
+        answer.shares.get("peach").copied()
+    };
+    let shares = [ask(1, 30.0), ask(2, 60.0)].into_iter().flatten().collect();
+    (shares, core.houses[leader].trials(core.now)["peach"].pace)
+}
+
+#[test]
+fn a_slowed_tenants_pace_is_shared_out_by_the_leader_and_nothing_of_it_is_kept_for_the_next() {
+    let mut core = Core::new(11);
+    let leader = core.leader();
+    let mut doc = document(2);
+    doc["trials"] = serde_json::json!({"peach": {"stages": [{"for_s": 2, "wait_s": 0.1},
+        {"for_s": 60, "wait_s": 0.2, "pace": 0.9}, {"for_s": 60, "wait_s": 0.4, "pace": 0.5}]}});
+    core.send(leader, false, Some(1), &doc);
+    core.run(50);
+    assert_eq!(shares(&mut core, 1), (vec![], None));
+    let [gone, ticket] =
+        ["plum", "peach"].map(|tenant| core.at(leader, |house, now| house.trial(now, tenant.into(), true)));
+    core.run(50);
+    assert!(matches!(core.answered(gone), Some(Answer::Missing(wants)) if wants.contains("plum")));
+    assert_eq!(core.answered(ticket), Some(Answer::Taken));
+    core.run(2_100);
+    assert_eq!(shares(&mut core, 2), (vec![45.0, 45.0], Some(90.0)), "even before it knows more");
+    let all: f64 = (3..20)
+        .map(|seq| {
+            core.run(500);
+            shares(&mut core, seq).0.iter().sum()
+        })
+        .fold(0.0, f64::max);
+    assert!(all <= 90.0 + 1e-9, "{all}");
+    let known = shares(&mut core, 20).0;
+    assert!(known[1] > 1.5 * known[0], "{known:?}");
+    core.cut.insert(leader);
+    core.run(3_000);
+    assert_ne!(core.leader(), leader);
+    assert_eq!(shares(&mut core, 21).0, [45.0, 45.0], "the next one has heard nobody yet");
+    let next = core.leader();
+    let view = core.houses[next].trials(core.now)["peach"].clone();
+    assert!(view.stage == 2 && view.next_in_s.is_some_and(|next| next > 56.0), "counted anew: {view:?}");
+}
+
 #[test]
 fn an_enrolment_lost_with_the_lead_lends_nothing() {
     let mut core = Core::new(7);
