Let operators lapse and restore a tenant's trial at the core

Cause: stages were on the log and nobody could order them. Change: /-/trials and /-/trials/TENANT (307 to the leader, 404 naming the tenant), the inner call /ebb, event=trial in the log, and the figure harbourmaster_trial_stage{tenant}.

--- a/crates/harbourmaster/src/helm.rs
+++ b/crates/harbourmaster/src/helm.rs
@@ -11,11 +11,14 @@
 use nickeljunction_berths::{Applied, Beat, Copy, Refused};
 use nickeljunction_chandler::wheel::Wheel;
 use nickeljunction_logbook::Envelope;
-use nickeljunction_signals::{Elsewhere, GatewayLine, UnitsAnswer, UnitsCall, WatchAnswer, WatchCall};
+use nickeljunction_signals::{
+    EbbAnswer, EbbCall, Elsewhere, GatewayLine, UnitsAnswer, UnitsCall, WatchAnswer, WatchCall,
+};
 use nickeljunction_wheelhouse::{
-    Answer, Change, CoreView, Effects, Held, Lent, Place, Round, Ticket, Wheelhouse, Wish,
+    Answer, Change, CoreView, Effects, Held, Lent, Place, Round, Ticket, TrialView, Wheelhouse, Wish,
 };
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use tokio::sync::{mpsc, oneshot, Notify};
 
@@ -221,6 +224,16 @@
         self.wait(|house, now| house.zone(now, zone.to_owned(), back)).await
     }
 
+    /// A tenant's trial is to lapse, or else to be restored.
+    pub async fn trial(&self, tenant: &str, lapse: bool) -> Answer {
+        self.wait(|house, now| house.trial(now, tenant.to_owned(), lapse)).await
+    }
+
+    /// The trials of all tenants as this member, which leads, sees them.
+    pub fn trials(&self) -> BTreeMap<String, TrialView> {
+        self.house.borrow().trials(self.now())
+    }
+
     // ---- For who may ask only a leader; errors: this member doesn't lead, or is not sure of it ----
 
     /// Counted adds of a gateway.
@@ -250,6 +263,14 @@
         }
     }
 
+    /// A gateway asks for its shares of paces.
+    ///
+    /// # Errors
+    /// See above.
+    pub fn ebb(&self, call: &EbbCall) -> Result<EbbAnswer, Elsewhere> {
+        self.turn(|house, now| house.ebb(now, call))
+    }
+
     /// A watch call came.
     ///
     /// # Errors
--- a/crates/harbourmaster/src/helm/metrics.rs
+++ b/crates/harbourmaster/src/helm/metrics.rs
@@ -99,6 +99,14 @@
             "Zones that are evacuated.",
             statutes.evacuated().len() as f64,
         );
+        page.figure(
+            "harbourmaster_trial_stage",
+            gauge,
+            "Stage of a tenant's trial that ever changed; 0: full pace.",
+        );
+        for (tenant, trial) in statutes.trials().iter().take(MOST_LABELLED) {
+            page.value(&[("tenant", tenant)], f64::from(trial.stage));
+        }
         page.figure("harbourmaster_messages_total", Kind::Counter, "Messages between members.");
         page.value(&[("way", "in")], self.syncs.heard.get() as f64);
         page.value(&[("way", "out")], self.peers.sent() as f64);
@@ -206,7 +214,7 @@
     /// Operators' boards go by these.
     const NAMES: &str = "harbourmaster_term harbourmaster_leads harbourmaster_commit harbourmaster_applied \
         harbourmaster_members harbourmaster_quorum_age_seconds harbourmaster_member_behind \
-        harbourmaster_config_version harbourmaster_evacuated_zones harbourmaster_messages_total \
+        harbourmaster_config_version harbourmaster_evacuated_zones harbourmaster_trial_stage harbourmaster_messages_total \
         harbourmaster_disk_sick harbourmaster_writes_failed_total harbourmaster_sync_seconds_count \
         harbourmaster_sync_seconds_sum harbourmaster_sync_seconds_max harbourmaster_servers harbourmaster_gateways \
         harbourmaster_gateway_config_version harbourmaster_units_cap harbourmaster_units_lent \
--- a/crates/harbourmaster/src/resources/config.rs
+++ b/crates/harbourmaster/src/resources/config.rs
@@ -48,7 +48,7 @@
                 Response::error(503, "not known to be taken: repeat it unchanged").with("Retry-After", "0.2")
             }
             Answer::Elsewhere(elsewhere) => go_to(&self.0, call, &elsewhere),
-            Answer::Confirmed | Answer::Units(_) | Answer::Unfit(_) => {
+            Answer::Confirmed | Answer::Units(_) | Answer::Unfit(_) | Answer::Missing(_) => {
                 go_to(&self.0, call, &self.0.elsewhere())
             }
         }
--- a/crates/harbourmaster/src/resources/inner.rs
+++ b/crates/harbourmaster/src/resources/inner.rs
@@ -1,10 +1,10 @@
-//! Inner calls: the agreement's messages, watch calls and counted adds.
+//! Inner calls: the agreement's messages, watch calls, counted adds and shares of paces.
 
 use super::json;
 use crate::helm::Helm;
 use nickeljunction_chandler::desk::{Answering, Call, Resource, Response};
 use nickeljunction_logbook::Envelope;
-use nickeljunction_signals::{Elsewhere, UnitsCall, WatchAnswer, WatchCall};
+use nickeljunction_signals::{EbbCall, Elsewhere, UnitsCall, WatchAnswer, WatchCall};
 use nickeljunction_wheelhouse::Held as Hold;
 use serde::de::DeserializeOwned;
 use std::rc::Rc;
@@ -59,6 +59,22 @@
     }
 }
 
+/// `/ebb`: shares of the paces of tenants whose trial lapses.
+pub struct Ebb(pub Rc<Helm>);
+
+impl Resource for Ebb {
+    fn handle<'a>(&'a self, call: Call) -> Answering<'a> {
+        Box::pin(async move {
+            let answer = read::<EbbCall>(&call).map(|call| self.0.ebb(&call));
+            match answer {
+                Ok(Ok(answer)) => json(200, &answer),
+                Ok(Err(elsewhere)) => misdirected(&elsewhere),
+                Err(response) => response,
+            }
+        })
+    }
+}
+
 /// `/watch`: what is new.
 pub struct Watch(pub Rc<Helm>);
 
--- a/crates/harbourmaster/src/resources/mod.rs
+++ b/crates/harbourmaster/src/resources/mod.rs
@@ -6,6 +6,7 @@
 pub mod inner;
 pub mod instances;
 pub mod status;
+pub mod trials;
 
 use crate::helm::Helm;
 use nickeljunction_chandler::desk::{percent_decoded, Call, Response};
@@ -20,6 +21,8 @@
 pub const EVACUATIONS: &str = "/-/evacuations";
 /// Who is a member of the core; under it hosts become members, or cease to be.
 pub const CORE: &str = "/-/core";
+/// How far tenants' trials have lapsed; under it they lapse and are restored.
+pub const TRIALS: &str = "/-/trials";
 /// What operators see of a member.
 pub const STATUS: &str = "/-/status";
 
--- a/crates/harbourmaster/src/serve.rs
+++ b/crates/harbourmaster/src/serve.rs
@@ -2,7 +2,7 @@
 
 use crate::helm::{Helm, Ports};
 use crate::peers::Peers;
-use crate::resources::{self, config, core, evacuations, inner, instances, status};
+use crate::resources::{self, config, core, evacuations, inner, instances, status, trials};
 use crate::store::LOGBOOK;
 use crate::{disk, follow, hint};
 use nickeljunction_chandler::caller::Caller;
@@ -143,12 +143,14 @@
     let control = Desk::new(wheel.clone(), Limits { body: MOST_DOCUMENT, ..Limits::default() })
         .route(resources::CONFIG, Rc::new(config::Config(helm.clone())))
         .route(resources::CORE, Rc::new(core::Core(helm.clone())))
+        .route(resources::TRIALS, Rc::new(trials::Trials(helm.clone())))
         .route(resources::EVACUATIONS, Rc::new(evacuations::Evacuations(helm.clone())))
         .route(resources::INSTANCES, Rc::new(instances::Instances(helm.clone())))
         .route(resources::STATUS, Rc::new(status::Status(helm.clone())));
     let inner_desk = Desk::new(wheel.clone(), Limits { body: MOST_INNER, ..Limits::default() })
         .route(path::LOGBOOK, Rc::new(inner::Messages(helm.clone())))
         .route(path::WATCH, Rc::new(inner::Watch(helm.clone())))
+        .route(path::EBB, Rc::new(inner::Ebb(helm.clone())))
         .route(path::UNITS, Rc::new(inner::Units(helm.clone())));
     let desks = vec![
         (listen("control", addresses.control).await?, Rc::new(control)),
--- a/crates/harbourmaster/src/tell.rs
+++ b/crates/harbourmaster/src/tell.rs
@@ -32,6 +32,11 @@
             let method = if *back { "DELETE" } else { "POST" };
             log::info!("event=evacuation method={method} zone={zone}");
         }
+        Event::Trial { tenant, trial } => {
+            let direction = if trial.lapses { "rising" } else { "falling" };
+            let (step, stage) = (trial.step, trial.stage);
+            log::info!("event=trial tenant={tenant:?} step={step} stage={stage} direction={direction}");
+        }
         Event::ProposalRefused { error } => log::warn!("event=proposal_refused error={error:?}"),
         Event::SnapshotUnreadable { index, error } => {
             log::error!("event=snapshot_unreadable index={index} error={error:?}");
