--- a/crates/bosun/src/completion.rs
+++ b/crates/bosun/src/completion.rs
@@ -17,7 +17,9 @@
         if let Some(name) = line.strip_prefix("bosun ") {
             // A command's own commands are words like its flags.
             if let Some((_, own)) = name.split_once(' ') {
-                all.last_mut().into_iter().for_each(|words| words.flags.push(own.to_string()));
+                // One that has two names is told with both.
+                let own: Vec<String> = own.split(" | ").map(String::from).collect();
+                all.last_mut().into_iter().for_each(|words| words.flags.extend(own.clone()));
                 continue;
             }
             all.push(Words { name: name.to_string(), flags: Vec::new() });
@@ -120,6 +122,8 @@
                 );
             }
         }
+        let trial = script("bash").unwrap();
+        assert!(trial.contains("trial) words=\"lapse restore state status plan --config\""), "{trial}");
         assert_eq!(script("tcsh"), None);
     }
 }
--- a/crates/bosun/src/flags.rs
+++ b/crates/bosun/src/flags.rs
@@ -83,6 +83,31 @@
                 required new: String
             }
         }
+        /// Tenants' trials: one that lapses is slowed stage by stage, one that is restored goes back the same way.
+        cmd trial {
+            /// Has a tenant's trial lapse.
+            cmd lapse {
+                /// The tenant.
+                required tenant: String
+            }
+            /// Takes that back.
+            cmd restore {
+                /// The tenant.
+                required tenant: String
+            }
+            /// Shows how far trials have lapsed, as the leader sees them.
+            cmd state status {
+                /// This tenant alone.
+                optional tenant: String
+            }
+            /// Shows what each stage of a tenant's trial does.
+            cmd plan {
+                /// The tenant.
+                required tenant: String
+                /// A configuration, in the place of the one that is in place.
+                optional --config file: PathBuf
+            }
+        }
         /// Tells what becomes of a request: its route, tenant, homes, quota, and which servers may be asked and why.
         cmd explain {
             /// Its host name.
--- a/crates/bosun/src/lib.rs
+++ b/crates/bosun/src/lib.rs
@@ -9,6 +9,7 @@
 mod standing;
 mod status;
 mod tour;
+mod trial;
 mod watch;
 mod wire;
 
@@ -219,6 +220,7 @@
             BosunCmd::Return(back) => self.evacuation("DELETE", &back.zone),
             BosunCmd::Status(status) => self.status(status.strict),
             BosunCmd::Core(told) => core::carry_out(&told.subcommand, &self.tour()?),
+            BosunCmd::Trial(told) => self.trial(&told.subcommand),
             BosunCmd::Explain(told) => self.explain(told),
             BosunCmd::Completion(told) => {
                 let script = completion::script(&told.shell);
@@ -341,6 +343,28 @@
         Ok(Shown::line(format!("zone {zone} {text}, says {}", answer.by), json))
     }
 
+    fn trial(&mut self, command: &flags::TrialCmd) -> Result<Shown, Trouble> {
+        match command {
+            flags::TrialCmd::Lapse(told) => trial::order(&self.tour()?, "POST", &told.tenant),
+            flags::TrialCmd::Restore(told) => trial::order(&self.tour()?, "DELETE", &told.tenant),
+            flags::TrialCmd::State(told) => trial::status(&self.tour()?, told.tenant.as_deref()),
+            flags::TrialCmd::Plan(told) => {
+                let (name, document) = match &told.config {
+                    Some(file) => {
+                        let (name, bytes) = self.file(file)?;
+                        let document = Document::read(&bytes);
+                        (name.clone(), document.map_err(|problem| Trouble::Input(name, problem))?)
+                    }
+                    None => {
+                        let (document, by) = in_place(&self.tour()?)?.ok_or(Trouble::NothingInPlace)?;
+                        (format!("the configuration in place at {by}"), document)
+                    }
+                };
+                trial::plan(&name, document.config(), &told.tenant)
+            }
+        }
+    }
+
     /// What the commands need that serve instead of ordering.
     fn server(&self, told: &flags::StandIn) -> Result<io::Result<Arc<demo::Server>>, Trouble> {
         let control = self.tour()?.addresses;
--- a/crates/bosun/tests/orders.rs
+++ b/crates/bosun/tests/orders.rs
@@ -363,3 +363,65 @@
     assert!(end.code == FAILED && end.err.contains("2 members would be left"), "{}", end.err);
     assert_eq!(order(&format!("--at {at} core add core-4"), &Value::Null).code, BAD_INPUT);
 }
+
+#[test]
+fn a_trial_is_ordered_and_shown_and_a_tenant_that_is_not_there_is_named() {
+    let view = json!({"step": 1, "stage": 1, "stages": 6, "direction": "rising", "state": "lapsing", "next_in_s": 600.0,
+        "pace": 100.0, "shares": {"edge-1": 60.5}});
+    let (at, heard) = control(vec![say(200, view.clone())]);
+    let end = order(&format!("--at {at} trial lapse peach%20tree"), &Value::Null);
+    assert_eq!(
+        (end.code, heard.recv().unwrap().line),
+        (DONE, "POST /-/trials/peach%2520tree".into()),
+        "{}",
+        end.err
+    );
+    assert!(end.out.contains("lapsing  1 of 6  in 600.0 s"), "{}", end.out);
+    let (at, heard) = control(vec![say(200, view.clone())]);
+    let shown = order(&format!("--at {at} --json trial restore peach"), &Value::Null).json();
+    assert_eq!(heard.recv().unwrap().line, "DELETE /-/trials/peach");
+    assert_eq!((&shown["ok"], &shown["tenant"], &shown["stage"]), (&json!(true), &json!("peach"), &json!(1)));
+
+    let (at, _heard) = control(vec![say(200, json!({"peach": view})), say(200, json!({"peach": view}))]);
+    let end = order(&format!("--at {at} trial status"), &Value::Null);
+    assert!(end.out.contains("peach: edge-1 lets 60.5 a second pass"), "{}", end.out);
+    let end = order(&format!("--at {at} trial status plum"), &Value::Null);
+    assert_eq!(end.code, BAD_INPUT);
+    assert!(
+        end.err.contains("\"plum\" is no tenant") && end.err.contains("wants one of peach"),
+        "{}",
+        end.err
+    );
+
+    let missing = || say(404, json!({"error": "\"plum\" is no tenant"}));
+    let (at, _heard) = control((0..3).map(|_| missing()).collect());
+    let end = order(&format!("--at {at} trial lapse plum"), &Value::Null);
+    assert_eq!(end.code, FAILED);
+    assert!(end.err.contains("404") && end.err.contains("plum"), "{}", end.err);
+}
+
+#[test]
+fn a_plan_tells_each_stage_from_when_it_holds() {
+    let doc = json!({"config_version": 1, "limits": null, "backends": {"b": {}},
+        "routes": {"r": {"hostname": "h", "path_prefix": "/", "backend": "b"}},
+        "tenants": {"peach": {"api_keys": ["k"], "rate_per_s": 100, "burst_size": 100},
+            "plum": {"api_keys": ["l"]}},
+        "trials": {"peach": {"stages": [{"for_s": 30, "wait_s": 0.2}, {"for_s": 60, "wait_s": 0.4, "pace": 0.5}]}}});
+    let end = order("trial plan peach --config -", &doc);
+    let rows: Vec<String> =
+        end.out.lines().map(|line| line.split_whitespace().collect::<Vec<_>>().join(" ")).collect();
+    assert_eq!(
+        rows[1..3],
+        ["1 0 s 0.2 s 0.05 s 100.0 a second", "2 30 s 0.4 s 0.1 s 50.0 a second"],
+        "{}",
+        end.err
+    );
+    // Without a limit there is no pace, and without a trial the usual stages hold.
+    let shown = order("--json trial plan plum --config -", &doc).json();
+    assert_eq!(shown["stages"].as_array().map(Vec::len), Some(6));
+    assert_eq!(shown["stages"][5]["pace_per_s"], Value::Null);
+    assert_eq!(shown["stages"][1]["from_s"], json!(600.0));
+    let end = order("trial plan pear --config -", &doc);
+    assert_eq!(end.code, BAD_INPUT);
+    assert!(end.err.contains("wants one of peach, plum"), "{}", end.err);
+}
