--- a/crates/harbourmaster/src/resources/inner.rs
+++ b/crates/harbourmaster/src/resources/inner.rs
@@ -148,7 +148,7 @@
 }
 
 #[cfg(test)]
-mod tests {
+pub(crate) mod tests {
     use super::*;
     use crate::disk::Job;
     use crate::helm::Ports;
@@ -164,7 +164,7 @@
     use tokio::sync::mpsc;
 
     /// A core of one that comes back with its disk: it leads once its vote and first entry are written.
-    fn alone() -> (Rc<Helm>, mpsc::UnboundedReceiver<Job>) {
+    pub(crate) fn alone() -> (Rc<Helm>, mpsc::UnboundedReceiver<Job>) {
         let me = Member { id: first_id("127.0.0.1"), host: "127.0.0.1".into() };
         let first = Snapshot { index: 0, term: 0, members: vec![me.clone()], state: String::new() };
         let restored =
--- a/crates/harbourmaster/src/resources/trials.rs
+++ b/crates/harbourmaster/src/resources/trials.rs
@@ -51,3 +51,82 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::disk::Job;
+    use crate::resources::inner::{tests::alone, Ebb};
+    use nickeljunction_wheelhouse::Change;
+    use serde_json::{json, Value};
+
+    async fn ask(resource: &dyn Resource, method: &str, target: &str, body: Value) -> (u16, Value) {
+        let call = Call {
+            method: method.into(),
+            target: target.into(),
+            headers: Default::default(),
+            body: body.to_string().into(),
+            peer: ([127, 0, 0, 1], 1).into(),
+        };
+        let response = resource.handle(call).await;
+        (response.status, serde_json::from_slice(&response.body).unwrap_or_default())
+    }
+
+    #[test]
+    fn a_trial_is_ordered_shown_and_shared_out_over_its_paths() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let (helm, mut jobs) = alone();
+            let trials = Trials(helm.clone());
+            let (status, _) = ask(&trials, "POST", "/-/trials/peach", Value::Null).await;
+            assert_eq!(status, 503, "nobody leads yet");
+            tokio::task::spawn_local(helm.wheel().clone().run());
+            tokio::task::spawn_local(helm.clone().run());
+            let disk = helm.clone();
+            tokio::task::spawn_local(async move {
+                while let Some(job) = jobs.recv().await {
+                    if let Job::Log(write) = job {
+                        disk.written(write.ticket, true, 0);
+                    }
+                }
+            });
+            let doc = json!({"config_version": 1, "limits": null, "backends": {"b": {}},
+                "routes": {"r": {"hostname": "h", "path_prefix": "/", "backend": "b"}},
+                "tenants": {"peach": {"api_keys": ["k"], "rate_per_s": 100, "burst_size": 100}}});
+            let put = || Change { patch: false, base: Some(0), body: doc.to_string().into() };
+            loop {
+                let changed = helm.changed.notified();
+                tokio::pin!(changed);
+                changed.as_mut().enable();
+                if helm.change(put()).await == Answer::Taken {
+                    break;
+                }
+                changed.await;
+            }
+            let (status, all) = ask(&trials, "GET", "/-/trials", Value::Null).await;
+            assert_eq!(
+                (status, &all["peach"]["state"], &all["peach"]["step"]),
+                (200, &json!("running"), &json!(0))
+            );
+            for (method, state, stage) in
+                [("POST", "lapsing", 1), ("DELETE", "restored", 0), ("POST", "lapsing", 1)]
+            {
+                let (status, view) = ask(&trials, method, "/-/trials/peach", Value::Null).await;
+                assert_eq!((status, &view["state"], &view["stage"]), (200, &json!(state), &json!(stage)));
+            }
+            let call = json!({"name": "edge-1", "i": 7, "q": 1, "d": {"peach": 5.0, "plum": 1.0}});
+            let (status, answer) = ask(&Ebb(helm.clone()), "POST", "/ebb", call).await;
+            assert_eq!((status, &answer["s"]), (200, &json!({"peach": 100.0})), "{answer}");
+            let (_, all) = ask(&trials, "GET", "/-/trials", Value::Null).await;
+            assert_eq!(all["peach"]["shares"], json!({"edge-1": 100.0}));
+            let (status, error) = ask(&trials, "POST", "/-/trials/plum", Value::Null).await;
+            assert!(
+                status == 404 && error["error"].as_str().is_some_and(|text| text.contains("plum")),
+                "{error}"
+            );
+            for (method, target) in [("PUT", "/-/trials/peach"), ("POST", "/-/trials")] {
+                assert_eq!(ask(&trials, method, target, Value::Null).await.0, 405);
+            }
+        });
+    }
+}
