--- a/crates/berths/tests/reference.rs
+++ b/crates/berths/tests/reference.rs
@@ -370,7 +370,7 @@
         let call = gateway.copy.ask(Caller::Gateway, name, gateway.life, told, 1_000);
         self.harbour.register.called(now, &call);
         self.reference.gateways.insert(name.into(), (now + KEEPS_MS, ready, Some(call.life)));
-        let answer = self.harbour.register.answer(&call, 0);
+        let answer = self.harbour.register.answer(self.harbour.now, &call, 0);
         let answer = answer.unwrap_or_else(|| self.harbour.register.nothing(0));
         self.answers.push(answer.clone());
         let (before, turn) = (gateway.copy.chart(), gateway.copy.term() < answer.term);
--- a/crates/drydock/src/audit.rs
+++ b/crates/drydock/src/audit.rs
@@ -2,7 +2,7 @@
 
 use crate::{Answer, Fact, Node, Question};
 use nickeljunction_manifest::Bounds;
-use nickeljunction_wheelhouse::statutes::{CoreOrder, Entry, Statutes};
+use nickeljunction_wheelhouse::statutes::{CoreOrder, Entry, Statutes, Trial};
 use nickeljunction_wheelhouse::Wish;
 use std::collections::{BTreeMap, HashMap};
 
@@ -29,6 +29,34 @@
     pub what: &'static str,
 }
 
+/// A trial changed on the log.
+#[derive(Debug, Clone)]
+pub struct Tide {
+    /// When the first member had it.
+    pub at: u64,
+    /// Whose.
+    pub tenant: String,
+    /// As it stood from then on.
+    pub trial: Trial,
+}
+
+/// A gateway learned of a trial.
+#[derive(Debug, Clone)]
+pub struct Told {
+    /// When.
+    pub at: u64,
+    /// Who.
+    pub gateway: Node,
+    /// Its process.
+    life: u64,
+    /// Whose.
+    pub tenant: String,
+    /// Step of the log.
+    pub step: u64,
+    /// From when it holds there.
+    pub holds: u64,
+}
+
 /// What was seen, and the rules over it.
 #[derive(Debug, Default)]
 pub struct Audit {
@@ -59,6 +87,12 @@
     pub said: Vec<Said>,
     /// Reads answered.
     pub reads: usize,
+    /// Changes of trials.
+    pub tides: Vec<Tide>,
+    /// What gateways learned of them.
+    pub told: Vec<Told>,
+    /// Orders on trials that were acknowledged.
+    pub trial_acks: usize,
 }
 
 impl Audit {
@@ -76,11 +110,18 @@
                 while let Some((_, data)) = self.committed.get(&(self.applied + 1)) {
                     self.applied += 1;
                     if let Some(data) = data {
+                        let before = self.state.trials().clone();
                         self.state.apply(serde_json::from_str::<Entry>(data).expect("an entry"));
                         let (number, order) = self.state.core();
                         if number as usize > self.orders.len() {
                             self.orders.push(order.clone());
                         }
+                        let turned = self.state.trials().iter();
+                        for (tenant, trial) in
+                            turned.filter(|(tenant, trial)| before.get(*tenant) != Some(trial))
+                        {
+                            self.tides.push(Tide { at: now, tenant: tenant.clone(), trial: *trial });
+                        }
                     }
                 }
             }
@@ -115,6 +156,19 @@
                     "seed {seed}, {now} ms: gateway {node} takes keys of {version}: {missed:?}"
                 );
             }
+            Fact::Tide { life, tenant, step, stage, holds } => {
+                let before = self.told.iter().rev().find(|told| told.life == life && told.tenant == tenant);
+                assert!(
+                    before.is_none_or(|told| told.step < step),
+                    "seed {seed}, {now} ms: gateway {node} goes from {before:?} to {step}"
+                );
+                let logged = self.tides.iter().find(|tide| tide.tenant == tenant && tide.trial.step == step);
+                assert!(
+                    logged.is_some_and(|tide| tide.trial.stage == stage),
+                    "seed {seed}, {now} ms: gateway {node} is told step {step}, stage {stage}; the log has {logged:?}"
+                );
+                self.told.push(Told { at: now, gateway: node, life, tenant, step, holds });
+            }
             Fact::Spends => self.spent.push((now, node)),
             Fact::Sends(id) => self.sent.push((now, node, id)),
         }
@@ -134,7 +188,11 @@
         // the log are bound by more than that, and checked by what they say.
         let by_lease = !matches!(
             question,
-            Question::Put(..) | Question::Evacuate(_) | Question::Core(_) | Question::Get
+            Question::Put(..)
+                | Question::Evacuate(_)
+                | Question::Core(_)
+                | Question::Trial(..)
+                | Question::Get
         );
         let newest = self.leaders.iter().max().map(|(term, leader)| (*term, *leader));
         assert!(
@@ -173,6 +231,18 @@
                 assert!(agreed, "seed {seed}, {now} ms: {wish:?} was acknowledged and isn't on the log");
                 self.ordered += 1;
             }
+            Question::Trial(tenant, lapse, asked) => {
+                self.trial_acks += 1;
+                // Its direction was in force at some moment between its call and now.
+                let of = self.tides.iter().filter(|tide| tide.tenant == tenant);
+                let then =
+                    of.clone().rev().find(|tide| tide.at < asked).is_some_and(|tide| tide.trial.lapses);
+                let since = of.filter(|tide| tide.at >= asked).map(|tide| tide.trial.lapses);
+                assert!(
+                    [then].into_iter().chain(since).any(|lapses| lapses == lapse),
+                    "seed {seed}, {now} ms: lapse {lapse}, asked at {asked}, was acknowledged and isn't on the log"
+                );
+            }
             _ => {}
         }
     }
--- a/crates/drydock/src/member.rs
+++ b/crates/drydock/src/member.rs
@@ -200,7 +200,9 @@
                 wheelhouse::Answer::Unknown => Answer::Unknown,
                 wheelhouse::Answer::Elsewhere(elsewhere) => elsewhere.into(),
                 wheelhouse::Answer::Unfit(_) if matches!(job.question, Question::Core(_)) => Answer::Unfit,
-                unfit @ (wheelhouse::Answer::Wrong(_) | wheelhouse::Answer::Unfit(_)) => {
+                unfit @ (wheelhouse::Answer::Wrong(_)
+                | wheelhouse::Answer::Unfit(_)
+                | wheelhouse::Answer::Missing(_)) => {
                     panic!("{:?}: {unfit:?}", job.question)
                 }
             };
@@ -259,6 +261,10 @@
                 let wish = wish.clone();
                 self.wait(now, job, out, |house| house.order(now, wish));
             }
+            Question::Trial(tenant, lapse, _) => {
+                let (tenant, lapse) = (tenant.clone(), *lapse);
+                self.wait(now, job, out, |house| house.trial(now, tenant, lapse));
+            }
             Question::Units(units) => {
                 let house = self.house.as_mut()?;
                 let answer = match house.units(now, units) {
--- a/crates/drydock/tests/storms.rs
+++ b/crates/drydock/tests/storms.rs
@@ -72,8 +72,9 @@
     }
 }
 
-/// ms from the calm to a leader, and to all being at one; acknowledgements, reads, units, orders, and members that are away.
-fn storm(seed: u64) -> [u64; 7] {
+/// ms from the calm to a leader, and to all being at one; acknowledgements, reads, units, orders, members that are away; orders
+/// on trials, changes of them, and how often a gateway learned of one.
+fn storm(seed: u64) -> [u64; 10] {
     let mut dice = fastrand::Rng::with_seed(seed);
     let members = [5, 3, 4][(seed % 3) as usize];
     let seeds = if members == 4 || (members == 5 && dice.bool()) { 3 } else { members };
@@ -113,6 +114,13 @@
                 let wish = wish(&mut world);
                 world.order(to, Question::Core(wish));
             }
+            9 => {
+                // Two operators, of one mind or not.
+                let (lapse, again) = (world.rng.bool(), world.rng.bool());
+                world.trial(to, lapse);
+                let to = world.rng.usize(..members);
+                world.trial(to, again);
+            }
             _ => {}
         }
         let ms = world.rng.u64(..250);
@@ -134,7 +142,9 @@
     let away = members - world.wanted().len();
     let counts = [audit.acked.len(), audit.reads, audit.spent.len(), audit.ordered, away];
     let [acked, reads, spent, ordered, away] = counts.map(|count| count as u64);
-    [led, at_one, acked, reads, spent, ordered, away]
+    let trials = [audit.trial_acks, audit.tides.len(), audit.told.len()];
+    let [orders, tides, told] = trials.map(|count| count as u64);
+    [led, at_one, acked, reads, spent, ordered, away, orders, tides, told]
 }
 
 fn cap() -> u64 {
@@ -162,6 +172,8 @@
     println!("{of}: to a leader, ms (median, 99%, most): {:?}; to all at one: {:?}", median(0), median(1));
     println!("{of}: {} acknowledged, {} reads, {} units", sum(2), sum(3), sum(4));
     println!("{of}: {} orders on members, {} members away at the end", sum(5), sum(6));
+    println!("{of}: {} orders on trials, {} changes, learned {} times", sum(7), sum(8), sum(9));
+    assert!(sum(7) > STORMS / 2 && sum(9) > sum(8), "the storms slowed nobody");
     assert!(median(0).0 <= 1_500, "leaders take long");
     assert!(
         sum(2) > STORMS && sum(3) > STORMS && sum(5) > STORMS && sum(6) > 0,
