--- a/crates/bosun/src/ebb_demo/check/tests.rs
+++ b/crates/bosun/src/ebb_demo/check/tests.rs
@@ -220,6 +220,10 @@
         _ => added,
     });
     wants(&log, "comes back to full pace", &["600 ms", "50 ms at most"]);
+    // A short day ends on the way, but not above where it began.
+    let mut log = day(|one, added| if one.tenant == LAPSED && one.sent > 27_000.0 { 700.0 } else { added });
+    log.end = 33_000.0;
+    wants(&log, "comes back to full pace", &["700 ms more", "600 ms at most"]);
     let mut log = day(kept);
     let one = log.runs[0].attempt;
     log.runs.extend((0..300).map(|at| Run { attempt: one | 0xff, at: 30_000.0 + f64::from(at) }));
