--- a/crates/bosun/src/ebb_demo/check/tests.rs
+++ b/crates/bosun/src/ebb_demo/check/tests.rs
@@ -29,7 +29,7 @@
 /// A day as it should be, but for what `spoil` makes of each try's added wait, ms.
 fn day(spoil: impl Fn(&Try, f64) -> f64) -> Log {
     let end = 46_000.0;
-    let plan = traffic::draw(7, end);
+    let plan = traffic::draw(7, end, false);
     let mut log = Log {
         gateways: (1..=scene::GATEWAYS).map(|number| format!("edge-{number}")).collect(),
         stages: scene::waits(),
--- a/crates/bosun/src/ebb_demo/mod.rs
+++ b/crates/bosun/src/ebb_demo/mod.rs
@@ -81,7 +81,7 @@
         }
     };
     let file = told.out.clone().unwrap_or_else(|| PathBuf::from(USUAL_OUT));
-    let day = Day { length_s, seed: told.seed.unwrap_or(1), broken };
+    let day = Day { length_s, seed: told.seed.unwrap_or(1), alike: told.alike, broken };
     let mut tell = Tell { out, quiet: json };
     let judged = day.play(&mut tell).and_then(|(log, events)| judge(&log, &events, &file, &mut tell));
     match judged {
@@ -129,6 +129,8 @@
 struct Day {
     length_s: f64,
     seed: u64,
+    /// Clients of one kind all have the same time.
+    alike: bool,
     broken: Option<Broken>,
 }
 
@@ -172,7 +174,7 @@
                 relay::start(broken, fronts[BROKEN].clone(), lapsed.clone()).map_err(system("the relay"))?;
         }
         let end = self.length_s * 1_000.0;
-        let plan = traffic::draw(self.seed, end);
+        let plan = traffic::draw(self.seed, end, self.alike);
         let mut log = Log {
             gateways: gateways.iter().map(|at| fleet.machines[*at].name.clone()).collect(),
             stages: scene::waits(),
--- a/crates/bosun/src/ebb_demo/traffic.rs
+++ b/crates/bosun/src/ebb_demo/traffic.rs
@@ -50,10 +50,11 @@
     }
 }
 
-/// All requests of a day, by time.
-pub fn draw(seed: u64, length_ms: f64) -> Vec<Due> {
+/// All requests of a day, by time. `alike`: clients of one kind all have the same time.
+pub fn draw(seed: u64, length_ms: f64, alike: bool) -> Vec<Due> {
     let mut draws = Draws(seed);
     let mut all = Vec::new();
+    let usual: Vec<f64> = KINDS.iter().map(|_| draws.between(DEADLINE_MS)).collect();
     for tenant in 0..TENANTS.len() {
         for gateway in 0..usize::from(GATEWAYS) {
             for (kind, told) in KINDS.iter().enumerate() {
@@ -62,7 +63,8 @@
                 let mut next = distance * draws.next();
                 while next < length_ms {
                     let at = (next + distance * draws.between((-JITTER, JITTER))).clamp(0.0, length_ms);
-                    let deadline_ms = draws.between(DEADLINE_MS);
+                    let own = draws.between(DEADLINE_MS);
+                    let deadline_ms = if alike { usual[kind] } else { own };
                     let leaves_ms = (draws.next() < LEAVERS).then(|| draws.between(PATIENCE_MS));
                     all.push(Due { request: 0, kind, tenant, gateway, at, deadline_ms, leaves_ms });
                     next += distance;
--- a/crates/bosun/src/flags.rs
+++ b/crates/bosun/src/flags.rs
@@ -122,6 +122,8 @@
             optional --seconds seconds: f64
             /// Draws the traffic (default: 1).
             optional --seed seed: u64
+            /// Gives all clients of a kind the same time; without it each has its own, 2 to 4 s.
+            optional --alike
             /// The drawing of added waits (default: target/ebb.svg).
             optional --out file: PathBuf
             /// Breaks one gateway on purpose: twice, denied, lost, uneven or late. The check must then end with 1.
