Spread clients of killed gateways over the others in demo-ebb

All went on to the next gateway: edge-8, with nearly twice its traffic from second 15 on, added 375 ms where the others added 253, and entered stage 3 1330 ms before the last one. Clients of the field draw their gateway.

--- a/crates/bosun/src/ebb_demo/client.rs
+++ b/crates/bosun/src/ebb_demo/client.rs
@@ -13,6 +13,8 @@
 const MOST_TRIES: u8 = 3;
 /// `Retry-After` is honoured up to this part of the time left.
 const RETURN_PART: f64 = 1.0 / 3.0;
+/// A client goes on to the gateway so many places further: over all gateways, and to none twice.
+const STRIDES: [usize; 6] = [1, 2, 4, 5, 7, 8];
 /// After a failure without a time to come back, ms.
 const PAUSE_MS: f64 = 20.0;
 /// A client's thread needs little.
@@ -81,7 +83,7 @@
         let most = (over - ended) * RETURN_PART;
         as_told = matches!(end, End::Answer(_, Some(after)) if after <= most);
         std::thread::sleep(ms(pause.min(most).min(gone - ended)));
-        gateway = (gateway + 1) % fronts.len();
+        gateway = (gateway + STRIDES[due.request as usize % STRIDES.len()]) % fronts.len();
     }
 }
 
--- a/crates/bosun/src/ebb_demo/scene.rs
+++ b/crates/bosun/src/ebb_demo/scene.rs
@@ -49,7 +49,7 @@
     (18.0, Event::GatewaysBack),
     (27.0, Event::Restore),
 ];
-/// Places of the gateways that are killed; no two beside one another, as clients go on to the next one.
+/// Places of the gateways that are killed: fewer than the tries of a client.
 pub const KILLED: [usize; 2] = [2, 6];
 /// Place of the gateway that is broken on purpose.
 pub const BROKEN: usize = 4;
