--- a/crates/ebb/tests/sluice.rs
+++ b/crates/ebb/tests/sluice.rs
@@ -323,6 +323,22 @@
     assert!(again.len() > 20 && lost * 10 <= again.len(), "{lost} of {} told twice", again.len());
 }
 
+#[test]
+fn bookings_beyond_the_whole_pace_are_declined_at_once_and_run_when_they_come_back() {
+    let mut world = World::new(5, curve(&[(60.0, 0.4, 0.1, 0.2)]), vec![1.0; 3], [0.0, 0.0, 24.0]);
+    world.enter(1);
+    world.run(20_000.0);
+    let late = world.ends.iter().filter(|end| end.came > 5_000.0);
+    let (ran, again) = late
+        .clone()
+        .filter(|end| end.wait_ms.is_some())
+        .fold((0, 0), |(ran, again), end| (ran + 1, again + u32::from(end.again)));
+    // 20 a second of 24: each is run or declined, and most of those that were declined are run at another try.
+    let all = late.count();
+    assert!(world.told > 20 && again > 20, "{} told, {again} run when they came back", world.told);
+    assert!((78..=100).contains(&(ran * 100 / all)), "{ran} of {all}");
+}
+
 /// Clients whose deadlines differ look like ones that come back; while nobody was told to, they wait like all others.
 #[test]
 fn a_short_deadline_alone_lets_nobody_pass() {
--- a/crates/pilot/src/ebb.rs
+++ b/crates/pilot/src/ebb.rs
@@ -19,9 +19,6 @@
 const AGAIN_PART: f64 = 0.93;
 /// Weight of a new time of service against those before.
 const NEW_PART: f64 = 0.1;
-/// Once the order to leave has come, nothing is held for longer than this, ms: what is taken must be answered in time.
-const LEAVING_MS: f64 = 1_000.0;
-
 /// A request as it is to be slowed.
 #[derive(Debug, Clone, Copy)]
 pub struct Slow<'a> {
@@ -136,7 +133,7 @@
         self.active.set(active);
     }
 
-    /// The order to leave.
+    /// The order to leave: what is held goes on at once, and nothing is held any more. What is taken must be answered in time.
     pub fn leave(&self) {
         self.leaving.set(true);
         self.left.notify_waiters();
@@ -175,10 +172,6 @@
                 if !self.leaving.get() {
                     self.wheel.timeout(until - now, self.left.notified()).await;
                 }
-                let rest = (until - self.wheel.now()).min(LEAVING_MS);
-                if rest > 0.0 {
-                    self.wheel.sleep(rest).await;
-                }
                 drop(held);
                 Ok(())
             }
--- a/crates/pilot/tests/front.rs
+++ b/crates/pilot/tests/front.rs
@@ -671,3 +671,63 @@
         assert_eq!(world.front.counts().over_quota.get(), 1);
     });
 }
+
+#[test]
+fn a_full_queue_goes_on_at_the_order_to_leave() {
+    run(async {
+        let world = World::new("");
+        let line = TrialLine { tenant: "t".into(), step: 1, stage: 1, in_ms: 0 };
+        world.desk.ebb.told(&[line], Some(world.document.config()));
+        let mut clients = Vec::new();
+        for id in 0..64 {
+            let mut client = world.client();
+            send(&mut client, &keyed("GET", "/w/", &id.to_string())).await;
+            clients.push(client);
+        }
+        settle().await;
+        assert_eq!(world.desk.ebb.standings()[0].waiting, 64);
+        world.lifecycle.leave(world.wheel.now());
+        world.desk.ebb.leave();
+        settle().await;
+        assert_eq!((world.desk.ebb.standings()[0].waiting, world.quay.ids().len()), (0, 64));
+        for (id, client) in clients.iter_mut().enumerate() {
+            world.serve(&id.to_string());
+            let (head, _) = read(client).await;
+            assert!(head.starts_with("HTTP/1.1 200 ") && head.contains("Connection: close"), "{head}");
+        }
+        // Who comes now isn't held either.
+        let mut late = world.client();
+        send(&mut late, &keyed("GET", "/w/", "late")).await;
+        world.dispatched(&["late"]).await;
+    });
+}
+
+#[test]
+fn bookings_at_every_stage_are_sent_once_and_answered_once_whatever_servers_do() {
+    run(async {
+        let world = World::new("");
+        for stage in 1..=4_u32 {
+            let line = TrialLine { tenant: "t".into(), step: u64::from(stage), stage, in_ms: 0 };
+            world.desk.ebb.told(&[line], Some(world.document.config()));
+            let fates: [(&str, fn(&World, &str)); 4] = [
+                ("200", |world, id| world.serve(id)),
+                ("502", |world, id| world.answer(id, Answer::Failed)),
+                ("503", |world, id| world.answer(id, Answer::ShortOnCapacityReply(90.0))),
+                // The servers' side lets go of it: it may have run.
+                ("502", |world, id| drop(world.quay.take(id))),
+            ];
+            for (at, (status, fate)) in fates.into_iter().enumerate() {
+                let id = format!("{stage}-{at}");
+                let mut client = world.client();
+                send(&mut client, &keyed("POST", "/k/", &id)).await;
+                world.dispatched(&[&id]).await;
+                fate(&world, &id);
+                let (head, _) = read(&mut client).await;
+                assert!(head.starts_with(&format!("HTTP/1.1 {status} ")), "{id}: {head}");
+                assert_eq!(head.contains("Retry-After"), status == "503", "{id}: {head}");
+                world.dispatched(&[]).await;
+            }
+        }
+        assert_eq!(world.desk.asked.borrow().len(), 16, "a unit each");
+    });
+}
