--- a/crates/pilot/src/attempt.rs
+++ b/crates/pilot/src/attempt.rs
@@ -20,6 +20,7 @@
 use std::task::Poll;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use tokio::sync::{mpsc, oneshot};
+use tokio::task::AbortHandle;
 
 /// What is read from a connection at once, bytes: small where whole answers come, more within a long one.
 const READ_BYTES: usize = 4 * 1024;
@@ -59,7 +60,7 @@
     /// The last whole answer that told of a failure.
     failure: RefCell<Option<Served>>,
     /// Sends that were given up and go on all the same, and what the client is told should none of them be answered.
-    kept: RefCell<Vec<usize>>,
+    kept: RefCell<Vec<(usize, AbortHandle)>>,
     parked: RefCell<Option<Answer<Served>>>,
     _held: Rc<()>,
 }
@@ -118,13 +119,18 @@
     }
 
     /// This send goes on although it was given up: until it ends the client gets a server's answer or none.
-    pub(crate) fn keep(&self, attempt: usize) {
-        self.kept.borrow_mut().push(attempt);
+    pub(crate) fn keep(&self, attempt: usize, send: AbortHandle) {
+        self.kept.borrow_mut().push((attempt, send));
+    }
+
+    /// Another send has begun in place of those that were given up: they end.
+    pub(crate) fn cut_kept(&self) {
+        self.kept.borrow_mut().drain(..).for_each(|(_, send)| send.abort());
     }
 
     /// A send has ended, with this answer if it was kept and has one; false if it was not kept.
     pub(crate) fn kept_ended(&self, attempt: usize, served: &mut Option<Served>) -> bool {
-        let known = self.kept.borrow().iter().position(|kept| *kept == attempt);
+        let known = self.kept.borrow().iter().position(|(kept, _)| *kept == attempt);
         let Some(at) = known else { return false };
         self.kept.borrow_mut().remove(at);
         let parked = self.parked.borrow_mut().take();
--- a/crates/pilot/src/quay.rs
+++ b/crates/pilot/src/quay.rs
@@ -170,6 +170,10 @@
         let (Some(quay), Some(lane)) = (self.quay.upgrade(), self.lane.upgrade()) else { return };
         let send = quay.send(lane, task.clone(), load.clone(), further);
         let handle = tokio::task::spawn_local(send).abort_handle();
+        // After the order to leave all go on: what the client gets in the end may be an answer of one's own.
+        if !self.shared.leaving.get() {
+            load.cut_kept();
+        }
         self.out.insert((task.request, task.attempt), (handle, load.clone()));
     }
 
@@ -177,12 +181,12 @@
         let Some((handle, load)) = self.out.remove(&(request, attempt)) else { return };
         self.shared.count(|counts| counts.ended(why));
         let until = load.deadline - ANSWER_MARGIN_MS;
-        if !self.shared.leaving.get() || load.is_answered() || self.shared.wheel.now() >= until {
+        if load.is_answered() || load.is_left() || self.shared.wheel.now() >= until {
             // Its connection is closed with it, at the task's next turn.
             return handle.abort();
         }
-        // After the order to leave a server's work is not broken off for an answer of one's own.
-        load.keep(attempt);
+        // A server's work is not broken off for an answer of one's own, but for another send.
+        load.keep(attempt, handle.clone());
         let (wheel, load) = (self.shared.wheel.clone(), Rc::downgrade(&load));
         tokio::task::spawn_local(async move {
             wheel.sleep_until(until).await;
--- a/crates/pilot/tests/front.rs
+++ b/crates/pilot/tests/front.rs
@@ -709,19 +709,18 @@
         for stage in 1..=4_u32 {
             let line = TrialLine { tenant: "t".into(), step: u64::from(stage), stage, in_ms: 0 };
             world.desk.ebb.told(&[line], Some(world.document.config()));
-            let fates: [(&str, fn(&World, &str)); 4] = [
-                ("200", |world, id| world.serve(id)),
-                ("502", |world, id| world.answer(id, Answer::Failed)),
-                ("503", |world, id| world.answer(id, Answer::ShortOnCapacityReply(90.0))),
-                // The servers' side lets go of it: it may have run.
-                ("502", |world, id| drop(world.quay.take(id))),
-            ];
-            for (at, (status, fate)) in fates.into_iter().enumerate() {
+            // The last: the servers' side lets go of it, and it may have run.
+            for (at, status) in ["200", "502", "503", "502"].into_iter().enumerate() {
                 let id = format!("{stage}-{at}");
                 let mut client = world.client();
                 send(&mut client, &keyed("POST", "/k/", &id)).await;
                 world.dispatched(&[&id]).await;
-                fate(&world, &id);
+                match at {
+                    0 => world.serve(&id),
+                    1 => world.answer(&id, Answer::Failed),
+                    2 => world.answer(&id, Answer::ShortOnCapacityReply(90.0)),
+                    _ => drop(world.quay.take(&id)),
+                }
                 let (head, _) = read(&mut client).await;
                 assert!(head.starts_with(&format!("HTTP/1.1 {status} ")), "{id}: {head}");
                 assert_eq!(head.contains("Retry-After"), status == "503", "{id}: {head}");
--- a/crates/pilot/tests/quay.rs
+++ b/crates/pilot/tests/quay.rs
@@ -531,37 +531,52 @@
     });
 }
 
-#[test]
-fn after_the_order_to_leave_no_work_is_broken_off_for_a_refusal() {
+/// A server's work, given up for lack of time, with what `tuning` allows beside it; the client's answer once that work is done.
+async fn given_up(tuning: Tuning, leave: bool) -> (u16, String) {
     const KNOWN: usize = 20;
-    run(async {
-        let done = Rc::new(Notify::new());
-        let work = done.clone();
-        // After some quick ones one send takes too long, and the next is turned away: what is left would be a refusal.
-        let rig = Rig::new(&["n1", "n2"], roomy(), move |before, arrival| match before {
-            ..KNOWN => vec![Act::Say(good(&arrival.id))],
-            KNOWN => vec![Act::Work(work.clone()), Act::Say(good(&arrival.id))],
-            _ => vec![Act::Say(away(&arrival.id, 503))],
-        })
-        .await;
-        let parcel = |id: &str| {
-            let (parcel, answer) = rig.parcel(id, SAFE);
-            (Parcel { aim_ms: 500.0, ..parcel }, answer)
-        };
-        for _ in 0..KNOWN {
-            let (parcel, answer) = parcel("known");
-            rig.quay.dispatch(parcel);
-            assert_eq!(told(answer.await.expect("exactly one answer")), fine("known"));
-        }
-        rig.quay.leave();
-        let (parcel, mut answer) = parcel("a");
+    let done = Rc::new(Notify::new());
+    let work = done.clone();
+    // After some quick ones one send takes too long; a further one, where it is allowed, is turned away: what is left would be a
+    // refusal.
+    let rig = Rig::new(&["n1", "n2"], tuning, move |before, arrival| match before {
+        ..KNOWN => vec![Act::Say(good(&arrival.id))],
+        KNOWN => vec![Act::Work(work.clone()), Act::Say(good(&arrival.id))],
+        _ => vec![Act::Say(away(&arrival.id, 503))],
+    })
+    .await;
+    let parcel = |id: &str| {
+        let (parcel, answer) = rig.parcel(id, SAFE);
+        (Parcel { aim_ms: 500.0, ..parcel }, answer)
+    };
+    for _ in 0..KNOWN {
+        let (parcel, answer) = parcel("known");
         rig.quay.dispatch(parcel);
-        while rig.quay.counts().turned_away == 0 {
-            assert!(answer.try_recv().is_err(), "its first server is still at work");
-            tokio::task::yield_now().await;
-        }
-        done.notify_one();
-        assert_eq!(told(answer.await.expect("exactly one answer")), fine("a"));
-        rig.quay.idle().await;
-    });
+        assert_eq!(told(answer.await.expect("exactly one answer")), fine("known"));
+    }
+    if leave {
+        rig.quay.leave();
+    }
+    let (parcel, mut answer) = parcel("a");
+    rig.quay.dispatch(parcel);
+    while rig.quay.counts().turned_away + rig.quay.counts().denied == 0 {
+        assert!(answer.try_recv().is_err(), "its first server is still at work");
+        tokio::task::yield_now().await;
+    }
+    assert!(answer.try_recv().is_err(), "its first server is still at work");
+    done.notify_one();
+    let answer = told(answer.await.expect("exactly one answer"));
+    rig.quay.idle().await;
+    answer
+}
+
+#[test]
+fn after_the_order_to_leave_no_work_is_broken_off_for_a_refusal() {
+    run(async { assert_eq!(given_up(roomy(), true).await, fine("a")) });
+}
+
+/// The order to leave may come in the same moment: nobody knows of it when the work is given up.
+#[test]
+fn no_work_is_broken_off_where_no_other_send_is_allowed() {
+    let tuning = Tuning { retry_ratio: 0.0, retry_slack: 0, ..roomy() };
+    run(async move { assert_eq!(given_up(tuning, false).await, fine("a")) });
 }
