Read a request's rank of giving way in one place, and say what the order to leave still changes

Cause: a read of the whole change. The gateway matched the number of `gives_way` by itself beside a function of `ebb` that nobody called, and a comment told of the order to leave what holds at any time since work isn't broken off for a refusal.

--- a/crates/ebb/src/curve.rs
+++ b/crates/ebb/src/curve.rs
@@ -1,6 +1,6 @@
 //! What a stage does, out of the configuration.
 
-use nickeljunction_manifest::{Config, Route, Stage, Trial};
+use nickeljunction_manifest::{Config, Stage, Trial};
 
 /// In which order requests give way.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -14,9 +14,9 @@
 }
 
 impl Rank {
-    /// Of a route.
-    pub fn of(route: &Route) -> Rank {
-        match route.rank() {
+    /// Of a route, by the number that it `gives_way` by: 1 first, 2 later, any other never.
+    pub fn of(gives_way: u32) -> Rank {
+        match gives_way {
             1 => Rank::First,
             2 => Rank::Later,
             _ => Rank::Never,
--- a/crates/pilot/src/ebb.rs
+++ b/crates/pilot/src/ebb.rs
@@ -26,7 +26,7 @@
     pub tenant: &'a str,
     /// Its route.
     pub route: &'a str,
-    /// In which order it gives way: 1 first, 2 later, else never.
+    /// In which order it gives way, see [`Rank::of`].
     pub gives_way: u32,
     /// Time within which its route's answers earn their full worth, ms.
     pub aim_ms: f64,
@@ -157,12 +157,7 @@
             }
             (told && slow.deadline_ms < AGAIN_PART * known.longest_ms, known.expected_ms(slow.aim_ms))
         };
-        let rank = match slow.gives_way {
-            1 => Rank::First,
-            2 => Rank::Later,
-            _ => Rank::Never,
-        };
-        let arrival = Arrival { rank, left_ms: slow.left_ms, expected_ms, again };
+        let arrival = Arrival { rank: Rank::of(slow.gives_way), left_ms: slow.left_ms, expected_ms, again };
         let verdict = self.sluice.borrow_mut().arrive(now, slow.tenant, &arrival);
         match verdict {
             Verdict::Pass => Ok(()),
--- a/crates/pilot/src/quay.rs
+++ b/crates/pilot/src/quay.rs
@@ -287,7 +287,7 @@
         *self.shared.units.borrow_mut() = Some(units);
     }
 
-    /// The order to leave: from now on no send is broken off for lack of time while its client waits.
+    /// The order to leave: from now on no send is broken off for lack of time while its client waits, not even for another send.
     pub fn leave(&self) {
         self.shared.leaving.set(true);
     }
