--- a/bench/days/shares.py
+++ b/bench/days/shares.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Tells where worth is lost on days of one site, from reports of the bench.
 
-    shares.py SITE FILE... [--rows N]       e.g. shares.py .../fcc-junction.toml /tmp/out/*.txt
+    shares.py SITE FILE... [--rows N]       e.g. shares.py .../fcc-junction.toml OUT/*.txt
 
 A FILE is what `fleetbench run` printed, or a `run`'s entry of the journal; what holds no report is named and left out. Prints
 
