--- a/crates/logbook/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -1,6 +1,6 @@
 //! Elections: a question first, which changes nothing, then votes. Terms fence: what is of an older one is refused.
 
-use crate::machine::{Bound, Logbook, Owed, Role};
+use crate::machine::{Bound, Consensus, Owed, Role};
 use crate::messages::{Envelope, Hard, Msg};
 use crate::replication::Lead;
 use nickeljunction_signals::{Member, MemberId};
@@ -8,7 +8,7 @@
 /// How often a member asks again soon once all are known to be free: another one may not have known it yet.
 const HURRIES: u32 = 5;
 
-impl Logbook {
+impl Consensus {
     /// Sorts a message by whom it is for and by its term.
     pub(crate) fn take_message(&mut self, envelope: Envelope) {
         let Envelope { from, to, term, msg } = envelope;
--- a/crates/logbook/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -1,17 +1,17 @@
 //! The core's agreement (consensus): a log kept by a majority, elections, membership, snapshots and fencing by term, as
 //! one machine without I/O.
 //!
-//! [`Logbook`] takes the time of a steady clock (ms), messages and what the disk did; what is to be written, sent and
-//! applied waits in [`Logbook::take`]. After every call that changes something the embedding program takes the
+//! [`Consensus`] takes the time of a steady clock (ms), messages and what the disk did; what is to be written, sent and
+//! applied waits in [`Consensus::take`]. After every call that changes something the embedding program takes the
 //! [`Outputs`] and, in this order,
 //!
 //! 1. loads [`Outputs::restored_state`] into its state, then applies [`Outputs::committed`],
 //! 2. sends [`Outputs::send`] (what must wait for the disk isn't in there yet),
-//! 3. writes [`Outputs::writes`] one after the other and tells [`Logbook::written`] or [`Logbook::write_failed`],
+//! 3. writes [`Outputs::writes`] one after the other and tells [`Consensus::written`] or [`Consensus::write_failed`],
 //! 4. answers [`Outputs::reads`], and fails what it proposed as [`Outputs::lost`] says.
 //!
 //! ```text
-//! Logbook::new(restored: Restored, tuning: Tuning, seed: u64, now: u64) -> Logbook
+//! Consensus::new(restored: Restored, tuning: Tuning, seed: u64, now: u64) -> Consensus
 //!   .step(now, Envelope)            .tick(now)             .next_wake() -> u64
 //!   .propose(now, String) -> Result<u64, NotLeader>        .read(now) -> Result<ReadTicket, NotLeader>
 //!   .written(now, ticket)           .write_failed(now, ticket)
@@ -55,7 +55,7 @@
 pub mod model;
 mod replication;
 
-pub use machine::Logbook;
+pub use machine::Consensus;
 pub use membership::{MEMBERS_MAX, MEMBERS_MIN};
 pub use messages::{
     draw_id, first_id, Away, Body, Entry, Envelope, Hard, Msg, NotLeader, Outputs, ReadTicket, Restored,
--- a/crates/logbook/src/machine.rs
+++ b/crates/consensus/src/machine.rs
@@ -51,7 +51,7 @@
 /// A member of the core's agreement. See the crate's page for how it is driven.
 #[derive(Debug)]
 #[cfg_attr(feature = "model", derive(Clone))]
-pub struct Logbook {
+pub struct Consensus {
     pub(crate) me: Member,
     pub(crate) tuning: Tuning,
     pub(crate) rng: fastrand::Rng,
@@ -91,16 +91,16 @@
     pub(crate) out: Outputs,
 }
 
-impl Logbook {
+impl Consensus {
     /// Starts from what the disk kept. `seed` is for the random part of election times and differs between machines;
     /// `now` is the time of a steady clock, ms, as in all calls.
-    pub fn new(restored: Restored, tuning: Tuning, seed: u64, now: u64) -> Logbook {
+    pub fn new(restored: Restored, tuning: Tuning, seed: u64, now: u64) -> Consensus {
         let log = Log::new(restored.snapshot, restored.entries);
         let disk = Disk::new(restored.new, restored.hard, &log);
         let snapshot = log.snapshot_index();
         let bound = guard!(RestartWaits, (!restored.new).then(Bound::default), None);
         let heard_at = bound.is_some().then_some(now);
-        let mut logbook = Logbook {
+        let mut consensus = Consensus {
             me: restored.me,
             tuning,
             rng: fastrand::Rng::with_seed(seed),
@@ -132,10 +132,10 @@
             log,
         };
         // One that comes back asks at once: all of the core may have been away.
-        if logbook.bound.is_none() {
-            logbook.put_off_election();
+        if consensus.bound.is_none() {
+            consensus.put_off_election();
         }
-        logbook
+        consensus
     }
 
     /// Takes a message. One for another member, or of a term that is over, is dropped or refused.
@@ -144,7 +144,7 @@
         self.take_message(envelope);
     }
 
-    /// Lets time pass; due whenever [`Logbook::next_wake`] is reached. Early and late calls are harmless.
+    /// Lets time pass; due whenever [`Consensus::next_wake`] is reached. Early and late calls are harmless.
     pub fn tick(&mut self, now: u64) {
         self.pass(now);
         match self.role {
@@ -158,7 +158,7 @@
         }
     }
 
-    /// When [`Logbook::tick`] is due, by the clock of `now`, ms.
+    /// When [`Consensus::tick`] is due, by the clock of `now`, ms.
     pub fn next_wake(&self) -> u64 {
         let next = match &self.role {
             Role::Leading(lead) => lead.beat_at(),
@@ -171,7 +171,7 @@
     /// leader's term of now, or lost when [`Outputs::lost`] names it.
     ///
     /// # Errors
-    /// Where this member doesn't lead, isn't [`Logbook::ready`], or too much is waiting.
+    /// Where this member doesn't lead, isn't [`Consensus::ready`], or too much is waiting.
     pub fn propose(&mut self, now: u64, data: String) -> Result<u64, NotLeader> {
         self.pass(now);
         let ready = self.ready();
@@ -196,7 +196,7 @@
     /// applied shows everything that was committed before this call.
     ///
     /// # Errors
-    /// Where this member doesn't lead. Before it is [`Logbook::ready`] the read waits.
+    /// Where this member doesn't lead. Before it is [`Consensus::ready`] the read waits.
     pub fn read(&mut self, now: u64) -> Result<ReadTicket, NotLeader> {
         self.pass(now);
         let commit = self.commit;
@@ -233,7 +233,7 @@
     }
 
     /// The write `ticket` failed, or may have; so are all after it taken to have. A leader steps down, and this member
-    /// neither votes nor vouches for entries until a later write has succeeded; [`Logbook::take`] gives one after
+    /// neither votes nor vouches for entries until a later write has succeeded; [`Consensus::take`] gives one after
     /// [`Tuning::retry_ms`] that covers all that is missing.
     pub fn write_failed(&mut self, now: u64, ticket: u64) {
         self.pass(now);
@@ -277,7 +277,7 @@
         self.leader.clone()
     }
 
-    /// This member leads. It may have been succeeded without knowing: ask with [`Logbook::read`].
+    /// This member leads. It may have been succeeded without knowing: ask with [`Consensus::read`].
     pub fn is_leader(&self) -> bool {
         matches!(self.role, Role::Leading(_))
     }
--- a/crates/logbook/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -1,7 +1,7 @@
 //! Who is a member: machines that ask are taught and added, silent ones and those that operators take away are removed, one
 //! change at a time.
 
-use crate::machine::{Logbook, Role};
+use crate::machine::{Consensus, Role};
 use crate::messages::{Away, Body, Envelope, Msg, Seen};
 use crate::replication::Peer;
 use nickeljunction_signals::Member;
@@ -22,7 +22,7 @@
 /// removed.
 const LONELY_TIMES: u64 = 3;
 
-impl Logbook {
+impl Consensus {
     /// Operators' word on who is not to be a member, in the place of what was told before: a member is removed once `after`
     /// is one and a majority of the rest answers, a machine that asks is not taken in. To be told from the log, the same at
     /// every member; it is carried out by the one that leads.
--- a/crates/logbook/src/messages.rs
+++ b/crates/consensus/src/messages.rs
@@ -108,7 +108,7 @@
 /// `truncate_from`, `snapshot`, `entries`; all of one write or none of it should survive a loss of power.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct Write {
-    /// To be named to [`crate::Logbook::written`]; rises by one with each write.
+    /// To be named to [`crate::Consensus::written`]; rises by one with each write.
     pub ticket: u64,
     /// Ticket of the write that it builds on and must not be done without; 0: it stands by itself, as the first in a
     /// life does, and the first after a failure.
@@ -327,7 +327,7 @@
     }
 }
 
-/// Names a read from [`crate::Logbook::read`] to its [`Outputs::reads`].
+/// Names a read from [`crate::Consensus::read`] to its [`Outputs::reads`].
 pub type ReadTicket = u64;
 
 /// What is to be done, in the order that the crate's page names.
--- a/crates/logbook/src/model.rs
+++ b/crates/consensus/src/model.rs
@@ -1,7 +1,7 @@
-//! For the model of the tests alone (feature `model`): a logbook that can be copied, compared and set back in time, and
+//! For the model of the tests alone (feature `model`): a consensus that can be copied, compared and set back in time, and
 //! guards that can be taken out one at a time.
 
-use crate::machine::{Logbook, Role};
+use crate::machine::{Consensus, Role};
 use crate::Entry;
 use std::cell::Cell;
 use std::hash::{Hash, Hasher};
@@ -106,7 +106,7 @@
     OUT.get() & (1 << guard as u64) != 0
 }
 
-impl Logbook {
+impl Consensus {
     /// Sets the clock to `now` with everything that is remembered of it; what is longer ago than that becomes 0. What
     /// is drawn by chance is drawn anew, and the time to stand for election is due.
     pub fn set_clock(&mut self, now: u64) {
@@ -137,7 +137,7 @@
     }
 }
 
-impl Hash for Logbook {
+impl Hash for Consensus {
     fn hash<H: Hasher>(&self, state: &mut H) {
         // All but what is drawn by chance and what never changes.
         (&self.me, self.now, self.hard, &self.log, &self.disk, self.commit, self.delivered).hash(state);
--- a/crates/logbook/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -1,7 +1,7 @@
 //! The leader's log gets to the others: appends, snapshots, answers, commits, and reads that a majority vouches for.
 
 use crate::log::Log;
-use crate::machine::{Logbook, Owed, Role};
+use crate::machine::{Consensus, Owed, Role};
 use crate::messages::{Body, Entry, Envelope, Msg, ReadTicket, Snapshot};
 use nickeljunction_signals::{Member, MemberId};
 use std::collections::VecDeque;
@@ -241,7 +241,7 @@
     }
 }
 
-impl Logbook {
+impl Consensus {
     /// The value that more than half of the members reach, by `of` for the others and `mine` for this one.
     fn by_majority<T: Ord + Copy>(&self, mine: T, least: T, of: impl Fn(&Peer) -> T) -> T {
         let Role::Leading(lead) = &self.role else { return least };
--- a/crates/logbook/tests/cases.rs
+++ b/crates/consensus/tests/cases.rs
@@ -1,30 +1,30 @@
 //! Named cases of what the core has to bear, each over some seeds.
 
-mod harbour;
+mod cluster;
 
-use harbour::Harbour;
+use cluster::Cluster;
+use nickeljunction_consensus::Write;
 use nickeljunction_hold::Hold;
-use nickeljunction_logbook::Write;
 
 const SEEDS: u64 = 20;
 
 /// Plays a case over some seeds, of `members` machines that have a leader.
-fn each(members: usize, case: impl Fn(&mut Harbour, usize)) {
+fn each(members: usize, case: impl Fn(&mut Cluster, usize)) {
     for seed in 0..SEEDS {
         println!("seed {seed}");
-        let mut harbour = Harbour::new(members, seed);
+        let mut harbour = Cluster::new(members, seed);
         let leader = harbour.settle(3_000);
         harbour.commit(1_000);
         case(&mut harbour, leader);
     }
 }
 
-fn others(harbour: &Harbour, number: usize) -> Vec<usize> {
+fn others(harbour: &Cluster, number: usize) -> Vec<usize> {
     (0..harbour.machines.len()).filter(|other| *other != number).collect()
 }
 
 /// With the next heartbeat all know what is committed.
-fn check_all(harbour: &mut Harbour) {
+fn check_all(harbour: &mut Cluster) {
     harbour.run(200);
     for number in 0..harbour.machines.len() {
         if harbour.machines[number].book.is_some() {
--- a/crates/logbook/tests/harbour/mod.rs
+++ b/crates/consensus/tests/cluster/mod.rs
@@ -3,10 +3,10 @@
 
 #![allow(dead_code)] // Each test program uses a part of it.
 
-use nickeljunction_hold::{Hold, MemoryHold};
-use nickeljunction_logbook::{
-    draw_id, first_id, Away, Body, Envelope, Logbook, Member, MemberId, ReadTicket, Restored, Tuning, Write,
+use nickeljunction_consensus::{
+    draw_id, first_id, Away, Body, Consensus, Envelope, Member, MemberId, ReadTicket, Restored, Tuning, Write,
 };
+use nickeljunction_hold::{Hold, MemoryHold};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
 /// Begins a value that says who is to stay away.
@@ -22,7 +22,7 @@
 pub struct Machine {
     pub host: String,
     pub disk: MemoryHold,
-    pub book: Option<Logbook>,
+    pub book: Option<Consensus>,
     /// What its state machine holds: values by index.
     pub state: Vec<(u64, String)>,
     pub applied: u64,
@@ -38,7 +38,7 @@
 }
 
 /// All machines and what is between them.
-pub struct Harbour {
+pub struct Cluster {
     pub now: u64,
     pub rng: fastrand::Rng,
     pub machines: Vec<Machine>,
@@ -68,11 +68,11 @@
     format!("10.0.0.{}", number + 1)
 }
 
-impl Harbour {
+impl Cluster {
     /// `members` machines at the first start, all of them seeds of each other.
-    pub fn new(members: usize, seed: u64) -> Harbour {
+    pub fn new(members: usize, seed: u64) -> Cluster {
         let hosts: Vec<String> = (0..members).map(host).collect();
-        let mut harbour = Harbour {
+        let mut harbour = Cluster {
             now: 1_000,
             rng: fastrand::Rng::with_seed(seed),
             machines: Vec::new(),
@@ -129,7 +129,7 @@
         machine.life += 1;
         (machine.frozen, machine.writing, machine.applied) = (false, false, 0);
         machine.state.clear();
-        let mut book = Logbook::new(restored, tuning, seed, now);
+        let mut book = Consensus::new(restored, tuning, seed, now);
         book.seek(&seeds);
         machine.book = Some(book);
         self.take(number);
@@ -251,7 +251,7 @@
         self.take(number);
     }
 
-    /// Does what a machine's logbook asks for, and checks it.
+    /// Does what a machine's consensus asks for, and checks it.
     fn take(&mut self, number: usize) {
         let machine = &mut self.machines[number];
         let Some(book) = &mut machine.book else { return };
@@ -405,11 +405,11 @@
 
     /// The machine that leads and may take proposals, by the newest term.
     pub fn leader(&self) -> Option<usize> {
-        let ready = |number: &usize| self.machines[*number].book.as_ref().is_some_and(Logbook::ready);
+        let ready = |number: &usize| self.machines[*number].book.as_ref().is_some_and(Consensus::ready);
         (0..self.machines.len()).filter(ready).max_by_key(|number| self.book(*number).term())
     }
 
-    pub fn book(&self, number: usize) -> &Logbook {
+    pub fn book(&self, number: usize) -> &Consensus {
         self.machines[number].book.as_ref().unwrap()
     }
 
@@ -500,7 +500,7 @@
     pub fn complete(&self) -> bool {
         let Some(leader) = self.leader() else { return false };
         let members = self.book(leader).members();
-        let running: Vec<&Logbook> =
+        let running: Vec<&Consensus> =
             self.machines.iter().filter_map(|machine| machine.book.as_ref()).collect();
         members.len() == running.len()
             && running.iter().all(|book| members.contains(book.me()) && book.members() == members)
@@ -519,7 +519,7 @@
 
     /// What each machine takes itself and the core for.
     pub fn views(&self) -> String {
-        let view = |book: &Logbook| {
+        let view = |book: &Consensus| {
             let ids: Vec<_> =
                 book.members().iter().map(|member| (member.id % 10_000, &member.host)).collect();
             let me = (book.me().id % 10_000, &book.me().host);
--- a/crates/logbook/tests/model.rs
+++ b/crates/consensus/tests/model.rs
@@ -4,7 +4,7 @@
 
 mod small_world;
 
-use nickeljunction_logbook::model::Guard;
+use nickeljunction_consensus::model::Guard;
 use small_world::Act::*;
 use small_world::*;
 
--- a/crates/logbook/tests/orders.rs
+++ b/crates/consensus/tests/orders.rs
@@ -1,29 +1,29 @@
 //! Operators' orders on who is a member, each over some seeds: what was acknowledged stays, whatever befalls the core on
 //! the way.
 
-mod harbour;
+mod cluster;
 
-use harbour::Harbour;
+use cluster::Cluster;
 
 const SEEDS: u64 = 12;
 
-fn each(case: impl Fn(&mut Harbour, usize)) {
+fn each(case: impl Fn(&mut Cluster, usize)) {
     for seed in 0..SEEDS {
         println!("seed {seed}");
-        let mut harbour = Harbour::new(3, seed);
+        let mut harbour = Cluster::new(3, seed);
         let leader = harbour.settle(3_000);
         harbour.commit(1_000);
         case(&mut harbour, leader);
     }
 }
 
-fn join(harbour: &mut Harbour) -> usize {
+fn join(harbour: &mut Cluster) -> usize {
     let number = harbour.add();
     harbour.start(number);
     number
 }
 
-fn check(harbour: &mut Harbour, members: &[usize]) {
+fn check(harbour: &mut Cluster, members: &[usize]) {
     harbour.commit(2_000);
     harbour.run(500);
     members.iter().for_each(|number| harbour.check(*number));
@@ -108,7 +108,7 @@
     // One, or all, go dark at some time after the order; some of what was not synced survives.
     for step in 0..40 {
         println!("step {step}");
-        let mut harbour = Harbour::new(3, step);
+        let mut harbour = Cluster::new(3, step);
         let leader = harbour.settle(3_000);
         harbour.commit(1_000);
         let new = harbour.add();
--- a/crates/logbook/tests/small_world/disk.rs
+++ b/crates/consensus/tests/small_world/disk.rs
@@ -1,6 +1,6 @@
 //! A disk of what was synced, and what worlds share.
 
-use nickeljunction_logbook::{Entry, Hard, Member, Snapshot, Write};
+use nickeljunction_consensus::{Entry, Hard, Member, Snapshot, Write};
 use std::collections::hash_map::DefaultHasher;
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
--- a/crates/logbook/tests/small_world/mod.rs
+++ b/crates/consensus/tests/small_world/mod.rs
@@ -1,4 +1,4 @@
-//! A small world of the agreement for a model checker: the true [`Logbook`]s, disks that hold what was synced, and a net
+//! A small world of the agreement for a model checker: the true [`Consensus`]s, disks that hold what was synced, and a net
 //! in which any message may come at any time, or never, or twice. What is checked is said by [`Breach`].
 //!
 //! Without a clock (`ticks` 0) an election time is over whenever the checker likes, and the leader's word binds nobody, as
@@ -8,8 +8,8 @@
 mod disk;
 
 use disk::{Disk, Seal};
-use nickeljunction_logbook::model::{take_out, Guard};
-use nickeljunction_logbook::{Body, Entry, Envelope, Logbook, Member, Msg, Restored, Tuning, Write};
+use nickeljunction_consensus::model::{take_out, Guard};
+use nickeljunction_consensus::{Body, Consensus, Entry, Envelope, Member, Msg, Restored, Tuning, Write};
 use stateright::{Checker, HasDiscoveries, Model, Property};
 use std::hash::Hash;
 use std::time::{Duration, Instant};
@@ -53,7 +53,7 @@
 /// One machine.
 #[derive(Debug, Clone, PartialEq, Hash)]
 pub struct Machine {
-    pub book: Seal<Logbook>,
+    pub book: Seal<Consensus>,
     disk: Seal<Disk>,
     writes: Vec<Seal<Write>>,
     applied: u64,
@@ -211,8 +211,8 @@
         }
     }
 
-    fn book(&self, restored: Restored, now: u64) -> Logbook {
-        let mut book = Logbook::new(restored, self.tuning(), 0, now);
+    fn book(&self, restored: Restored, now: u64) -> Consensus {
+        let mut book = Consensus::new(restored, self.tuning(), 0, now);
         let hosts: Vec<String> = (0..self.members).map(|number| member(number).host).collect();
         book.seek(&hosts);
         if !self.timed() {
@@ -278,7 +278,7 @@
     }
 
     /// Does something to a member, and what it asks for.
-    fn on(&self, world: &mut World, number: usize, act: impl FnOnce(&mut Logbook, &mut World)) {
+    fn on(&self, world: &mut World, number: usize, act: impl FnOnce(&mut Consensus, &mut World)) {
         let mut book = (*world.machines[number].book).clone();
         let (members, was_leader) = (book.members().to_vec(), book.is_leader());
         act(&mut book, world);
@@ -309,7 +309,7 @@
         world.net.drain(..late);
     }
 
-    fn settle(&self, world: &mut World, number: usize, book: &mut Logbook) {
+    fn settle(&self, world: &mut World, number: usize, book: &mut Consensus) {
         loop {
             let mut out = book.take();
             if book.is_leader() {
@@ -371,7 +371,7 @@
         write.ticket
     }
 
-    fn commit(&self, world: &mut World, number: usize, book: &Logbook, entry: Entry) {
+    fn commit(&self, world: &mut World, number: usize, book: &Consensus, entry: Entry) {
         let machine = &mut world.machines[number];
         if entry.index != machine.applied + 1 {
             _ = world.broken.get_or_insert(Breach::Gap);
@@ -410,7 +410,7 @@
     }
 
     /// Who was taken in has all that the leader knows to be committed.
-    fn check_change(&self, world: &mut World, book: &Logbook, before: &[Member]) {
+    fn check_change(&self, world: &mut World, book: &Consensus, before: &[Member]) {
         for new in book.members().iter().filter(|member| !before.contains(member)) {
             let machine = world.machines.iter().find(|machine| machine.book.me() == new);
             let all = |machine: &Machine| {
--- a/crates/logbook/tests/storms.rs
+++ b/crates/consensus/tests/storms.rs
@@ -1,13 +1,13 @@
 //! Storms of faults over whole harbours; the seed of each is printed before it, `STORM=seed` plays one again, and `STORMS=count` that many.
 
-mod harbour;
+mod cluster;
 
-use harbour::Harbour;
+use cluster::Cluster;
 
 const STORMS: u64 = 600;
 
 /// Does something bad, or makes something good again.
-fn trouble(harbour: &mut Harbour) {
+fn trouble(harbour: &mut Cluster) {
     let count = harbour.machines.len();
     let (one, other) = (harbour.rng.usize(..count), harbour.rng.usize(..count));
     let target = if harbour.rng.bool() { harbour.leader().unwrap_or(one) } else { one };
@@ -43,7 +43,7 @@
     }
 }
 
-fn heal(harbour: &mut Harbour) {
+fn heal(harbour: &mut Cluster) {
     harbour.cuts.clear();
     (harbour.loss, harbour.double, harbour.late) = (0, 0, 0);
     (harbour.way, harbour.sync) = (2, 3);
@@ -61,7 +61,7 @@
 
 fn storm(seed: u64) -> (usize, usize) {
     let members = if seed.is_multiple_of(3) { 5 } else { 3 };
-    let mut harbour = Harbour::new(members, seed);
+    let mut harbour = Cluster::new(members, seed);
     (harbour.double, harbour.late) = (harbour.rng.u8(..10), harbour.rng.u8(..6));
     // Near and far apart, with quick and slow disks.
     harbour.way = [2, 2, 40, 120][harbour.rng.usize(..4)];
--- a/crates/drydock/src/lib.rs
+++ b/crates/drydock/src/lib.rs
@@ -18,7 +18,7 @@
 pub use world::{Plan, World};
 
 use nickeljunction_berths::Beat;
-use nickeljunction_logbook::Envelope;
+use nickeljunction_consensus::Envelope;
 use nickeljunction_signals::{UnitsAnswer, UnitsCall, WatchAnswer, WatchCall};
 use nickeljunction_wheelhouse::Wish;
 
--- a/crates/drydock/src/member.rs
+++ b/crates/drydock/src/member.rs
@@ -2,8 +2,8 @@
 
 use crate::{host, node_of, Answer, Fact, Node, Out, Packet, Question};
 use nickeljunction_berths::Copy;
+use nickeljunction_consensus::{Consensus, Restored, Tuning, Write};
 use nickeljunction_hold::{Hold, MemoryHold};
-use nickeljunction_logbook::{Logbook, Restored, Tuning, Write};
 use nickeljunction_manifest::Bounds;
 use nickeljunction_signals::{Elsewhere, WatchCall};
 use nickeljunction_wheelhouse::statutes::Statutes;
@@ -126,7 +126,7 @@
     }
 
     /// Its agreement, while it runs.
-    pub fn book(&self) -> Option<&Logbook> {
+    pub fn book(&self) -> Option<&Consensus> {
         self.house.as_ref().map(Wheelhouse::book)
     }
 
--- a/crates/drydock/src/world.rs
+++ b/crates/drydock/src/world.rs
@@ -1,7 +1,7 @@
 //! The clock, the network, and what befalls machines.
 
 use crate::{host, Answer, Audit, Gateway, Member, Node, Out, Packet, People, Question, TENANT};
-use nickeljunction_logbook::{draw_id, first_id, Restored, Tuning};
+use nickeljunction_consensus::{draw_id, first_id, Restored, Tuning};
 use nickeljunction_manifest::value_digest;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
--- a/crates/harbourmaster/src/cli.rs
+++ b/crates/harbourmaster/src/cli.rs
@@ -51,7 +51,7 @@
                 required folder: PathBuf
                 /// The ip_address of the machine's settings.
                 required --host ip: String
-                /// FOLDER holds a store: it is renamed to logbook.replaced first.
+                /// FOLDER holds a store: it is renamed to consensus.replaced first.
                 optional --replace
             }
         }
--- a/crates/harbourmaster/src/disk.rs
+++ b/crates/harbourmaster/src/disk.rs
@@ -2,8 +2,8 @@
 
 use crate::helm::Helm;
 use crate::hint;
+use nickeljunction_consensus::Write;
 use nickeljunction_hold::{Hold, HoldError};
-use nickeljunction_logbook::Write;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Instant;
--- a/crates/harbourmaster/src/helm.rs
+++ b/crates/harbourmaster/src/helm.rs
@@ -10,7 +10,7 @@
 use hashbrown::HashMap;
 use nickeljunction_berths::{Applied, Beat, Copy, Refused};
 use nickeljunction_chandler::wheel::Wheel;
-use nickeljunction_logbook::Envelope;
+use nickeljunction_consensus::Envelope;
 use nickeljunction_signals::{
     EbbAnswer, EbbCall, Elsewhere, GatewayLine, UnitsAnswer, UnitsCall, WatchAnswer, WatchCall,
 };
--- a/crates/harbourmaster/src/helm/metrics.rs
+++ b/crates/harbourmaster/src/helm/metrics.rs
@@ -206,7 +206,7 @@
     use nickeljunction_chandler::clock::Clock;
     use nickeljunction_chandler::figures::well_formed;
     use nickeljunction_chandler::wheel::Wheel;
-    use nickeljunction_logbook::{first_id, Restored, Tuning};
+    use nickeljunction_consensus::{first_id, Restored, Tuning};
     use nickeljunction_manifest::Bounds;
     use nickeljunction_signals::Member;
     use nickeljunction_wheelhouse::{Place, Wheelhouse};
--- a/crates/harbourmaster/src/peers.rs
+++ b/crates/harbourmaster/src/peers.rs
@@ -2,7 +2,7 @@
 
 use hashbrown::HashMap;
 use nickeljunction_chandler::caller::Caller;
-use nickeljunction_logbook::Envelope;
+use nickeljunction_consensus::Envelope;
 use nickeljunction_signals::path;
 use std::cell::{Cell, RefCell};
 use std::net::{IpAddr, SocketAddr};
@@ -71,10 +71,10 @@
         waiting.set(waiting.get().saturating_sub(batch.len()));
         let body = serde_json::to_vec(&batch).unwrap_or_default();
         batch.clear();
-        match caller.call(to, "POST", path::LOGBOOK, &[], &body, CALL_MS).await {
+        match caller.call(to, "POST", path::CONSENSUS, &[], &body, CALL_MS).await {
             Ok(_) => {}
             Err(error) => {
-                log::debug!("event=peer_silent step=logbook peer={to} error={:?}", error.to_string());
+                log::debug!("event=peer_silent step=consensus peer={to} error={:?}", error.to_string());
                 caller.forget(to);
             }
         }
--- a/crates/harbourmaster/src/resources/inner.rs
+++ b/crates/harbourmaster/src/resources/inner.rs
@@ -3,7 +3,7 @@
 use super::json;
 use crate::helm::Helm;
 use nickeljunction_chandler::desk::{Answering, Call, Resource, Response};
-use nickeljunction_logbook::Envelope;
+use nickeljunction_consensus::Envelope;
 use nickeljunction_signals::{EbbCall, Elsewhere, UnitsCall, WatchAnswer, WatchCall};
 use nickeljunction_wheelhouse::Held as Hold;
 use serde::de::DeserializeOwned;
@@ -156,7 +156,7 @@
     use nickeljunction_chandler::caller::Caller as Calls;
     use nickeljunction_chandler::clock::Clock;
     use nickeljunction_chandler::wheel::Wheel;
-    use nickeljunction_logbook::{first_id, Hard, Restored, Snapshot, Tuning};
+    use nickeljunction_consensus::{first_id, Hard, Restored, Snapshot, Tuning};
     use nickeljunction_manifest::Bounds;
     use nickeljunction_signals::{Caller, Member};
     use nickeljunction_wheelhouse::{Place, Wheelhouse};
--- a/crates/harbourmaster/src/serve.rs
+++ b/crates/harbourmaster/src/serve.rs
@@ -3,7 +3,7 @@
 use crate::helm::{Helm, Ports};
 use crate::peers::Peers;
 use crate::resources::{self, config, core, evacuations, inner, instances, status, trials};
-use crate::store::LOGBOOK;
+use crate::store::CONSENSUS;
 use crate::{disk, follow, hint};
 use nickeljunction_chandler::caller::Caller;
 use nickeljunction_chandler::clock::Clock;
@@ -11,8 +11,8 @@
 use nickeljunction_chandler::figures;
 use nickeljunction_chandler::start::{listen, Order, Orders, StartError};
 use nickeljunction_chandler::wheel::Wheel;
+use nickeljunction_consensus::{draw_id, first_id, Restored, Tuning};
 use nickeljunction_hold::{Hold, HoldError, SledHold};
-use nickeljunction_logbook::{draw_id, first_id, Restored, Tuning};
 use nickeljunction_manifest::{CoreAddresses, Settings, SettingsError};
 use nickeljunction_signals::{path, Member};
 use nickeljunction_wheelhouse::{Place, Wheelhouse};
@@ -61,7 +61,7 @@
     dice: &mut fastrand::Rng,
 ) -> Result<Opened, HoldError> {
     let host = addresses.ip.to_string();
-    let mut hold = SledHold::open(addresses.data.join(LOGBOOK))?;
+    let mut hold = SledHold::open(addresses.data.join(CONSENSUS))?;
     if let Some(cause) = hold.given_up() {
         log::error!("event=disk_given_up step=open error={cause:?}");
     }
@@ -148,7 +148,7 @@
         .route(resources::INSTANCES, Rc::new(instances::Instances(helm.clone())))
         .route(resources::STATUS, Rc::new(status::Status(helm.clone())));
     let inner_desk = Desk::new(wheel.clone(), Limits { body: MOST_INNER, ..Limits::default() })
-        .route(path::LOGBOOK, Rc::new(inner::Messages(helm.clone())))
+        .route(path::CONSENSUS, Rc::new(inner::Messages(helm.clone())))
         .route(path::WATCH, Rc::new(inner::Watch(helm.clone())))
         .route(path::EBB, Rc::new(inner::Ebb(helm.clone())))
         .route(path::UNITS, Rc::new(inner::Units(helm.clone())));
--- a/crates/harbourmaster/src/store.rs
+++ b/crates/harbourmaster/src/store.rs
@@ -1,8 +1,8 @@
 //! `harbourmaster store`: the disk of a stopped member, for people. `docs/operators/store.md` shows each order.
 
 use crate::cli::StoreCmd;
+use nickeljunction_consensus::{draw_id, Body, Hard, Member, Snapshot, Write};
 use nickeljunction_hold::{Hold, HoldError, SledHold, Survey};
-use nickeljunction_logbook::{draw_id, Body, Hard, Member, Snapshot, Write};
 use nickeljunction_wheelhouse::statutes::{Entry, Statutes};
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
@@ -13,7 +13,7 @@
 use std::process::ExitCode;
 
 /// The hold's folder in a data folder.
-pub const LOGBOOK: &str = "logbook";
+pub const CONSENSUS: &str = "logbook";
 /// Where a replaced one goes.
 const REPLACED: &str = "logbook.replaced";
 /// First words of a snapshot's file, before its checksum and length.
@@ -115,7 +115,7 @@
 }
 
 fn survey(folder: &Path) -> Result<Survey, StoreError> {
-    let own = folder.join(LOGBOOK);
+    let own = folder.join(CONSENSUS);
     Ok(Survey::of(if own.is_dir() { &own } else { folder })?)
 }
 
@@ -296,7 +296,7 @@
     }
     let bytes = fs::read(file).map_err(|cause| StoreError::File("read", file.to_owned(), cause))?;
     let parcel = unwrap(file, &bytes)?;
-    let own = folder.join(LOGBOOK);
+    let own = folder.join(CONSENSUS);
     let full = |dir: &Path| fs::read_dir(dir).is_ok_and(|mut items| items.next().is_some());
     if full(folder) && !replace {
         let what = "isn't empty; --replace puts the store in it aside".to_owned();
@@ -326,7 +326,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use nickeljunction_logbook::{Logbook, Restored, Tuning};
+    use nickeljunction_consensus::{Consensus, Restored, Tuning};
 
     fn temp() -> PathBuf {
         let dir = std::env::temp_dir().join(format!("harbourmaster-{:x}", fastrand::u64(..)));
@@ -349,7 +349,7 @@
         let mut state = Statutes::default();
         state.apply(put(0, 2));
         let data = |entry: &Entry| Body::Data(serde_json::to_string(entry).expect("JSON"));
-        let entry = |index, body| nickeljunction_logbook::Entry { index, term: 5, body };
+        let entry = |index, body| nickeljunction_consensus::Entry { index, term: 5, body };
         let members = vec![member(1, "10.0.0.1"), member(2, "10.0.0.2"), member(3, "10.0.0.3")];
         let write = Write {
             ticket: 1,
@@ -359,7 +359,7 @@
             entries: vec![entry(11, data(&put(2, 4))), entry(12, data(&Entry::Evacuate("z".into())))],
             ..Write::default()
         };
-        let mut hold = SledHold::open(folder.join(LOGBOOK)).expect("opens");
+        let mut hold = SledHold::open(folder.join(CONSENSUS)).expect("opens");
         hold.save(&write).expect("saved");
         hold.load().expect("loads").expect("a store").into()
     }
@@ -381,12 +381,15 @@
         let full = restore(&file, &old, me.clone(), false).expect_err("the folder is in use");
         assert!(full.to_string().contains("isn't empty"), "{full}");
         restore(&file, &new, me.clone(), false).expect("restored");
-        let kept = SledHold::open(new.join(LOGBOOK)).expect("opens").load().expect("loads").expect("a store");
+        let kept =
+            SledHold::open(new.join(CONSENSUS)).expect("opens").load().expect("loads").expect("a store");
         assert_eq!((kept.hard.term, &kept.me), (1_000_000, &me));
 
         // The old member finds the new core: it is taught, and nothing of its log counts.
-        let mut books =
-            [Logbook::new(kept.into(), Tuning::default(), 1, 0), Logbook::new(lost, Tuning::default(), 2, 0)];
+        let mut books = [
+            Consensus::new(kept.into(), Tuning::default(), 1, 0),
+            Consensus::new(lost, Tuning::default(), 2, 0),
+        ];
         books[1].seek(&[me.host]);
         let mut states = [Statutes::default(), Statutes::default()];
         for now in 0..8_000 {
--- a/crates/hold/src/kept.rs
+++ b/crates/hold/src/kept.rs
@@ -1,7 +1,7 @@
 //! What a disk has, and what a write makes of it.
 
 use crate::HoldError;
-use nickeljunction_logbook::{Body, Entry, Hard, Member, Restored, Snapshot, Write};
+use nickeljunction_consensus::{Body, Entry, Hard, Member, Restored, Snapshot, Write};
 
 /// What a disk gave back.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/hold/src/kills.rs
+++ b/crates/hold/src/kills.rs
@@ -6,7 +6,7 @@
 use crate::sled_hold::open_db;
 use crate::tests::{copy, seeds, tear, temp, Writer};
 use crate::{Hold, HoldError, SledHold, Survey};
-use nickeljunction_logbook::{Body, Entry, Hard, Member, Write};
+use nickeljunction_consensus::{Body, Entry, Hard, Member, Write};
 use std::collections::BTreeMap;
 use std::fs;
 use std::path::{Path, PathBuf};
--- a/crates/hold/src/lib.rs
+++ b/crates/hold/src/lib.rs
@@ -4,11 +4,11 @@
 //! ```text
 //! let mut hold = SledHold::open(dir)?;                   // a store that is broken beyond repair starts anew, empty
 //! let restored = match hold.load()? {
-//!     Some(kept) => kept.into(),                         // logbook::Restored
+//!     Some(kept) => kept.into(),                         // consensus::Restored
 //!     None => Restored::stranger(Member { id: draw_id(random), host }),
 //! };
 //! // for each write in Outputs::writes, in order; blocks for the time of some syncs:
-//! match hold.save(&write) { Ok(()) => logbook.written(now, write.ticket), Err(_) => logbook.write_failed(now, write.ticket) }
+//! match hold.save(&write) { Ok(()) => consensus.written(now, write.ticket), Err(_) => consensus.write_failed(now, write.ticket) }
 //! ```
 //!
 //! After [`HoldError::Lost`] the disk is empty and the member is none any more: the program ends, and its next life is a
@@ -32,7 +32,7 @@
 pub use sled_hold::SledHold;
 pub use survey::Survey;
 
-use nickeljunction_logbook::Write;
+use nickeljunction_consensus::Write;
 use quick_error::quick_error;
 
 /// A disk.
--- a/crates/hold/src/memory.rs
+++ b/crates/hold/src/memory.rs
@@ -2,7 +2,7 @@
 
 use crate::kept::{Kept, Outline};
 use crate::{Hold, HoldError};
-use nickeljunction_logbook::Write;
+use nickeljunction_consensus::Write;
 use std::cell::RefCell;
 use std::rc::Rc;
 
--- a/crates/hold/src/record.rs
+++ b/crates/hold/src/record.rs
@@ -4,7 +4,7 @@
 use crate::kept::{misfit, Kept};
 use crate::mark::FORMAT;
 use crate::HoldError;
-use nickeljunction_logbook::{Entry, Hard, Member, Snapshot};
+use nickeljunction_consensus::{Entry, Hard, Member, Snapshot};
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
 
 /// Bytes of a piece.
--- a/crates/hold/src/sled_hold.rs
+++ b/crates/hold/src/sled_hold.rs
@@ -5,7 +5,7 @@
 use crate::record::{entry_key, piece_key, pieces, Found, HardRecord, Reader, Stamp, HARD, ME, SNAPSHOT};
 use crate::sync::{clear, probe, size, sync_folder, trouble, Synced};
 use crate::{Hold, HoldError};
-use nickeljunction_logbook::{Hard, Write};
+use nickeljunction_consensus::{Hard, Write};
 use std::fs;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::{Path, PathBuf};
--- a/crates/hold/src/survey.rs
+++ b/crates/hold/src/survey.rs
@@ -5,7 +5,7 @@
 use crate::sled_hold::{open_db, read_db, STORE};
 use crate::sync::{list, trouble, Look};
 use crate::HoldError;
-use nickeljunction_logbook::{Entry, Hard, Member, Snapshot};
+use nickeljunction_consensus::{Entry, Hard, Member, Snapshot};
 use std::collections::BTreeMap;
 use std::fs::{self, File, TryLockError};
 use std::path::{Path, PathBuf};
--- a/crates/hold/src/tests.rs
+++ b/crates/hold/src/tests.rs
@@ -2,7 +2,7 @@
 
 use crate::kept::Kept;
 use crate::{Hold, HoldError, MemoryHold, SledHold};
-use nickeljunction_logbook::{Body, Entry, Hard, Member, Snapshot, Write};
+use nickeljunction_consensus::{Body, Entry, Hard, Member, Snapshot, Write};
 use std::fs;
 use std::path::Path;
 use tempfile::TempDir;
--- a/crates/signals/src/lib.rs
+++ b/crates/signals/src/lib.rs
@@ -10,7 +10,7 @@
 /// Paths of the inner calls.
 pub mod path {
     /// Messages of the agreement between core members, answered with 204.
-    pub const LOGBOOK: &str = "/logbook";
+    pub const CONSENSUS: &str = "/logbook";
     /// What a gateway or another core member learns: [`super::WatchCall`], [`super::WatchAnswer`].
     pub const WATCH: &str = "/watch";
     /// Counted adds of a gateway: [`super::UnitsCall`], [`super::UnitsAnswer`].
--- a/crates/wheelhouse/src/calls.rs
+++ b/crates/wheelhouse/src/calls.rs
@@ -6,7 +6,7 @@
 use crate::members::Wish;
 use crate::statutes::{Entry, Outcome};
 use nickeljunction_bunker::Roll;
-use nickeljunction_logbook::NotLeader;
+use nickeljunction_consensus::NotLeader;
 use nickeljunction_signals::UnitsCall;
 
 /// A proposal that is not on a majority's disks by then is answered as open, ms; the operator repeats it unchanged.
--- a/crates/wheelhouse/src/effects.rs
+++ b/crates/wheelhouse/src/effects.rs
@@ -3,7 +3,7 @@
 use crate::members::{Unfit, Wish};
 use crate::statutes::{Outcome, Trial};
 use nickeljunction_berths::Copy;
-use nickeljunction_logbook::{Entry, Envelope, Write};
+use nickeljunction_consensus::{Entry, Envelope, Write};
 use nickeljunction_signals::{Elsewhere, ServerState, UnitsAnswer};
 
 /// Names a call that waits for its answer.
--- a/crates/wheelhouse/src/machine.rs
+++ b/crates/wheelhouse/src/machine.rs
@@ -7,7 +7,7 @@
 use crate::statutes::{Entry, Statutes};
 use nickeljunction_berths::{Applied, Copy, Refused, Register};
 use nickeljunction_bunker::Counter;
-use nickeljunction_logbook::{Envelope, Logbook, Outputs, ReadTicket, Restored, Tuning};
+use nickeljunction_consensus::{Consensus, Envelope, Outputs, ReadTicket, Restored, Tuning};
 use nickeljunction_manifest::Bounds;
 use nickeljunction_signals::{Caller, Elsewhere, GatewayLine, WatchAnswer, WatchCall};
 use std::collections::BTreeMap;
@@ -46,7 +46,7 @@
     /// A leader whose majority has not answered for so long answers nobody: below the time in which another one can be
     /// elected.
     pub(crate) lease_ms: u64,
-    pub(crate) book: Logbook,
+    pub(crate) book: Consensus,
     pub(crate) statutes: Statutes,
     /// Index of the last entry that `statutes` holds.
     applied: u64,
@@ -76,7 +76,7 @@
         Wheelhouse {
             place,
             lease_ms: tuning.election_min_ms,
-            book: Logbook::new(restored, tuning, seed, now),
+            book: Consensus::new(restored, tuning, seed, now),
             statutes: Statutes::default(),
             applied: 0,
             snapshot_at: 0,
@@ -159,7 +159,7 @@
     }
 
     /// Does something with the agreement, and all that follows from it.
-    pub(crate) fn turn(&mut self, now: u64, act: impl FnOnce(&mut Logbook)) {
+    pub(crate) fn turn(&mut self, now: u64, act: impl FnOnce(&mut Consensus)) {
         act(&mut self.book);
         loop {
             let outputs = self.book.take();
@@ -312,7 +312,7 @@
     // ---- To look at ----
 
     /// The agreement.
-    pub fn book(&self) -> &Logbook {
+    pub fn book(&self) -> &Consensus {
         &self.book
     }
 
--- a/crates/wheelhouse/src/members.rs
+++ b/crates/wheelhouse/src/members.rs
@@ -2,7 +2,7 @@
 
 use crate::machine::Wheelhouse;
 use crate::statutes::{CoreOrder, Entry};
-use nickeljunction_logbook::{Away, Seen, MEMBERS_MAX, MEMBERS_MIN};
+use nickeljunction_consensus::{Away, Seen, MEMBERS_MAX, MEMBERS_MIN};
 use quick_error::quick_error;
 use serde::Serialize;
 
--- a/crates/wheelhouse/src/statutes.rs
+++ b/crates/wheelhouse/src/statutes.rs
@@ -1,7 +1,7 @@
 //! What must outlive everything, as the agreed log makes it: the configuration with its version, the evacuated zones, tenants'
 //! trials, and which gateways' processes have units. No I/O and no clock: entries go in, one after the other and the same at every member.
 
-use nickeljunction_logbook::Away;
+use nickeljunction_consensus::Away;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
--- a/crates/wheelhouse/tests/member.rs
+++ b/crates/wheelhouse/tests/member.rs
@@ -1,7 +1,7 @@
 //! Three members on a fake clock, between links that are cut when told to.
 
 use nickeljunction_berths::Beat;
-use nickeljunction_logbook::{first_id, Envelope, Restored, Tuning};
+use nickeljunction_consensus::{first_id, Envelope, Restored, Tuning};
 use nickeljunction_manifest::Bounds;
 use nickeljunction_signals::{
     Caller, EbbCall, GatewayLine, Member, ServerState, TenantUnits, UnitsCall, WatchCall,
--- a/crates/wheelhouse/tests/members.rs
+++ b/crates/wheelhouse/tests/members.rs
@@ -1,7 +1,7 @@
 //! Orders on who is a member of the core, through whole core members on a clock of their own: each message takes 2 ms, each
 //! write is synced at once.
 
-use nickeljunction_logbook::{draw_id, first_id, Envelope, Restored, Tuning};
+use nickeljunction_consensus::{draw_id, first_id, Envelope, Restored, Tuning};
 use nickeljunction_manifest::Bounds;
 use nickeljunction_signals::Member;
 use nickeljunction_wheelhouse::{Answer, Place, Ticket, Unfit, Wheelhouse, Wish};
