--- a/crates/consensus/tests/cluster/mod.rs
+++ b/crates/consensus/tests/cluster/mod.rs
@@ -6,7 +6,7 @@
 use nickeljunction_consensus::{
     draw_id, first_id, Away, Body, Consensus, Envelope, Member, MemberId, ReadTicket, Restored, Tuning, Write,
 };
-use nickeljunction_hold::{Hold, MemoryHold};
+use nickeljunction_storage::{Hold, MemoryHold};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
 /// Begins a value that says who is to stay away.
--- a/crates/harbourmaster/src/disk.rs
+++ b/crates/harbourmaster/src/disk.rs
@@ -3,7 +3,7 @@
 use crate::helm::Helm;
 use crate::hint;
 use nickeljunction_consensus::Write;
-use nickeljunction_hold::{Hold, HoldError};
+use nickeljunction_storage::{Hold, HoldError};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Instant;
--- a/crates/harbourmaster/src/store.rs
+++ b/crates/harbourmaster/src/store.rs
@@ -2,7 +2,7 @@
 
 use crate::cli::StoreCmd;
 use nickeljunction_consensus::{draw_id, Body, Hard, Member, Snapshot, Write};
-use nickeljunction_hold::{Hold, HoldError, SledHold, Survey};
+use nickeljunction_storage::{Hold, HoldError, SledHold, Survey};
 use nickeljunction_wheelhouse::statutes::{Entry, Statutes};
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
--- a/crates/hold/src/tests.rs
+++ b/crates/storage/src/tests.rs
@@ -279,7 +279,7 @@
     assert_eq!(hold.load().unwrap(), None);
 }
 
-/// Not a check: `cargo test -p nickeljunction-hold a_save_is_timed -- --nocapture` tells what a save takes here.
+/// Not a check: `cargo test -p nickeljunction-storage a_save_is_timed -- --nocapture` tells what a save takes here.
 #[test]
 fn a_save_is_timed() {
     let dir = temp();
