--- a/crates/berths/src/chart.rs
+++ b/crates/berths/src/chart.rs
@@ -1,7 +1,7 @@
 //! The watcher's side: an immutable picture of all that the leader tells, swapped whole with every answer.
 
 use crate::register::PERMIT_LIFE_MS;
-use nickeljunction_signals::{
+use nickeljunction_messages::{
     Caller, ConfigLine, GatewayLine, ServerLine, ServerState, TrialLine, WatchAnswer, WatchCall,
 };
 use quick_error::quick_error;
--- a/crates/berths/src/directory.rs
+++ b/crates/berths/src/directory.rs
@@ -1,6 +1,6 @@
 //! Which gateways a client is told of.
 
-use nickeljunction_signals::GatewayLine;
+use nickeljunction_messages::GatewayLine;
 use std::collections::BTreeMap;
 
 /// Most addresses that an answer may hold.
--- a/crates/berths/src/gateways.rs
+++ b/crates/berths/src/gateways.rs
@@ -1,7 +1,7 @@
 //! Which gateways there are, by their watch calls.
 
 use crate::register::{Numbering, Tuning};
-use nickeljunction_signals::{GatewayLine, WatchCall};
+use nickeljunction_messages::{GatewayLine, WatchCall};
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
--- a/crates/berths/src/lib.rs
+++ b/crates/berths/src/lib.rs
@@ -2,7 +2,7 @@
 //! I/O: times (`now`, ms of a steady clock), chance and messages are arguments, what is to be told are return values.
 //!
 //! - [`Register`] lives on the leader. Beats of servers and watch calls of gateways go in; [`Register::answer`] makes
-//!   the [`WatchAnswer`](nickeljunction_signals::WatchAnswer) that a caller lacks.
+//!   the [`WatchAnswer`](nickeljunction_messages::WatchAnswer) that a caller lacks.
 //! - [`struct@Copy`] lives in every watcher, gateway or follower. It holds the [`Chart`], an immutable snapshot that
 //!   [`Copy::apply`] swaps whole. A follower that comes to lead hands its copy to [`Register::new`].
 //! - [`directory`] lists the gateways near a client.
--- a/crates/berths/src/register.rs
+++ b/crates/berths/src/register.rs
@@ -4,7 +4,7 @@
 use crate::gateways::{GatewayStanding, Gateways, Seen};
 use crate::servers::{Beat, BeatKind, BeatOutcome, ServerStanding, Servers};
 use crate::tally::{tally, Tally};
-use nickeljunction_signals::{Caller, ConfigLine, GatewayLine, TrialLine, WatchAnswer, WatchCall};
+use nickeljunction_messages::{Caller, ConfigLine, GatewayLine, TrialLine, WatchAnswer, WatchCall};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
--- a/crates/berths/src/servers.rs
+++ b/crates/berths/src/servers.rs
@@ -3,7 +3,7 @@
 use crate::chart::Copy;
 use crate::gateways::Gateways;
 use crate::register::{Numbering, Tuning};
-use nickeljunction_signals::{ServerLine, ServerState, WatchAnswer};
+use nickeljunction_messages::{ServerLine, ServerState, WatchAnswer};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Ids of lives gone that are told as differences; who lags further behind reads the whole table.
--- a/crates/berths/src/tally.rs
+++ b/crates/berths/src/tally.rs
@@ -1,6 +1,6 @@
 //! Servers counted by service and state, for operators.
 
-use nickeljunction_signals::{ServerLine, ServerState};
+use nickeljunction_messages::{ServerLine, ServerState};
 use std::collections::BTreeMap;
 
 /// How many lives there are by service and state.
--- a/crates/berths/tests/common/mod.rs
+++ b/crates/berths/tests/common/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code, missing_docs)]
 
 use nickeljunction_berths::{Applied, Beat, BeatKind, Chart, Copy, Register, Tuning};
-use nickeljunction_signals::{Caller, GatewayLine, ServerState, WatchCall};
+use nickeljunction_messages::{Caller, GatewayLine, ServerState, WatchCall};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
--- a/crates/berths/tests/reference.rs
+++ b/crates/berths/tests/reference.rs
@@ -5,7 +5,7 @@
 
 use common::*;
 use nickeljunction_berths::{barred, Applied, Beat, Copy, Leave};
-use nickeljunction_signals::{Caller, ConfigLine, ServerLine, ServerState, WatchAnswer};
+use nickeljunction_messages::{Caller, ConfigLine, ServerLine, ServerState, WatchAnswer};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/berths/tests/servers.rs
+++ b/crates/berths/tests/servers.rs
@@ -4,7 +4,7 @@
 
 use common::*;
 use nickeljunction_berths::{BeatKind, Copy};
-use nickeljunction_signals::{Caller, ServerState};
+use nickeljunction_messages::{Caller, ServerState};
 use std::collections::BTreeSet;
 
 fn zones<const N: usize>(names: [&str; N]) -> BTreeSet<String> {
--- a/crates/berths/tests/watching.rs
+++ b/crates/berths/tests/watching.rs
@@ -4,7 +4,7 @@
 
 use common::*;
 use nickeljunction_berths::{Copy, Refused, Seen, Tide};
-use nickeljunction_signals::{Caller, ConfigLine, TrialLine, WatchAnswer, WatchCall};
+use nickeljunction_messages::{Caller, ConfigLine, TrialLine, WatchAnswer, WatchCall};
 use std::rc::Rc;
 
 fn config(version: u64) -> ConfigLine {
--- a/crates/bunker/src/counter.rs
+++ b/crates/bunker/src/counter.rs
@@ -4,7 +4,7 @@
 use crate::ring::Ring;
 use crate::takeover::Takeover;
 use crate::tuning::{Guard, Limit, Tuning};
-use nickeljunction_signals::{TenantGrant, TenantUnits, UnitsAnswer, UnitsCall};
+use nickeljunction_messages::{TenantGrant, TenantUnits, UnitsAnswer, UnitsCall};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The first allowances are for so many gateways at least.
--- a/crates/bunker/src/lib.rs
+++ b/crates/bunker/src/lib.rs
@@ -3,7 +3,7 @@
 //! Two sides. [`Counter`] runs on the core member that leads: it keeps a book of loans for each tenant and answers
 //! gateways' calls. [`Purse`] runs in every gateway: it spends from its loans, fetches ahead and gives back; a unit
 //! that was spent comes back to the loan that it was spent from when it leaves the window. They say
-//! [`UnitsCall`](nickeljunction_signals::UnitsCall) and [`UnitsAnswer`](nickeljunction_signals::UnitsAnswer) to each other.
+//! [`UnitsCall`](nickeljunction_messages::UnitsCall) and [`UnitsAnswer`](nickeljunction_messages::UnitsAnswer) to each other.
 //!
 //! The rule that both keep together: over any span of a window's length, units spent over all gateways are at most the
 //! tenant's cap. `docs/design/units.md` argues why. What the driver owes it:
--- a/crates/bunker/src/purse.rs
+++ b/crates/bunker/src/purse.rs
@@ -3,7 +3,7 @@
 use crate::peak::Peak;
 use crate::ring::Ring;
 use crate::tuning::{Guard, Limit, Tuning};
-use nickeljunction_signals::{TenantGrant, TenantUnits, UnitsAnswer, UnitsCall};
+use nickeljunction_messages::{TenantGrant, TenantUnits, UnitsAnswer, UnitsCall};
 use std::collections::BTreeMap;
 
 /// First pause after a failed call and the longest, ms.
--- a/crates/bunker/tests/calls.rs
+++ b/crates/bunker/tests/calls.rs
@@ -1,7 +1,7 @@
 //! Single calls, by hand.
 
 use nickeljunction_bunker::{Counter, Limit, Purse, Spend, TenantStanding, Tuning};
-use nickeljunction_signals::{TenantUnits, UnitsAnswer, UnitsCall};
+use nickeljunction_messages::{TenantUnits, UnitsAnswer, UnitsCall};
 use std::collections::BTreeMap;
 
 fn limits(cap: u64) -> BTreeMap<String, Limit> {
--- a/crates/bunker/tests/units_model.rs
+++ b/crates/bunker/tests/units_model.rs
@@ -6,7 +6,7 @@
 //! comes in time comes at once.
 
 use nickeljunction_bunker::{Counter, Guard, Limit, Purse, Spend, Tuning};
-use nickeljunction_signals::{UnitsAnswer, UnitsCall};
+use nickeljunction_messages::{UnitsAnswer, UnitsCall};
 use stateright::{Checker, Expectation, Model, Property};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
--- a/crates/bunker/tests/world/mod.rs
+++ b/crates/bunker/tests/world/mod.rs
@@ -4,7 +4,7 @@
 #![allow(dead_code)]
 
 use nickeljunction_bunker::{Counter, Limit, Purse, Roll, Spend, Tuning};
-use nickeljunction_signals::{UnitsAnswer, UnitsCall};
+use nickeljunction_messages::{UnitsAnswer, UnitsCall};
 use std::collections::BTreeMap;
 
 pub const WINDOW_MS: u64 = 5_000;
--- a/crates/consensus/src/disk.rs
+++ b/crates/consensus/src/disk.rs
@@ -2,7 +2,7 @@
 
 use crate::log::Log;
 use crate::messages::{Hard, Write};
-use nickeljunction_signals::Member;
+use nickeljunction_messages::Member;
 use std::collections::VecDeque;
 
 /// What a disk holds, in the order in which it was told.
--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -3,7 +3,7 @@
 use crate::machine::{Bound, Consensus, Owed, Role};
 use crate::messages::{Envelope, Hard, Msg};
 use crate::replication::Lead;
-use nickeljunction_signals::{Member, MemberId};
+use nickeljunction_messages::{Member, MemberId};
 
 /// How often a member asks again soon once all are known to be free: another one may not have known it yet.
 const HURRIES: u32 = 5;
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -61,4 +61,4 @@
     draw_id, first_id, Away, Body, Entry, Envelope, Hard, Msg, NotLeader, Outputs, ReadTicket, Restored,
     Seen, Snapshot, Tuning, Write, HELD_BACK,
 };
-pub use nickeljunction_signals::{Member, MemberId};
+pub use nickeljunction_messages::{Member, MemberId};
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -1,7 +1,7 @@
 //! The log in memory: the entries since a base, the newest snapshot, and which members hold from which entry on.
 
 use crate::messages::{Body, Entry, Snapshot, HELD_BACK};
-use nickeljunction_signals::Member;
+use nickeljunction_messages::Member;
 use std::collections::VecDeque;
 
 /// Entries that a snapshot covers stay for laggards up to so many bytes.
--- a/crates/consensus/src/machine.rs
+++ b/crates/consensus/src/machine.rs
@@ -6,7 +6,7 @@
     Away, Body, Entry, Envelope, Hard, Msg, NotLeader, Outputs, ReadTicket, Restored, Tuning,
 };
 use crate::replication::{Lead, PendingRead};
-use nickeljunction_signals::{Member, MemberId};
+use nickeljunction_messages::{Member, MemberId};
 use std::collections::VecDeque;
 
 /// More entries than this don't wait for a majority at a time.
--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -4,7 +4,7 @@
 use crate::machine::{Consensus, Role};
 use crate::messages::{Away, Body, Envelope, Msg, Seen};
 use crate::replication::Peer;
-use nickeljunction_signals::Member;
+use nickeljunction_messages::Member;
 
 /// No more members than this.
 pub const MEMBERS_MAX: usize = 7;
--- a/crates/consensus/src/messages.rs
+++ b/crates/consensus/src/messages.rs
@@ -1,6 +1,6 @@
 //! What goes in and out: entries, snapshots, messages between members, writes, tuning.
 
-use nickeljunction_signals::{Member, MemberId};
+use nickeljunction_messages::{Member, MemberId};
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -3,7 +3,7 @@
 use crate::log::Log;
 use crate::machine::{Consensus, Owed, Role};
 use crate::messages::{Body, Entry, Envelope, Msg, ReadTicket, Snapshot};
-use nickeljunction_signals::{Member, MemberId};
+use nickeljunction_messages::{Member, MemberId};
 use std::collections::VecDeque;
 
 /// Entries of one message, bytes; one entry goes out however large it is.
--- a/crates/drydock/src/gateway.rs
+++ b/crates/drydock/src/gateway.rs
@@ -5,9 +5,9 @@
 use nickeljunction_bunker::{Purse, Spend};
 use nickeljunction_ebb::Sluice;
 use nickeljunction_manifest::Bounds;
+use nickeljunction_messages::{Caller, GatewayLine, WatchAnswer};
 use nickeljunction_pilot::lease::Lease;
 use nickeljunction_pilot::seek::Seek;
-use nickeljunction_signals::{Caller, GatewayLine, WatchAnswer};
 use nickeljunction_wheelhouse::limits;
 
 // The figures of `pilot::link`.
--- a/crates/drydock/src/people.rs
+++ b/crates/drydock/src/people.rs
@@ -3,7 +3,7 @@
 use crate::member::HEARTBEAT_MS;
 use crate::{node_of, Answer, Node, Out, Packet, Question};
 use nickeljunction_berths::Beat;
-use nickeljunction_signals::ServerState;
+use nickeljunction_messages::ServerState;
 
 /// A call without an answer is repeated elsewhere after so long, ms, and one sent on or without a clear answer after that.
 const ANSWER_MS: u64 = 3_000;
--- a/crates/drydock/src/world.rs
+++ b/crates/drydock/src/world.rs
@@ -89,7 +89,7 @@
         };
         // serve::open, at the first start.
         let member =
-            |host: &String| nickeljunction_signals::Member { id: first_id(host), host: host.clone() };
+            |host: &String| nickeljunction_messages::Member { id: first_id(host), host: host.clone() };
         for node in 0..plan.members {
             let me = member(&host(node));
             let restored = match node < plan.seeds {
@@ -266,7 +266,7 @@
     /// Starts a core member again; see `serve::open`.
     pub fn start(&mut self, node: Node) {
         let id = draw_id(self.rng.u64(..));
-        let stranger = || Restored::stranger(nickeljunction_signals::Member { id, host: host(node) });
+        let stranger = || Restored::stranger(nickeljunction_messages::Member { id, host: host(node) });
         let restored = self.members[node].load().unwrap_or_else(stranger);
         let seeds = self.seeds.clone();
         self.at_member(node, |one, now, out| one.start(now, restored, &seeds, out));
--- a/crates/harbourmaster/src/follow.rs
+++ b/crates/harbourmaster/src/follow.rs
@@ -2,7 +2,7 @@
 
 use crate::helm::Helm;
 use nickeljunction_chandler::caller::Caller;
-use nickeljunction_signals::{path, WatchAnswer};
+use nickeljunction_messages::{path, WatchAnswer};
 use nickeljunction_wheelhouse::follow::{AGAIN_MS, HOLD_MS, SLACK_MS};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
--- a/crates/harbourmaster/src/helm.rs
+++ b/crates/harbourmaster/src/helm.rs
@@ -11,7 +11,7 @@
 use nickeljunction_berths::{Applied, Beat, Copy, Refused};
 use nickeljunction_chandler::wheel::Wheel;
 use nickeljunction_consensus::Envelope;
-use nickeljunction_signals::{
+use nickeljunction_messages::{
     EbbAnswer, EbbCall, Elsewhere, GatewayLine, UnitsAnswer, UnitsCall, WatchAnswer, WatchCall,
 };
 use nickeljunction_wheelhouse::{
--- a/crates/harbourmaster/src/helm/metrics.rs
+++ b/crates/harbourmaster/src/helm/metrics.rs
@@ -208,7 +208,7 @@
     use nickeljunction_chandler::wheel::Wheel;
     use nickeljunction_consensus::{first_id, Restored, Tuning};
     use nickeljunction_manifest::Bounds;
-    use nickeljunction_signals::Member;
+    use nickeljunction_messages::Member;
     use nickeljunction_wheelhouse::{Place, Wheelhouse};
 
     /// Operators' boards go by these.
--- a/crates/harbourmaster/src/hint.rs
+++ b/crates/harbourmaster/src/hint.rs
@@ -5,7 +5,7 @@
 //! shortly after. What it tells may be that much out of date, as any copy that a successor starts from; beats put it right.
 
 use nickeljunction_berths::Copy;
-use nickeljunction_signals::WatchAnswer;
+use nickeljunction_messages::WatchAnswer;
 use nickeljunction_wheelhouse::HINT_GOOD_MS;
 use serde::{Deserialize, Serialize};
 use std::io::Write;
@@ -101,7 +101,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use nickeljunction_signals::{ServerLine, ServerState};
+    use nickeljunction_messages::{ServerLine, ServerState};
 
     fn copy() -> Copy {
         let line = ServerLine {
--- a/crates/harbourmaster/src/peers.rs
+++ b/crates/harbourmaster/src/peers.rs
@@ -3,7 +3,7 @@
 use hashbrown::HashMap;
 use nickeljunction_chandler::caller::Caller;
 use nickeljunction_consensus::Envelope;
-use nickeljunction_signals::path;
+use nickeljunction_messages::path;
 use std::cell::{Cell, RefCell};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
--- a/crates/harbourmaster/src/resources/inner.rs
+++ b/crates/harbourmaster/src/resources/inner.rs
@@ -4,7 +4,7 @@
 use crate::helm::Helm;
 use nickeljunction_chandler::desk::{Answering, Call, Resource, Response};
 use nickeljunction_consensus::Envelope;
-use nickeljunction_signals::{EbbCall, Elsewhere, UnitsCall, WatchAnswer, WatchCall};
+use nickeljunction_messages::{EbbCall, Elsewhere, UnitsCall, WatchAnswer, WatchCall};
 use nickeljunction_wheelhouse::Held as Hold;
 use serde::de::DeserializeOwned;
 use std::rc::Rc;
@@ -158,7 +158,7 @@
     use nickeljunction_chandler::wheel::Wheel;
     use nickeljunction_consensus::{first_id, Hard, Restored, Snapshot, Tuning};
     use nickeljunction_manifest::Bounds;
-    use nickeljunction_signals::{Caller, Member};
+    use nickeljunction_messages::{Caller, Member};
     use nickeljunction_wheelhouse::{Place, Wheelhouse};
     use std::task::{Context, Poll};
     use tokio::sync::mpsc;
--- a/crates/harbourmaster/src/resources/mod.rs
+++ b/crates/harbourmaster/src/resources/mod.rs
@@ -10,7 +10,7 @@
 
 use crate::helm::Helm;
 use nickeljunction_chandler::desk::{percent_decoded, Call, Response};
-use nickeljunction_signals::Elsewhere;
+use nickeljunction_messages::Elsewhere;
 use serde::Serialize;
 
 /// Where the configuration is put, changed and read.
--- a/crates/harbourmaster/src/serve.rs
+++ b/crates/harbourmaster/src/serve.rs
@@ -13,7 +13,7 @@
 use nickeljunction_chandler::wheel::Wheel;
 use nickeljunction_consensus::{draw_id, first_id, Restored, Tuning};
 use nickeljunction_manifest::{CoreAddresses, Settings, SettingsError};
-use nickeljunction_signals::{path, Member};
+use nickeljunction_messages::{path, Member};
 use nickeljunction_storage::{Hold, HoldError, SledHold};
 use nickeljunction_wheelhouse::{Place, Wheelhouse};
 use quick_error::quick_error;
--- a/crates/pilot/src/berth.rs
+++ b/crates/pilot/src/berth.rs
@@ -1,7 +1,7 @@
 //! Which servers a gateway sends to, and how near they are. Pure functions over what the core tells.
 
 use nickeljunction_berths::barred;
-use nickeljunction_signals::ServerLine;
+use nickeljunction_messages::ServerLine;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
@@ -121,7 +121,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use nickeljunction_signals::ServerState;
+    use nickeljunction_messages::ServerState;
 
     fn line(id: &str, zone: &str, state: ServerState, cold: Option<&str>) -> ServerLine {
         let (backend, address) = ("b".to_string(), "127.0.0.1:1".to_string());
--- a/crates/pilot/src/ebb.rs
+++ b/crates/pilot/src/ebb.rs
@@ -5,7 +5,7 @@
 use nickeljunction_chandler::wheel::Wheel;
 use nickeljunction_ebb::{Arrival, Curve, Rank, Sluice, Standing, Verdict};
 use nickeljunction_manifest::Config;
-use nickeljunction_signals::{path, EbbAnswer, EbbCall, TrialLine};
+use nickeljunction_messages::{path, EbbAnswer, EbbCall, TrialLine};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
--- a/crates/pilot/src/link.rs
+++ b/crates/pilot/src/link.rs
@@ -14,7 +14,7 @@
 use nickeljunction_chandler::figures::MOST_LABELLED;
 use nickeljunction_chandler::wheel::Wheel;
 use nickeljunction_manifest::{Bounds, Config, Document};
-use nickeljunction_signals::{path, EbbCall, Elsewhere, GatewayLine, ServerLine, UnitsAnswer, WatchAnswer};
+use nickeljunction_messages::{path, EbbCall, Elsewhere, GatewayLine, ServerLine, UnitsAnswer, WatchAnswer};
 use serde::{de::DeserializeOwned, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -304,7 +304,7 @@
         let (front, zone) = (self.own.front.clone(), place.zone.clone());
         let line = GatewayLine { name: place.name.clone(), front, zone, ready: self.ready() };
         let mut call = self.copy.borrow().ask(
-            nickeljunction_signals::Caller::Gateway,
+            nickeljunction_messages::Caller::Gateway,
             &place.name,
             self.own.life,
             Some(line),
@@ -467,7 +467,7 @@
         }
     }
 
-    async fn add(&self, call: &nickeljunction_signals::UnitsCall) -> Option<UnitsAnswer> {
+    async fn add(&self, call: &nickeljunction_messages::UnitsCall) -> Option<UnitsAnswer> {
         let host = self.seek.borrow().leader()?.to_string();
         let to = self.address(&host)?;
         let body = serde_json::to_vec(call).ok()?;
--- a/crates/pilot/src/quay.rs
+++ b/crates/pilot/src/quay.rs
@@ -17,7 +17,7 @@
     ServiceTable, Settings,
 };
 use nickeljunction_core::life::{Answer, Core, Ports, ANSWER_MARGIN_MS};
-use nickeljunction_signals::ServerLine;
+use nickeljunction_messages::ServerLine;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::{Rc, Weak};
--- a/crates/pilot/src/resolve.rs
+++ b/crates/pilot/src/resolve.rs
@@ -3,7 +3,7 @@
 use crate::link::Link;
 use nickeljunction_berths::directory;
 use nickeljunction_chandler::desk::{percent_decoded, Answering, Call, Resource, Response};
-use nickeljunction_signals::GatewayLine;
+use nickeljunction_messages::GatewayLine;
 use std::cell::RefCell;
 use std::rc::Rc;
 
--- a/crates/pilot/tests/front.rs
+++ b/crates/pilot/tests/front.rs
@@ -8,13 +8,13 @@
 use nickeljunction_core::life::Answer;
 use nickeljunction_http::Headers;
 use nickeljunction_manifest::Document;
+use nickeljunction_messages::TrialLine;
 use nickeljunction_pilot::ebb::Ebb;
 use nickeljunction_pilot::front::{Front, Lifecycle};
 use nickeljunction_pilot::parcel::{
     Admission, Admitted, Body, Dispatch, Parcel, Part, Served, ServedBody, Stream,
 };
 use nickeljunction_pilot::table::{Swap, Table};
-use nickeljunction_signals::TrialLine;
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::pin::Pin;
--- a/crates/pilot/tests/quay.rs
+++ b/crates/pilot/tests/quay.rs
@@ -8,13 +8,13 @@
 use nickeljunction_core::life::Answer;
 use nickeljunction_http::stream::{read_request_head, BodyReader};
 use nickeljunction_http::{Chunk, Headers};
+use nickeljunction_messages::{ServerLine, ServerState};
 use nickeljunction_pilot::berth::Place;
 use nickeljunction_pilot::figures::{Backend, Tuning};
 use nickeljunction_pilot::parcel::{
     Admission, Admitted, Body, Dispatch, Parcel, Part, Served, ServedBody, Stream,
 };
 use nickeljunction_pilot::quay::Quay;
-use nickeljunction_signals::{ServerLine, ServerState};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::future::Future;
--- a/crates/wheelhouse/src/calls.rs
+++ b/crates/wheelhouse/src/calls.rs
@@ -7,7 +7,7 @@
 use crate::statutes::{Entry, Outcome};
 use nickeljunction_bunker::Roll;
 use nickeljunction_consensus::NotLeader;
-use nickeljunction_signals::UnitsCall;
+use nickeljunction_messages::UnitsCall;
 
 /// A proposal that is not on a majority's disks by then is answered as open, ms; the operator repeats it unchanged.
 const PROPOSAL_MS: u64 = 2_500;
--- a/crates/wheelhouse/src/effects.rs
+++ b/crates/wheelhouse/src/effects.rs
@@ -4,7 +4,7 @@
 use crate::statutes::{Outcome, Trial};
 use nickeljunction_berths::Copy;
 use nickeljunction_consensus::{Entry, Envelope, Write};
-use nickeljunction_signals::{Elsewhere, ServerState, UnitsAnswer};
+use nickeljunction_messages::{Elsewhere, ServerState, UnitsAnswer};
 
 /// Names a call that waits for its answer.
 pub type Ticket = u64;
--- a/crates/wheelhouse/src/leader.rs
+++ b/crates/wheelhouse/src/leader.rs
@@ -6,7 +6,7 @@
 use nickeljunction_berths::{Beat, BeatKind, Register, Seen};
 use nickeljunction_bunker::{Counter, Limit};
 use nickeljunction_manifest::{Bounds, Document};
-use nickeljunction_signals::{
+use nickeljunction_messages::{
     Caller, ConfigLine, Elsewhere, ServerState, UnitsAnswer, UnitsCall, WatchAnswer, WatchCall,
 };
 use std::collections::BTreeMap;
--- a/crates/wheelhouse/src/machine.rs
+++ b/crates/wheelhouse/src/machine.rs
@@ -9,7 +9,7 @@
 use nickeljunction_bunker::Counter;
 use nickeljunction_consensus::{Consensus, Envelope, Outputs, ReadTicket, Restored, Tuning};
 use nickeljunction_manifest::Bounds;
-use nickeljunction_signals::{Caller, Elsewhere, GatewayLine, WatchAnswer, WatchCall};
+use nickeljunction_messages::{Caller, Elsewhere, GatewayLine, WatchAnswer, WatchCall};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
--- a/crates/wheelhouse/src/tides.rs
+++ b/crates/wheelhouse/src/tides.rs
@@ -7,7 +7,7 @@
 use nickeljunction_berths::Tide;
 use nickeljunction_ebb::{Curve, Pacer};
 use nickeljunction_manifest::{Config, Document};
-use nickeljunction_signals::{EbbAnswer, EbbCall, Elsewhere};
+use nickeljunction_messages::{EbbAnswer, EbbCall, Elsewhere};
 use serde::Serialize;
 use std::collections::BTreeMap;
 
--- a/crates/wheelhouse/tests/member.rs
+++ b/crates/wheelhouse/tests/member.rs
@@ -3,7 +3,7 @@
 use nickeljunction_berths::Beat;
 use nickeljunction_consensus::{first_id, Envelope, Restored, Tuning};
 use nickeljunction_manifest::Bounds;
-use nickeljunction_signals::{
+use nickeljunction_messages::{
     Caller, EbbCall, GatewayLine, Member, ServerState, TenantUnits, UnitsCall, WatchCall,
 };
 use nickeljunction_wheelhouse::{Answer, Change, Held, Lent, Place, Ticket, Wheelhouse};
--- a/crates/wheelhouse/tests/members.rs
+++ b/crates/wheelhouse/tests/members.rs
@@ -3,7 +3,7 @@
 
 use nickeljunction_consensus::{draw_id, first_id, Envelope, Restored, Tuning};
 use nickeljunction_manifest::Bounds;
-use nickeljunction_signals::Member;
+use nickeljunction_messages::Member;
 use nickeljunction_wheelhouse::{Answer, Place, Ticket, Unfit, Wheelhouse, Wish};
 use std::collections::BTreeMap;
 use std::rc::Rc;
