--- a/crates/pilot/src/berth.rs
+++ b/crates/pilot/src/berth.rs
@@ -99,7 +99,7 @@
 
 /// How near a server is: 0 in the own zone, 1 in the own region, 2 elsewhere.
 pub fn near(berth: &Berth, here: &Place) -> u8 {
-    nickeljunction_rutter::near((&berth.zone, &berth.region), (&here.zone, &here.region))
+    nickeljunction_routing::near((&berth.zone, &berth.region), (&here.zone, &here.region))
 }
 
 /// The weight of a server for requests with these homes; `None`: it is not to be used. `wide`: other regions are.
@@ -115,7 +115,7 @@
 }
 
 fn allowed(berth: &Berth, homes: &[String]) -> bool {
-    nickeljunction_rutter::at_home(&berth.region, homes)
+    nickeljunction_routing::at_home(&berth.region, homes)
 }
 
 #[cfg(test)]
