--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -18,7 +18,7 @@
 use crate::figures::Figures;
 use crate::net::terminal::{Phase, Terminals};
 use crate::peers::Peers;
-use nickeljunction_chandler::wheel::Wheel;
+use nickeljunction_net::wheel::Wheel;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/crates/gateway/src/change.rs
+++ b/crates/gateway/src/change.rs
@@ -6,7 +6,6 @@
 use crate::net::counter::Counter;
 use crate::net::inbox::{Inbox, Input};
 use crate::peers::Peers;
-use nickeljunction_chandler::wheel::Wheel;
 use nickeljunction_config::ballot::Reply;
 use nickeljunction_config::bundle::{Bundle, Key, Tag};
 use nickeljunction_config::diff::diff;
@@ -15,6 +14,7 @@
     Change, Effect, Epoch, InForce, Machine, Record, Status, Step, Terms,
 };
 use nickeljunction_core::facade::CounterReply;
+use nickeljunction_net::wheel::Wheel;
 use nickeljunction_store::History;
 use serde_json::json;
 use std::collections::BTreeMap;
--- a/crates/gateway/src/net/counter.rs
+++ b/crates/gateway/src/net/counter.rs
@@ -2,8 +2,8 @@
 
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
-use nickeljunction_chandler::wheel::Wheel;
 use nickeljunction_core::facade::CounterReply;
+use nickeljunction_net::wheel::Wheel;
 use std::cell::Cell;
 use std::collections::VecDeque;
 use std::future::Future;
@@ -422,7 +422,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use nickeljunction_chandler::clock::Clock;
+    use nickeljunction_net::clock::Clock;
     use std::cell::RefCell;
     use std::io::{Read, Write};
 
--- a/crates/gateway/src/net/region.rs
+++ b/crates/gateway/src/net/region.rs
@@ -3,11 +3,11 @@
 use crate::figures::Figures;
 use bytes::Bytes;
 use futures_util::StreamExt;
-use nickeljunction_chandler::budget::{Budget, Slot};
-use nickeljunction_chandler::link;
-use nickeljunction_chandler::wheel::Wheel;
 use nickeljunction_core::facade::{Outcome, RegionState, ServiceTable};
 use nickeljunction_http::{most_answer, HttpError, RegionCodec, RegionReply, RegionRequest};
+use nickeljunction_net::budget::{Budget, Slot};
+use nickeljunction_net::link;
+use nickeljunction_net::wheel::Wheel;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/crates/gateway/src/net/roster.rs
+++ b/crates/gateway/src/net/roster.rs
@@ -2,9 +2,9 @@
 
 use crate::net::ephemeral::{self, Ephemeral};
 use crate::net::service_table;
-use nickeljunction_chandler::backoff::Backoff;
-use nickeljunction_chandler::wheel::Wheel;
 use nickeljunction_core::facade::{RegionState, ServiceTable};
+use nickeljunction_net::backoff::Backoff;
+use nickeljunction_net::wheel::Wheel;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/gateway/src/net/service_table.rs
+++ b/crates/gateway/src/net/service_table.rs
@@ -3,10 +3,10 @@
 use bytes::Bytes;
 use futures_util::StreamExt;
 use miniserde::{json, Deserialize};
-use nickeljunction_chandler::backoff::Backoff;
-use nickeljunction_chandler::wheel::Wheel;
 use nickeljunction_core::facade::{RegionEntry, RegionState, ServiceTable};
 use nickeljunction_http::{RegionRequest, WatchCodec};
+use nickeljunction_net::backoff::Backoff;
+use nickeljunction_net::wheel::Wheel;
 use std::net::SocketAddr;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -2,9 +2,9 @@
 //! Nothing is decided here. Off, and without a socket, unless the operators' document has `daemon.fleet`.
 
 use crate::config::{Config, Peers as Told};
-use nickeljunction_chandler::wheel::Wheel;
 use nickeljunction_config::document::FleetView;
 use nickeljunction_fleet::{Cause, Dropped, Fleet, Place, State, MOST_BYTES};
+use nickeljunction_net::wheel::Wheel;
 use serde_json::{json, Value};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
--- a/crates/harbourmaster/src/follow.rs
+++ b/crates/harbourmaster/src/follow.rs
@@ -1,8 +1,8 @@
 //! A follower watches its leader, as gateways do, so that it can succeed it and answer for the directory.
 
 use crate::helm::Helm;
-use nickeljunction_chandler::caller::Caller;
 use nickeljunction_messages::{path, WatchAnswer};
+use nickeljunction_net::caller::Caller;
 use nickeljunction_wheelhouse::follow::{AGAIN_MS, HOLD_MS, SLACK_MS};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
--- a/crates/harbourmaster/src/helm.rs
+++ b/crates/harbourmaster/src/helm.rs
@@ -9,11 +9,11 @@
 use crate::tell::tell;
 use hashbrown::HashMap;
 use nickeljunction_berths::{Applied, Beat, Copy, Refused};
-use nickeljunction_chandler::wheel::Wheel;
 use nickeljunction_consensus::Envelope;
 use nickeljunction_messages::{
     EbbAnswer, EbbCall, Elsewhere, GatewayLine, UnitsAnswer, UnitsCall, WatchAnswer, WatchCall,
 };
+use nickeljunction_net::wheel::Wheel;
 use nickeljunction_wheelhouse::{
     Answer, Change, CoreView, Effects, Held, Lent, Place, Round, Ticket, TrialView, Wheelhouse, Wish,
 };
--- a/crates/harbourmaster/src/helm/metrics.rs
+++ b/crates/harbourmaster/src/helm/metrics.rs
@@ -1,7 +1,7 @@
 //! A core member's figures as operators collect them. What only a leader knows is left out at the others.
 
 use super::Helm;
-use nickeljunction_chandler::figures::{Kind, Page, Writer, MOST_LABELLED};
+use nickeljunction_net::figures::{Kind, Page, Writer, MOST_LABELLED};
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -202,12 +202,12 @@
     use super::*;
     use crate::helm::Ports;
     use crate::peers::Peers;
-    use nickeljunction_chandler::caller::Caller;
-    use nickeljunction_chandler::clock::Clock;
-    use nickeljunction_chandler::figures::well_formed;
-    use nickeljunction_chandler::wheel::Wheel;
     use nickeljunction_consensus::{first_id, Restored, Tuning};
     use nickeljunction_messages::Member;
+    use nickeljunction_net::caller::Caller;
+    use nickeljunction_net::clock::Clock;
+    use nickeljunction_net::figures::well_formed;
+    use nickeljunction_net::wheel::Wheel;
     use nickeljunction_schema::Bounds;
     use nickeljunction_wheelhouse::{Place, Wheelhouse};
 
--- a/crates/harbourmaster/src/main.rs
+++ b/crates/harbourmaster/src/main.rs
@@ -1,8 +1,8 @@
 //! `harbourmaster`: wires only.
 
-use nickeljunction_chandler::{figures, start};
 use nickeljunction_harbourmaster::cli::{Harbourmaster, HarbourmasterCmd};
 use nickeljunction_harbourmaster::{serve, store};
+use nickeljunction_net::{figures, start};
 use nickeljunction_schema::Settings;
 use std::process::ExitCode;
 
--- a/crates/harbourmaster/src/peers.rs
+++ b/crates/harbourmaster/src/peers.rs
@@ -1,9 +1,9 @@
 //! Messages to other core members: a queue and one call at a time for each host.
 
 use hashbrown::HashMap;
-use nickeljunction_chandler::caller::Caller;
 use nickeljunction_consensus::Envelope;
 use nickeljunction_messages::path;
+use nickeljunction_net::caller::Caller;
 use std::cell::{Cell, RefCell};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
--- a/crates/harbourmaster/src/resources/config.rs
+++ b/crates/harbourmaster/src/resources/config.rs
@@ -2,7 +2,7 @@
 
 use super::{go_to, json};
 use crate::helm::Helm;
-use nickeljunction_chandler::desk::{Answering, Call, Resource, Response};
+use nickeljunction_net::desk::{Answering, Call, Resource, Response};
 use nickeljunction_schema::if_match;
 use nickeljunction_wheelhouse::{Answer, Change};
 use std::rc::Rc;
--- a/crates/harbourmaster/src/resources/core.rs
+++ b/crates/harbourmaster/src/resources/core.rs
@@ -4,7 +4,7 @@
 
 use super::{go_to, json, name_under, CORE};
 use crate::helm::Helm;
-use nickeljunction_chandler::desk::{Answering, Call, Resource, Response};
+use nickeljunction_net::desk::{Answering, Call, Resource, Response};
 use nickeljunction_wheelhouse::{Answer, Wish};
 use serde::Deserialize;
 use std::net::IpAddr;
--- a/crates/harbourmaster/src/resources/evacuations.rs
+++ b/crates/harbourmaster/src/resources/evacuations.rs
@@ -2,7 +2,7 @@
 
 use super::{go_to, name_under, EVACUATIONS};
 use crate::helm::Helm;
-use nickeljunction_chandler::desk::{Answering, Call, Resource, Response};
+use nickeljunction_net::desk::{Answering, Call, Resource, Response};
 use nickeljunction_wheelhouse::Answer;
 use std::rc::Rc;
 
--- a/crates/harbourmaster/src/resources/inner.rs
+++ b/crates/harbourmaster/src/resources/inner.rs
@@ -2,9 +2,9 @@
 
 use super::json;
 use crate::helm::Helm;
-use nickeljunction_chandler::desk::{Answering, Call, Resource, Response};
 use nickeljunction_consensus::Envelope;
 use nickeljunction_messages::{EbbCall, Elsewhere, UnitsCall, WatchAnswer, WatchCall};
+use nickeljunction_net::desk::{Answering, Call, Resource, Response};
 use nickeljunction_wheelhouse::Held as Hold;
 use serde::de::DeserializeOwned;
 use std::rc::Rc;
@@ -153,11 +153,11 @@
     use crate::disk::Job;
     use crate::helm::Ports;
     use crate::peers::Peers;
-    use nickeljunction_chandler::caller::Caller as Calls;
-    use nickeljunction_chandler::clock::Clock;
-    use nickeljunction_chandler::wheel::Wheel;
     use nickeljunction_consensus::{first_id, Hard, Restored, Snapshot, Tuning};
     use nickeljunction_messages::{Caller, Member};
+    use nickeljunction_net::caller::Caller as Calls;
+    use nickeljunction_net::clock::Clock;
+    use nickeljunction_net::wheel::Wheel;
     use nickeljunction_schema::Bounds;
     use nickeljunction_wheelhouse::{Place, Wheelhouse};
     use std::task::{Context, Poll};
--- a/crates/harbourmaster/src/resources/instances.rs
+++ b/crates/harbourmaster/src/resources/instances.rs
@@ -3,8 +3,8 @@
 use super::{go_to, json, name_under, INSTANCES};
 use crate::helm::Helm;
 use nickeljunction_berths::Beat;
-use nickeljunction_chandler::desk::{Answering, Call, Resource, Response};
 use nickeljunction_messages::{Elsewhere, ServerState};
+use nickeljunction_net::desk::{Answering, Call, Resource, Response};
 use serde::Deserialize;
 use std::rc::Rc;
 
--- a/crates/harbourmaster/src/resources/mod.rs
+++ b/crates/harbourmaster/src/resources/mod.rs
@@ -9,8 +9,8 @@
 pub mod trials;
 
 use crate::helm::Helm;
-use nickeljunction_chandler::desk::{percent_decoded, Call, Response};
 use nickeljunction_messages::Elsewhere;
+use nickeljunction_net::desk::{percent_decoded, Call, Response};
 use serde::Serialize;
 
 /// Where the configuration is put, changed and read.
--- a/crates/harbourmaster/src/resources/status.rs
+++ b/crates/harbourmaster/src/resources/status.rs
@@ -4,7 +4,7 @@
 use crate::helm::Helm;
 use nickeljunction_berths::{state, GatewayStanding, Register, ServerStanding};
 use nickeljunction_bunker::{Counter, TenantStanding};
-use nickeljunction_chandler::desk::{Answering, Call, Resource, Response};
+use nickeljunction_net::desk::{Answering, Call, Resource, Response};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::rc::Rc;
--- a/crates/harbourmaster/src/resources/trials.rs
+++ b/crates/harbourmaster/src/resources/trials.rs
@@ -3,7 +3,7 @@
 
 use super::{go_to, json, name_under, TRIALS};
 use crate::helm::Helm;
-use nickeljunction_chandler::desk::{Answering, Call, Resource, Response};
+use nickeljunction_net::desk::{Answering, Call, Resource, Response};
 use nickeljunction_wheelhouse::{Answer, TrialView};
 use std::rc::Rc;
 
--- a/crates/chandler/tests/calls.rs
+++ b/crates/net/tests/calls.rs
@@ -1,10 +1,10 @@
 //! Calls between a caller and a desk over loopback.
 
 use bytes::Bytes;
-use nickeljunction_chandler::caller::{CallError, Caller, Step};
-use nickeljunction_chandler::clock::Clock;
-use nickeljunction_chandler::desk::{Answering, Call, Desk, Limits, Resource, Response};
-use nickeljunction_chandler::wheel::Wheel;
+use nickeljunction_net::caller::{CallError, Caller, Step};
+use nickeljunction_net::clock::Clock;
+use nickeljunction_net::desk::{Answering, Call, Desk, Limits, Resource, Response};
+use nickeljunction_net::wheel::Wheel;
 use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
--- a/crates/pilot/src/ebb.rs
+++ b/crates/pilot/src/ebb.rs
@@ -2,9 +2,9 @@
 //! Without such a tenant it does nothing.
 
 use crate::link::Link;
-use nickeljunction_chandler::wheel::Wheel;
 use nickeljunction_ebb::{Arrival, Curve, Rank, Sluice, Standing, Verdict};
 use nickeljunction_messages::{path, EbbAnswer, EbbCall, TrialLine};
+use nickeljunction_net::wheel::Wheel;
 use nickeljunction_schema::Config;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
--- a/crates/pilot/src/front/terminal.rs
+++ b/crates/pilot/src/front/terminal.rs
@@ -4,11 +4,11 @@
 use crate::parcel::{Body, Part, Stream, MOST_WHOLE};
 use crate::reply::{put_own, put_served, Follows, Hop, Own, Reply};
 use bytes::{Buf, Bytes, BytesMut};
-use nickeljunction_chandler::wheel::Sleep;
 use nickeljunction_http::stream::{
     put_chunk_size, put_last_chunk, read_request_head, BodyReader, RequestHead,
 };
 use nickeljunction_http::{Chunk, Framing, HttpError};
+use nickeljunction_net::wheel::Sleep;
 use std::collections::VecDeque;
 use std::future::{poll_fn, Future};
 use std::pin::{pin, Pin};
--- a/crates/pilot/src/main.rs
+++ b/crates/pilot/src/main.rs
@@ -1,6 +1,6 @@
 //! `pilot`: wires only.
 
-use nickeljunction_chandler::{figures, start};
+use nickeljunction_net::{figures, start};
 use nickeljunction_pilot::{cli::Pilot, serve};
 use nickeljunction_schema::Settings;
 use std::process::ExitCode;
--- a/crates/pilot/src/metrics.rs
+++ b/crates/pilot/src/metrics.rs
@@ -3,8 +3,8 @@
 use crate::front::{Front, Lifecycle};
 use crate::link::Link;
 use crate::quay::Quay;
-use nickeljunction_chandler::figures::{Kind, Page, Writer, MOST_LABELLED};
 use nickeljunction_ebb::Standing;
+use nickeljunction_net::figures::{Kind, Page, Writer, MOST_LABELLED};
 use std::rc::Rc;
 
 /// What the figures are read from.
@@ -168,11 +168,11 @@
     use crate::link::Own;
     use crate::quay::Tuning;
     use crate::table::{Swap, Table};
-    use nickeljunction_chandler::budget::Budget;
-    use nickeljunction_chandler::caller::Caller;
-    use nickeljunction_chandler::clock::Clock;
-    use nickeljunction_chandler::figures::well_formed;
-    use nickeljunction_chandler::wheel::Wheel;
+    use nickeljunction_net::budget::Budget;
+    use nickeljunction_net::caller::Caller;
+    use nickeljunction_net::clock::Clock;
+    use nickeljunction_net::figures::well_formed;
+    use nickeljunction_net::wheel::Wheel;
     use nickeljunction_schema::Bounds;
 
     /// Operators' boards go by these.
--- a/crates/pilot/src/pool.rs
+++ b/crates/pilot/src/pool.rs
@@ -1,10 +1,10 @@
 //! Kept connections to servers, by instance id: connections are dear to servers, and a request that crosses the close of one
 //! may have run for all this side can tell.
 
-use nickeljunction_chandler::budget::{Budget, Slot};
-use nickeljunction_chandler::wheel::Wheel;
 use nickeljunction_core::facade::Outcome;
 use nickeljunction_http::HttpError;
+use nickeljunction_net::budget::{Budget, Slot};
+use nickeljunction_net::wheel::Wheel;
 use quick_error::quick_error;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
--- a/crates/pilot/src/quay.rs
+++ b/crates/pilot/src/quay.rs
@@ -10,14 +10,14 @@
 use crate::budget::{slack_share, Permits, RepeatBudget, GATEWAYS_ASSUMED};
 use crate::parcel::{Admission, Dispatch, Parcel, Served};
 use crate::pool::Pool;
-use nickeljunction_chandler::budget::Budget;
-use nickeljunction_chandler::wheel::Wheel;
 use nickeljunction_core::facade::{
     Class, Facade, Group, Intake, Outcome, Plan, RegionEntry, RegionState, Repeat, RequestKey, RoutedTask,
     ServiceTable, Settings,
 };
 use nickeljunction_core::life::{Answer, Core, Ports, ANSWER_MARGIN_MS};
 use nickeljunction_messages::ServerLine;
+use nickeljunction_net::budget::Budget;
+use nickeljunction_net::wheel::Wheel;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::{Rc, Weak};
--- a/crates/pilot/src/resolve.rs
+++ b/crates/pilot/src/resolve.rs
@@ -2,8 +2,8 @@
 
 use crate::link::Link;
 use nickeljunction_berths::directory;
-use nickeljunction_chandler::desk::{percent_decoded, Answering, Call, Resource, Response};
 use nickeljunction_messages::GatewayLine;
+use nickeljunction_net::desk::{percent_decoded, Answering, Call, Resource, Response};
 use std::cell::RefCell;
 use std::rc::Rc;
 
--- a/crates/pilot/tests/front.rs
+++ b/crates/pilot/tests/front.rs
@@ -1,13 +1,13 @@
 //! The clients' side over connections in memory, with a scripted servers' side and scripted admission.
 
 use bytes::Bytes;
-use nickeljunction_chandler::budget::Budget;
-use nickeljunction_chandler::clock::Clock;
-use nickeljunction_chandler::wheel::Wheel;
 use nickeljunction_core::facade::Repeat;
 use nickeljunction_core::life::Answer;
 use nickeljunction_http::Headers;
 use nickeljunction_messages::TrialLine;
+use nickeljunction_net::budget::Budget;
+use nickeljunction_net::clock::Clock;
+use nickeljunction_net::wheel::Wheel;
 use nickeljunction_pilot::ebb::Ebb;
 use nickeljunction_pilot::front::{Front, Lifecycle};
 use nickeljunction_pilot::parcel::{
--- a/crates/pilot/tests/quay.rs
+++ b/crates/pilot/tests/quay.rs
@@ -1,14 +1,14 @@
 //! The servers' side against scripted servers: what reaches them, and what its client is told.
 
 use bytes::{Bytes, BytesMut};
-use nickeljunction_chandler::budget::Budget;
-use nickeljunction_chandler::clock::Clock;
-use nickeljunction_chandler::wheel::Wheel;
 use nickeljunction_core::facade::Repeat;
 use nickeljunction_core::life::Answer;
 use nickeljunction_http::stream::{read_request_head, BodyReader};
 use nickeljunction_http::{Chunk, Headers};
 use nickeljunction_messages::{ServerLine, ServerState};
+use nickeljunction_net::budget::Budget;
+use nickeljunction_net::clock::Clock;
+use nickeljunction_net::wheel::Wheel;
 use nickeljunction_pilot::berth::Place;
 use nickeljunction_pilot::figures::{Backend, Tuning};
 use nickeljunction_pilot::parcel::{
