--- a/crates/bosun/src/explain.rs
+++ b/crates/bosun/src/explain.rs
@@ -2,8 +2,8 @@
 
 use crate::standing::{Known, Life};
 use crate::status::table;
-use nickeljunction_berths::{barred, Bar};
 use nickeljunction_messages::{ServerLine, ServerState};
+use nickeljunction_registry::{barred, Bar};
 use nickeljunction_routing::{at_home, near, priority, Found, Table, Tenant};
 use nickeljunction_schema::Config;
 use serde_json::{json, Value};
--- a/crates/drydock/src/gateway.rs
+++ b/crates/drydock/src/gateway.rs
@@ -1,12 +1,12 @@
 //! A gateway: the real copy, lease, purse and search, driven by the thin rules of `pilot::link::Link`, which are modelled here.
 
 use crate::{host, node_of, Answer, Fact, Node, Out, Packet, Question, TENANT, WINDOW_MS};
-use nickeljunction_berths::{Copy, Leave};
 use nickeljunction_bunker::{Purse, Spend};
 use nickeljunction_ebb::Sluice;
 use nickeljunction_messages::{Caller, GatewayLine, WatchAnswer};
 use nickeljunction_pilot::lease::Lease;
 use nickeljunction_pilot::seek::Seek;
+use nickeljunction_registry::{Copy, Leave};
 use nickeljunction_schema::Bounds;
 use nickeljunction_wheelhouse::limits;
 
@@ -98,12 +98,12 @@
 
     /// `Link::ready`.
     pub fn ready(&self, now: u64) -> bool {
-        self.up && self.copy.chart().version() > 0 && self.lease.holds(now as f64)
+        self.up && self.copy.catalog().version() > 0 && self.lease.holds(now as f64)
     }
 
     /// Version that it goes by.
     pub fn version(&self) -> u64 {
-        self.copy.chart().version()
+        self.copy.catalog().version()
     }
 
     /// Step and stage that it goes by.
@@ -215,11 +215,11 @@
         let (age, ready) = (answer.age_ms as f64, self.ready(now));
         let Ok(applied) = self.copy.apply(answer) else { return false };
         self.lease.answered(flight.sent as f64, age);
-        let chart = self.copy.chart();
+        let catalog = self.copy.catalog();
         if applied.leader {
             self.purse.moved(now, self.copy.term());
         }
-        if let Some(config) = chart.config.as_ref().filter(|_| applied.config) {
+        if let Some(config) = catalog.config.as_ref().filter(|_| applied.config) {
             self.purse.known(now, &limits(&config.doc, &Bounds::usual()));
         }
         for line in applied.trials {
@@ -229,11 +229,11 @@
             out.facts.push(Fact::Tide { life: self.life, tenant, step, stage, holds: now + line.in_ms });
         }
         if applied.core {
-            self.seek.known(&chart.core);
+            self.seek.known(&catalog.core);
         }
         self.recall |= !ready && self.ready(now);
         let at = now - self.lease.age(now as f64).min(now as f64) as u64;
-        out.facts.push(Fact::Knows { life: self.life, version: chart.version(), at });
+        out.facts.push(Fact::Knows { life: self.life, version: catalog.version(), at });
         true
     }
 
@@ -321,13 +321,13 @@
 
     /// Sends to one of the servers that it may send to, in turn.
     fn send(&mut self, now: u64, out: &mut Out) {
-        let chart = self.copy.chart();
+        let catalog = self.copy.catalog();
         let known_ms = self.lease.age(now as f64) as u64;
         let name = format!("g{}", self.node);
-        let open: Vec<_> = chart
+        let open: Vec<_> = catalog
             .servers
             .values()
-            .filter(|line| !chart.evacuated.contains(&line.zone))
+            .filter(|line| !catalog.evacuated.contains(&line.zone))
             .filter(|line| Leave::of(line, &name, known_ms) != Leave::Nothing)
             .collect();
         self.next_server += 1;
--- a/crates/drydock/src/lib.rs
+++ b/crates/drydock/src/lib.rs
@@ -17,9 +17,9 @@
 pub use people::{Order, People, Server};
 pub use world::{Plan, World};
 
-use nickeljunction_berths::Beat;
 use nickeljunction_consensus::Envelope;
 use nickeljunction_messages::{UnitsAnswer, UnitsCall, WatchAnswer, WatchCall};
+use nickeljunction_registry::Beat;
 use nickeljunction_wheelhouse::Wish;
 
 /// A machine's place in the world: core members first, then gateways, then the one of operators and servers.
--- a/crates/drydock/src/member.rs
+++ b/crates/drydock/src/member.rs
@@ -1,9 +1,9 @@
 //! A core member: its machine, driven as `harbourmaster` drives it, between a disk and a network that are modelled here.
 
 use crate::{host, node_of, Answer, Fact, Node, Out, Packet, Question};
-use nickeljunction_berths::Copy;
 use nickeljunction_consensus::{Consensus, Restored, Tuning, Write};
 use nickeljunction_messages::{Elsewhere, WatchCall};
+use nickeljunction_registry::Copy;
 use nickeljunction_schema::Bounds;
 use nickeljunction_storage::{Hold, MemoryHold};
 use nickeljunction_wheelhouse::statutes::Statutes;
--- a/crates/drydock/src/people.rs
+++ b/crates/drydock/src/people.rs
@@ -2,8 +2,8 @@
 
 use crate::member::HEARTBEAT_MS;
 use crate::{node_of, Answer, Node, Out, Packet, Question};
-use nickeljunction_berths::Beat;
 use nickeljunction_messages::ServerState;
+use nickeljunction_registry::Beat;
 
 /// A call without an answer is repeated elsewhere after so long, ms, and one sent on or without a clear answer after that.
 const ANSWER_MS: u64 = 3_000;
--- a/crates/drydock/src/world.rs
+++ b/crates/drydock/src/world.rs
@@ -474,7 +474,7 @@
     pub fn converged(&self) -> bool {
         let version = self.audit.state.version();
         let steps = |gateway: &Gateway| {
-            let told = gateway.copy.chart().trials.clone();
+            let told = gateway.copy.catalog().trials.clone();
             self.audit.state.trials().iter().all(|(name, trial)| {
                 told.get(name).is_some_and(|(step, stage)| (*step, *stage) == (trial.step, trial.stage))
             })
--- a/crates/drydock/tests/cases.rs
+++ b/crates/drydock/tests/cases.rs
@@ -363,7 +363,7 @@
         world.run(1_000);
         world.heal();
         world.converge(5_000);
-        assert!(world.gateways.iter().all(|gateway| gateway.copy.chart().evacuated.contains("z2")));
+        assert!(world.gateways.iter().all(|gateway| gateway.copy.catalog().evacuated.contains("z2")));
         assert!(world.until(5_000, |world| world.people.orders[order].done()));
     });
 }
@@ -373,7 +373,7 @@
     let (first, second) = (format!("a-{}", world.seed), format!("b-{}", world.seed));
     let before = world.server(&first, "10.2.0.1:80", "b", "z1");
     world.run(3_000);
-    assert!(world.gateways.iter().all(|gateway| gateway.copy.chart().servers.contains_key(first.as_str())));
+    assert!(world.gateways.iter().all(|gateway| gateway.copy.catalog().servers.contains_key(first.as_str())));
     world.people.servers[before].up = false;
     let old = world.settle(1_000);
     world.kill(old);
@@ -382,8 +382,8 @@
     assert!(world.until(5_000, |world| world.people.servers[after].acked.is_some()), "seed {}", world.seed);
     world.run(1_500);
     for gateway in &world.gateways {
-        let chart = gateway.copy.chart();
-        let at: Vec<_> = chart.servers.values().filter(|line| line.address == "10.2.0.1:80").collect();
+        let catalog = gateway.copy.catalog();
+        let at: Vec<_> = catalog.servers.values().filter(|line| line.address == "10.2.0.1:80").collect();
         assert_eq!(at.len(), 1, "seed {}: {at:?}", world.seed);
         assert_eq!((at[0].id.as_str(), at[0].backend.as_str()), (second.as_str(), "other"));
     }
--- a/crates/harbourmaster/src/helm.rs
+++ b/crates/harbourmaster/src/helm.rs
@@ -8,12 +8,12 @@
 use crate::peers::Peers;
 use crate::tell::tell;
 use hashbrown::HashMap;
-use nickeljunction_berths::{Applied, Beat, Copy, Refused};
 use nickeljunction_consensus::Envelope;
 use nickeljunction_messages::{
     EbbAnswer, EbbCall, Elsewhere, GatewayLine, UnitsAnswer, UnitsCall, WatchAnswer, WatchCall,
 };
 use nickeljunction_net::wheel::Wheel;
+use nickeljunction_registry::{Applied, Beat, Copy, Refused};
 use nickeljunction_wheelhouse::{
     Answer, Change, CoreView, Effects, Held, Lent, Place, Round, Ticket, TrialView, Wheelhouse, Wish,
 };
@@ -90,7 +90,7 @@
 
     /// What was known of servers and gateways when this machine's process before ended.
     pub fn remember(&self, copy: Copy) {
-        log::info!("event=hint_loaded term={} servers={}", copy.term(), copy.chart().servers.len());
+        log::info!("event=hint_loaded term={} servers={}", copy.term(), copy.catalog().servers.len());
         self.house.borrow_mut().remember(copy);
     }
 
@@ -356,7 +356,9 @@
         let (book, statutes, roster) = (house.book(), house.statutes(), house.roster());
         let servers = match house.leads() {
             Some((register, _)) => register.tally(),
-            None => nickeljunction_berths::tally(house.copy().chart().servers.values().map(|line| &**line)),
+            None => {
+                nickeljunction_registry::tally(house.copy().catalog().servers.values().map(|line| &**line))
+            }
         };
         let mut shown = serde_json::json!({
             "node_name": self.place.name,
--- a/crates/harbourmaster/src/helm/metrics.rs
+++ b/crates/harbourmaster/src/helm/metrics.rs
@@ -147,7 +147,9 @@
         let roster = house.roster();
         let servers = match house.leads() {
             Some((register, _)) => register.tally(),
-            None => nickeljunction_berths::tally(house.copy().chart().servers.values().map(|line| &**line)),
+            None => {
+                nickeljunction_registry::tally(house.copy().catalog().servers.values().map(|line| &**line))
+            }
         };
         page.figure("harbourmaster_servers", Kind::Gauge, "Lives of servers, by service and state.");
         for (service, states) in servers.iter().take(MOST_LABELLED) {
--- a/crates/harbourmaster/src/hint.rs
+++ b/crates/harbourmaster/src/hint.rs
@@ -4,8 +4,8 @@
 //! It is a hint, synced to outlive a short loss of power, and only used by a process that starts on the same machine
 //! shortly after. What it tells may be that much out of date, as any copy that a successor starts from; beats put it right.
 
-use nickeljunction_berths::Copy;
 use nickeljunction_messages::WatchAnswer;
+use nickeljunction_registry::Copy;
 use nickeljunction_wheelhouse::HINT_GOOD_MS;
 use serde::{Deserialize, Serialize};
 use std::io::Write;
@@ -19,7 +19,7 @@
     /// When it was written.
     #[serde(flatten)]
     at: Moment,
-    chart: WatchAnswer,
+    catalog: WatchAnswer,
 }
 
 /// A moment by both of a machine's clocks, ms.
@@ -56,7 +56,7 @@
     if !copy.complete() {
         return None;
     }
-    serde_json::to_vec(&Stored { at, chart: copy.whole() }).ok()
+    serde_json::to_vec(&Stored { at, catalog: copy.whole() }).ok()
 }
 
 /// The copy that a hint makes; `None`: it is unreadable, or not of these last seconds.
@@ -66,7 +66,7 @@
         return None;
     }
     let mut copy = Copy::new();
-    copy.apply(stored.chart).ok()?;
+    copy.apply(stored.catalog).ok()?;
     Some(copy)
 }
 
@@ -129,7 +129,7 @@
         let text = text(&copy(), at(50_000, 900_000)).expect("a whole copy");
         let back = read(&text, at(51_500, 901_500)).expect("fresh");
         assert_eq!((back.term(), back.seq(), back.complete()), (3, 9, true));
-        assert!(back.chart().servers.contains_key("i-1"));
+        assert!(back.catalog().servers.contains_key("i-1"));
         assert!(read(&text, at(51_500, 100)).is_some(), "the time of day jumped");
         assert!(read(&text, at(700, 903_000)).is_some(), "another start of the machine, seconds later");
         assert!(read(&text, at(58_001, 908_001)).is_none(), "too old");
--- a/crates/harbourmaster/src/resources/instances.rs
+++ b/crates/harbourmaster/src/resources/instances.rs
@@ -2,9 +2,9 @@
 
 use super::{go_to, json, name_under, INSTANCES};
 use crate::helm::Helm;
-use nickeljunction_berths::Beat;
 use nickeljunction_messages::{Elsewhere, ServerState};
 use nickeljunction_net::desk::{Answering, Call, Resource, Response};
+use nickeljunction_registry::Beat;
 use serde::Deserialize;
 use std::rc::Rc;
 
--- a/crates/pilot/src/berth.rs
+++ b/crates/pilot/src/berth.rs
@@ -1,7 +1,7 @@
 //! Which servers a gateway sends to, and how near they are. Pure functions over what the core tells.
 
-use nickeljunction_berths::barred;
 use nickeljunction_messages::ServerLine;
+use nickeljunction_registry::barred;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
--- a/crates/pilot/src/link.rs
+++ b/crates/pilot/src/link.rs
@@ -8,12 +8,12 @@
 use crate::seek::Seek;
 use crate::table::{Swap, Table};
 use bytes::Bytes;
-use nickeljunction_berths::{Copy, Leave};
 use nickeljunction_bunker::{Holding, Limit, Purse, Spend};
 use nickeljunction_messages::{path, EbbCall, Elsewhere, GatewayLine, ServerLine, UnitsAnswer, WatchAnswer};
 use nickeljunction_net::caller::Caller;
 use nickeljunction_net::figures::MOST_LABELLED;
 use nickeljunction_net::wheel::Wheel;
+use nickeljunction_registry::{Copy, Leave};
 use nickeljunction_schema::{Bounds, Config, Document};
 use serde::{de::DeserializeOwned, Serialize};
 use std::cell::{Cell, RefCell};
@@ -137,7 +137,7 @@
     /// It may take clients: a configuration is known that was current when this process asked.
     pub fn ready(&self) -> bool {
         !self.leaving.get()
-            && self.copy.borrow().chart().version() > 0
+            && self.copy.borrow().catalog().version() > 0
             && self.lease.borrow().holds(self.wheel.now())
     }
 
@@ -190,7 +190,7 @@
 
     /// All gateways, as far as is known here.
     pub fn roster(&self) -> Rc<Vec<GatewayLine>> {
-        self.copy.borrow().chart().roster.clone()
+        self.copy.borrow().catalog().roster.clone()
     }
 
     /// Region of each zone.
@@ -203,7 +203,7 @@
         let now = self.wheel.now();
         let copy = self.copy.borrow();
         Seen {
-            version: copy.chart().version(),
+            version: copy.catalog().version(),
             term: copy.term(),
             leader: self.seek.borrow().leader().map(str::to_string),
             age_ms: self.lease.borrow().age(now),
@@ -343,14 +343,14 @@
         })?;
         self.lease.borrow_mut().answered(sent, age);
         let now = self.wheel.now();
-        let chart = self.copy.borrow().chart();
+        let catalog = self.copy.borrow().catalog();
         if applied.leader {
             log::info!("event=leader peer={from} term={}", self.copy.borrow().term());
             self.purse.borrow_mut().moved(now as u64, self.copy.borrow().term());
             self.low.notify_one();
         }
         if applied.config {
-            if let Some(config) = &chart.config {
+            if let Some(config) = &catalog.config {
                 match Document::of(config.doc.clone()) {
                     Ok(document) => self.configure(document.config()),
                     // The leader has checked it: versions of the programs differ.
@@ -364,20 +364,20 @@
         }
         if !applied.trials.is_empty() {
             // Stages count down from here; curves come with the configuration, which may be older.
-            let document = chart.config.as_ref().and_then(|config| Document::of(config.doc.clone()).ok());
+            let document = catalog.config.as_ref().and_then(|config| Document::of(config.doc.clone()).ok());
             self.ebb.told(&applied.trials, document.as_ref().map(Document::config));
         }
         if applied.gateways {
-            self.quay.fleet(chart.gateways);
+            self.quay.fleet(catalog.gateways);
         }
         if applied.core {
-            self.seek.borrow_mut().known(&chart.core);
+            self.seek.borrow_mut().known(&catalog.core);
         }
         if applied.config || applied.evacuated || !applied.servers.is_empty() || !applied.gone.is_empty() {
             self.tell_servers();
         }
         if !ready && self.ready() {
-            log::info!("event=ready version={}", chart.version());
+            log::info!("event=ready version={}", catalog.version());
             // The directory should know at once.
             self.recall.notify_one();
         }
@@ -415,7 +415,7 @@
 
     /// Tells the servers' side which servers there are, and which cold ones this gateway may send to.
     fn tell_servers(&self) {
-        let chart = self.copy.borrow().chart();
+        let catalog = self.copy.borrow().catalog();
         let known_ms = self.lease.borrow().age(self.wheel.now()) as u64;
         let name = &self.own.place.name;
         let mut permits = false;
@@ -429,9 +429,9 @@
             }
             line
         };
-        let lines: Vec<ServerLine> = chart.servers.values().map(line).collect();
+        let lines: Vec<ServerLine> = catalog.servers.values().map(line).collect();
         self.permits_told.set(permits);
-        let evacuated: Vec<String> = chart.evacuated.iter().cloned().collect();
+        let evacuated: Vec<String> = catalog.evacuated.iter().cloned().collect();
         let zones = self.own.zones.iter().map(|(zone, region)| (zone.clone(), region.clone())).collect();
         self.quay.servers(&lines, &evacuated, &zones);
     }
@@ -477,7 +477,7 @@
                 let answer: UnitsAnswer = serde_json::from_slice(&reply.body).ok()?;
                 let copy = self.copy.borrow();
                 // What this gateway knows was still the newest then.
-                if answer.version == copy.chart().version() && answer.term >= copy.term() {
+                if answer.version == copy.catalog().version() && answer.term >= copy.term() {
                     self.lease.borrow_mut().answered(sent, answer.age_ms as f64);
                 }
                 Some(answer)
--- a/crates/pilot/src/resolve.rs
+++ b/crates/pilot/src/resolve.rs
@@ -1,9 +1,9 @@
 //! `/-/resolve`: where a client is to go.
 
 use crate::link::Link;
-use nickeljunction_berths::directory;
 use nickeljunction_messages::GatewayLine;
 use nickeljunction_net::desk::{percent_decoded, Answering, Call, Resource, Response};
+use nickeljunction_registry::directory;
 use std::cell::RefCell;
 use std::rc::Rc;
 
--- a/crates/berths/src/chart.rs
+++ b/crates/registry/src/catalog.rs
@@ -13,7 +13,7 @@
 
 /// All that the leader told, as one snapshot. Cheap to clone: its tables are shared.
 #[derive(Debug, Clone, Default, PartialEq)]
-pub struct Chart {
+pub struct Catalog {
     /// Lives of servers by id.
     pub servers: Rc<BTreeMap<Rc<str>, Rc<ServerLine>>>,
     /// Zones to whose servers nothing is to be sent.
@@ -30,7 +30,7 @@
     pub trials: Rc<BTreeMap<String, (u64, u32)>>,
 }
 
-impl Chart {
+impl Catalog {
     /// Version of its configuration; 0: none.
     pub fn version(&self) -> u64 {
         self.config.as_ref().map_or(0, |config| config.version)
@@ -112,7 +112,7 @@
 }
 
 impl Applied {
-    /// The chart is another one than before.
+    /// The catalog is another one than before.
     pub fn any(&self) -> bool {
         !self.servers.is_empty()
             || !self.gone.is_empty()
@@ -147,7 +147,7 @@
 /// What one watcher holds. Terms, numbers and versions only rise in its life.
 #[derive(Debug, Clone, Default)]
 pub struct Copy {
-    chart: Rc<Chart>,
+    catalog: Rc<Catalog>,
     term: u64,
     seq: u64,
     /// A leader that knew all lives told them all.
@@ -163,8 +163,8 @@
     }
 
     /// The present snapshot.
-    pub fn chart(&self) -> Rc<Chart> {
-        self.chart.clone()
+    pub fn catalog(&self) -> Rc<Catalog> {
+        self.catalog.clone()
     }
 
     /// Term of the leader whose answer was applied last; 0: none.
@@ -189,17 +189,17 @@
 
     /// All that is held but the configuration, as the answer that makes a copy of it.
     pub fn whole(&self) -> WatchAnswer {
-        let chart = &self.chart;
+        let catalog = &self.catalog;
         WatchAnswer {
             term: self.term,
             seq: self.seq,
             whole: self.complete,
-            evacuated: Some(chart.evacuated.iter().cloned().collect()),
-            servers: chart.servers.values().map(|line| ServerLine::clone(line)).collect(),
-            gateways: Some(chart.gateways),
-            core: Some(chart.core.to_vec()),
-            roster: Some(chart.roster.to_vec()),
-            trials: (!chart.trials.is_empty()).then(|| chart.trials.iter().map(line).collect()),
+            evacuated: Some(catalog.evacuated.iter().cloned().collect()),
+            servers: catalog.servers.values().map(|line| ServerLine::clone(line)).collect(),
+            gateways: Some(catalog.gateways),
+            core: Some(catalog.core.to_vec()),
+            roster: Some(catalog.roster.to_vec()),
+            trials: (!catalog.trials.is_empty()).then(|| catalog.trials.iter().map(line).collect()),
             ..WatchAnswer::default()
         }
     }
@@ -221,7 +221,7 @@
             line,
             term: self.term,
             seq: self.seq,
-            version: self.chart.version(),
+            version: self.catalog.version(),
             wait_ms,
             directory: false,
         }
@@ -236,18 +236,18 @@
         if !turn && answer.seq < self.seq {
             return Err(Refused::Seq(self.seq, answer.seq));
         }
-        let version = self.chart.version();
+        let version = self.catalog.version();
         if let Some(config) = answer.config.as_ref().filter(|config| config.version < version) {
             return Err(Refused::Config(version, config.version));
         }
         let mut applied = Applied { leader: turn, ..Applied::default() };
-        let mut chart = Chart::clone(&self.chart);
+        let mut catalog = Catalog::clone(&self.catalog);
         let mut withdrawn = BTreeSet::new();
         if let Some(zones) = answer.evacuated {
             let zones: BTreeSet<String> = zones.into_iter().collect();
-            if zones != *chart.evacuated {
-                withdrawn = chart.evacuated.difference(&zones).cloned().collect();
-                chart.evacuated = Rc::new(zones);
+            if zones != *catalog.evacuated {
+                withdrawn = catalog.evacuated.difference(&zones).cloned().collect();
+                catalog.evacuated = Rc::new(zones);
                 applied.evacuated = true;
             }
         }
@@ -258,34 +258,35 @@
             || !withdrawn.is_empty()
         {
             let fresh = Fresh { lines: answer.servers, gone: answer.gone, whole: answer.whole, turn };
-            chart.servers = Rc::new(fresh.over(&chart.servers, &withdrawn, &mut applied));
+            catalog.servers = Rc::new(fresh.over(&catalog.servers, &withdrawn, &mut applied));
         }
         if let Some(config) = answer.config.filter(|config| config.version > version) {
-            chart.config = Some(Rc::new(config));
+            catalog.config = Some(Rc::new(config));
             applied.config = true;
         }
-        if let Some(count) = answer.gateways.filter(|count| *count != chart.gateways) {
-            chart.gateways = count;
+        if let Some(count) = answer.gateways.filter(|count| *count != catalog.gateways) {
+            catalog.gateways = count;
             applied.gateways = true;
         }
-        if let Some(hosts) = answer.core.filter(|hosts| *hosts != *chart.core) {
-            chart.core = Rc::new(hosts);
+        if let Some(hosts) = answer.core.filter(|hosts| *hosts != *catalog.core) {
+            catalog.core = Rc::new(hosts);
             applied.core = true;
         }
-        if let Some(roster) = answer.roster.filter(|roster| *roster != *chart.roster) {
-            chart.roster = Rc::new(roster);
+        if let Some(roster) = answer.roster.filter(|roster| *roster != *catalog.roster) {
+            catalog.roster = Rc::new(roster);
             applied.roster = true;
         }
         // A leader's log has all steps that any leader told: a lower one is from an answer that was overtaken.
         let higher =
-            |line: &TrialLine| chart.trials.get(&line.tenant).is_none_or(|(step, _)| line.step > *step);
+            |line: &TrialLine| catalog.trials.get(&line.tenant).is_none_or(|(step, _)| line.step > *step);
         applied.trials = answer.trials.into_iter().flatten().filter(higher).collect();
         if !applied.trials.is_empty() {
             let news = applied.trials.iter().map(|line| (line.tenant.clone(), (line.step, line.stage)));
-            chart.trials =
-                Rc::new(chart.trials.iter().map(|(name, held)| (name.clone(), *held)).chain(news).collect());
+            catalog.trials = Rc::new(
+                catalog.trials.iter().map(|(name, held)| (name.clone(), *held)).chain(news).collect(),
+            );
         }
-        self.gone.retain(|id| !chart.servers.contains_key(id));
+        self.gone.retain(|id| !catalog.servers.contains_key(id));
         self.gone.extend(applied.gone.iter().cloned());
         let surplus = self.gone.len().saturating_sub(MOST_GONE);
         self.gone.drain(..surplus);
@@ -293,7 +294,7 @@
         self.seq = answer.seq;
         self.complete |= answer.whole;
         if applied.any() {
-            self.chart = Rc::new(chart);
+            self.catalog = Rc::new(catalog);
         }
         Ok(applied)
     }
--- a/crates/berths/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! - [`Register`] lives on the leader. Beats of servers and watch calls of gateways go in; [`Register::answer`] makes
 //!   the [`WatchAnswer`](nickeljunction_messages::WatchAnswer) that a caller lacks.
-//! - [`struct@Copy`] lives in every watcher, gateway or follower. It holds the [`Chart`], an immutable snapshot that
+//! - [`struct@Copy`] lives in every watcher, gateway or follower. It holds the [`Catalog`], an immutable snapshot that
 //!   [`Copy::apply`] swaps whole. A follower that comes to lead hands its copy to [`Register::new`].
 //! - [`directory`] lists the gateways near a client.
 //!
@@ -13,14 +13,14 @@
 //! [`Register::config`] and [`Register::core`] with what the agreed log says, and only then answer watch calls. Call [`Register::tick`] every
 //! 100 to 500 ms. After any call check the held watch calls again if [`Register::seq`] rose.
 
-mod chart;
+mod catalog;
 mod directory;
 mod gateways;
 mod register;
 mod servers;
 mod tally;
 
-pub use chart::{barred, Applied, Bar, Chart, Copy, Leave, Refused};
+pub use catalog::{barred, Applied, Bar, Catalog, Copy, Leave, Refused};
 pub use directory::{directory, MOST_ADDRESSES};
 pub use gateways::{GatewayStanding, Seen};
 pub use register::{Reach, Register, Tide, Tuning, PERMIT_LIFE_MS};
--- a/crates/berths/src/register.rs
+++ b/crates/registry/src/register.rs
@@ -1,6 +1,6 @@
 //! The leader's registers as one: what comes in, what is new for whom.
 
-use crate::chart::Copy;
+use crate::catalog::Copy;
 use crate::gateways::{GatewayStanding, Gateways, Seen};
 use crate::servers::{Beat, BeatKind, BeatOutcome, ServerStanding, Servers};
 use crate::tally::{tally, Tally};
@@ -174,9 +174,9 @@
         let mut numbers = Numbering::new();
         let complete = copy.as_ref().is_some_and(Copy::complete);
         let copy = copy.unwrap_or_default();
-        let chart = copy.chart();
+        let catalog = copy.catalog();
         let servers = Servers::new(now, &tuning, &copy, &mut numbers);
-        let gateways = Gateways::new(now, &tuning, &chart.roster, chart.gateways, &mut numbers);
+        let gateways = Gateways::new(now, &tuning, &catalog.roster, catalog.gateways, &mut numbers);
         Register {
             gathering: (!complete)
                 .then_some(Gathering { end: now + tuning.gather_ms, last: now + 4 * tuning.gather_ms }),
@@ -187,7 +187,7 @@
             gateways,
             followers: BTreeMap::new(),
             evacuated: None,
-            before: BTreeSet::clone(&chart.evacuated),
+            before: BTreeSet::clone(&catalog.evacuated),
             core: None,
             trials: None,
             config: None,
--- a/crates/berths/src/servers.rs
+++ b/crates/registry/src/servers.rs
@@ -1,6 +1,6 @@
 //! Which servers there are: lives by their beats, their states, and who may send to a cold one.
 
-use crate::chart::Copy;
+use crate::catalog::Copy;
 use crate::gateways::Gateways;
 use crate::register::{Numbering, Tuning};
 use nickeljunction_messages::{ServerLine, ServerState, WatchAnswer};
@@ -178,7 +178,7 @@
             permits_from,
             patient_until: 0,
         };
-        for (id, line) in copy.chart().servers.iter() {
+        for (id, line) in copy.catalog().servers.iter() {
             let mut line = ServerLine::clone(line);
             let warmth = match &mut line.cold {
                 None => Warmth::Warm,
--- a/crates/berths/tests/common/mod.rs
+++ b/crates/registry/tests/common/mod.rs
@@ -2,8 +2,8 @@
 
 #![allow(dead_code, missing_docs)]
 
-use nickeljunction_berths::{Applied, Beat, BeatKind, Chart, Copy, Register, Tuning};
 use nickeljunction_messages::{Caller, GatewayLine, ServerState, WatchCall};
+use nickeljunction_registry::{Applied, Beat, BeatKind, Catalog, Copy, Register, Tuning};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -44,7 +44,7 @@
     Copy::new().ask(Caller::Gateway, name, life, Some(line(name, zone, ready)), 1_000)
 }
 
-pub struct Harbour {
+pub struct Cluster {
     pub now: u64,
     pub register: Register,
     /// Withdrawn by ticks.
@@ -55,14 +55,14 @@
     pub beating: Vec<(String, &'static str, String, u64)>,
 }
 
-impl Harbour {
-    pub fn new() -> Harbour {
-        Harbour::from(1_000, 1, None)
+impl Cluster {
+    pub fn new() -> Cluster {
+        Cluster::from(1_000, 1, None)
     }
 
-    pub fn from(now: u64, term: u64, copy: Option<Copy>) -> Harbour {
+    pub fn from(now: u64, term: u64, copy: Option<Copy>) -> Cluster {
         let register = Register::new(now, tuning(), term, copy);
-        Harbour { now, register, expired: Vec::new(), calling: Vec::new(), beating: Vec::new() }
+        Cluster { now, register, expired: Vec::new(), calling: Vec::new(), beating: Vec::new() }
     }
 
     /// `count` servers `s0`... in `zone`, at `s0:1`..., that beat from now on.
@@ -100,8 +100,8 @@
     }
 
     /// All that a core member is told that has nothing.
-    pub fn chart(&self) -> Rc<Chart> {
-        self.copy().chart()
+    pub fn catalog(&self) -> Rc<Catalog> {
+        self.copy().catalog()
     }
 
     pub fn copy(&self) -> Copy {
@@ -119,11 +119,11 @@
 
     /// `None`: not in the table.
     pub fn state(&self, id: &str) -> Option<ServerState> {
-        self.chart().servers.get(id).map(|line| line.state)
+        self.catalog().servers.get(id).map(|line| line.state)
     }
 
     /// Who may send to it, as published.
     pub fn permit(&self, id: &str) -> Option<String> {
-        self.chart().servers.get(id).expect("not in the table").cold.clone()
+        self.catalog().servers.get(id).expect("not in the table").cold.clone()
     }
 }
--- a/crates/berths/tests/reference.rs
+++ b/crates/registry/tests/reference.rs
@@ -4,8 +4,8 @@
 mod common;
 
 use common::*;
-use nickeljunction_berths::{barred, Applied, Beat, Copy, Leave};
 use nickeljunction_messages::{Caller, ConfigLine, ServerLine, ServerState, WatchAnswer};
+use nickeljunction_registry::{barred, Applied, Beat, Copy, Leave};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::collections::{BTreeMap, BTreeSet};
@@ -230,7 +230,7 @@
 }
 
 struct World {
-    harbour: Harbour,
+    harbour: Cluster,
     gateways: Vec<Gateway>,
     follower: Copy,
     /// Lives that went, by the follower's answers.
@@ -247,7 +247,7 @@
 
 impl World {
     fn new() -> World {
-        let harbour = Harbour::new();
+        let harbour = Cluster::new();
         World {
             reference: Reference { began: harbour.now, ..Reference::default() },
             harbour,
@@ -314,21 +314,26 @@
             }
             Step::Stale(gateway, ago) => {
                 let copy = &mut self.gateways[gateway].copy;
-                let (known, chart) = ((copy.term(), copy.seq()), copy.chart());
+                let (known, catalog) = ((copy.term(), copy.seq()), copy.catalog());
                 let answer = self.answers.iter().rev().nth(ago).filter(|old| (old.term, old.seq) < known);
                 if let Some(answer) = answer.cloned() {
                     prop_assert!(copy.apply(answer).is_err(), "{} ms: led back", now);
-                    prop_assert!(Rc::ptr_eq(&chart, &copy.chart()));
+                    prop_assert!(Rc::ptr_eq(&catalog, &copy.catalog()));
                 }
             }
             Step::Follow => {
                 let applied = self.harbour.tell(&mut self.follower, Caller::Core).unwrap_or_default();
                 let Applied { gone, .. } = applied;
-                let there = self.follower.chart();
+                let there = self.follower.catalog();
                 self.follower_gone.extend(gone.iter().map(|id| id.to_string()));
                 self.follower_gone.retain(|id| !there.servers.contains_key(id.as_str()));
                 self.harbour.tell(&mut self.reader, Caller::Core);
-                prop_assert_eq!(&*self.reader.chart(), &*self.harbour.chart(), "{} ms: what differs", now);
+                prop_assert_eq!(
+                    &*self.reader.catalog(),
+                    &*self.harbour.catalog(),
+                    "{} ms: what differs",
+                    now
+                );
                 prop_assert_eq!(self.harbour.tell(&mut self.reader, Caller::Core), None);
             }
             Step::Evacuate(zones) => {
@@ -358,7 +363,7 @@
                 self.reference.end(&id, End::Silent(beat));
             }
             self.check()?;
-            self.reference.check_times(now, &self.harbour.chart().servers)?;
+            self.reference.check_times(now, &self.harbour.catalog().servers)?;
         }
         Ok(())
     }
@@ -373,20 +378,20 @@
         let answer = self.harbour.register.answer(self.harbour.now, &call, 0);
         let answer = answer.unwrap_or_else(|| self.harbour.register.nothing(0));
         self.answers.push(answer.clone());
-        let (before, turn) = (gateway.copy.chart(), gateway.copy.term() < answer.term);
+        let (before, turn) = (gateway.copy.catalog(), gateway.copy.term() < answer.term);
         prop_assert!(gateway.copy.apply(answer).is_ok(), "{} ms: refused by {}", now, name);
         gateway.sent_at = gateway.sent_at.max(now.saturating_sub(held_ms));
         // What it may send to now is there, stays, and is in a zone that is not evacuated.
-        let chart = gateway.copy.chart();
-        prop_assert_eq!(chart.version(), self.version);
-        prop_assert_eq!(&*chart.evacuated, &self.reference.zones);
+        let catalog = gateway.copy.catalog();
+        prop_assert_eq!(catalog.version(), self.version);
+        prop_assert_eq!(&*catalog.evacuated, &self.reference.zones);
         let whole = !self.harbour.register.gathering();
-        let truth = self.harbour.chart();
-        for (id, line) in chart.servers.iter() {
+        let truth = self.harbour.catalog();
+        for (id, line) in catalog.servers.iter() {
             let drained = before.servers.get(id).is_some_and(|old| old.state == ServerState::Draining);
             let back = turn && drained && line.state == ServerState::InService;
             prop_assert!(!back, "{} ms: {} takes {} back from its drain", now, name, id);
-            if barred(line, name, |zone| chart.evacuated.contains(zone)).is_some() {
+            if barred(line, name, |zone| catalog.evacuated.contains(zone)).is_some() {
                 continue;
             }
             let Some(own) = truth.servers.get(id) else {
@@ -404,7 +409,7 @@
             prop_assert!(bar.is_none(), "{} ms: {} sends to {}: {:?}", now, name, id, bar);
         }
         if whole {
-            let lost = truth.servers.keys().find(|id| !chart.servers.contains_key(*id));
+            let lost = truth.servers.keys().find(|id| !catalog.servers.contains_key(*id));
             prop_assert!(lost.is_none(), "{} ms: {} lacks {:?}", now, name, lost);
         }
         Ok(())
@@ -420,8 +425,8 @@
         let copy = copy.then(|| self.follower.clone());
         let mut reference = Reference { began: now, ..Reference::default() };
         if let Some(copy) = &copy {
-            let chart = copy.chart();
-            for (id, line) in chart.servers.iter() {
+            let catalog = copy.catalog();
+            for (id, line) in catalog.servers.iter() {
                 let life = Life {
                     address: line.address.clone(),
                     backend: line.backend.clone(),
@@ -434,14 +439,14 @@
                 };
                 reference.lives.insert(id.to_string(), life);
             }
-            reference.zones = BTreeSet::clone(&chart.evacuated);
+            reference.zones = BTreeSet::clone(&catalog.evacuated);
             let hearsay = self.follower_gone.iter().map(|id| (id.clone(), (End::Hearsay, String::new())));
             reference.ends = hearsay.collect();
             let until = now + tuning().takeover_ms + 1_000;
-            let roster = chart.roster.iter().map(|line| (line.name.clone(), (until, line.ready, None)));
+            let roster = catalog.roster.iter().map(|line| (line.name.clone(), (until, line.ready, None)));
             reference.gateways = roster.collect();
         }
-        self.harbour = Harbour::from(now, self.harbour.register.term() + 1, copy);
+        self.harbour = Cluster::from(now, self.harbour.register.term() + 1, copy);
         self.reference = reference;
         self.reader = Copy::new();
         self.harbour.register.evacuated(now, zones.clone());
@@ -450,16 +455,16 @@
     }
 
     fn check(&self) -> Result<(), TestCaseError> {
-        let (now, chart) = (self.harbour.now, self.harbour.chart());
-        for line in chart.servers.values() {
+        let (now, catalog) = (self.harbour.now, self.harbour.catalog());
+        for line in catalog.servers.values() {
             self.reference.check_line(now, line)?;
         }
-        let lost = self.reference.lives.keys().find(|id| !chart.servers.contains_key(id.as_str()));
+        let lost = self.reference.lives.keys().find(|id| !catalog.servers.contains_key(id.as_str()));
         prop_assert!(lost.is_none(), "{} ms: {:?} is not there", now, lost);
         // No two gateways go by a permit for one life.
         let mut holders = BTreeMap::new();
         for (name, gateway) in GATEWAYS.iter().zip(&self.gateways) {
-            for (id, line) in gateway.copy.chart().servers.iter() {
+            for (id, line) in gateway.copy.catalog().servers.iter() {
                 if Leave::of(line, name, now - gateway.sent_at) == Leave::AtRate {
                     let other = holders.insert(id.clone(), name);
                     prop_assert!(other.is_none(), "{} ms: {} and {:?} go by {}", now, name, other, id);
--- a/crates/berths/tests/servers.rs
+++ b/crates/registry/tests/servers.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
-use nickeljunction_berths::{BeatKind, Copy};
 use nickeljunction_messages::{Caller, ServerState};
+use nickeljunction_registry::{BeatKind, Copy};
 use std::collections::BTreeSet;
 
 fn zones<const N: usize>(names: [&str; N]) -> BTreeSet<String> {
@@ -13,7 +13,7 @@
 
 #[test]
 fn a_drain_holds_through_late_beats_and_a_crash() {
-    let mut harbour = Harbour::new();
+    let mut harbour = Cluster::new();
     harbour.crowd(3, "a1");
     assert_eq!(harbour.beat("x", &beat("x:1", "a1", 1)), BeatKind::Came);
     let told = harbour.register.beat(harbour.now, "x", &draining("x:1", "a1", 4));
@@ -31,7 +31,7 @@
 
 #[test]
 fn the_newest_word_counts_and_the_end_is_final() {
-    let mut harbour = Harbour::new();
+    let mut harbour = Cluster::new();
     harbour.beat("x", &draining("x:1", "a1", 7));
     assert_eq!(harbour.beat("x", &beat("x:1", "a1", 9)), BeatKind::Changed);
     assert_eq!(harbour.beat("x", &draining("x:1", "a1", 8)), BeatKind::Late);
@@ -45,7 +45,7 @@
 
 #[test]
 fn an_address_belongs_to_the_life_that_came_last() {
-    let mut harbour = Harbour::new();
+    let mut harbour = Cluster::new();
     harbour.crowd(3, "a1");
     harbour.beat("old", &beat("p:1", "a1", 50));
     harbour.wait(2_000);
@@ -54,7 +54,7 @@
     assert_eq!(harbour.beat("new", &other), BeatKind::Came);
     assert_eq!(harbour.state("old"), None);
     assert_eq!(harbour.beat("old", &beat("p:1", "a1", 51)), BeatKind::Ended);
-    assert_eq!(harbour.chart().servers["new"].backend, "eligcheck");
+    assert_eq!(harbour.catalog().servers["new"].backend, "eligcheck");
     // The same where the older life had been withdrawn for its silence.
     harbour.beat("gone", &beat("q:1", "a1", 5));
     harbour.wait(6_000);
@@ -65,7 +65,7 @@
 
 #[test]
 fn lives_are_not_withdrawn_together() {
-    let mut harbour = Harbour::new();
+    let mut harbour = Cluster::new();
     harbour.crowd(9, "a1");
     harbour.wait(3_000);
     let crowd = std::mem::take(&mut harbour.beating);
@@ -85,7 +85,7 @@
 
 #[test]
 fn standing_still_is_not_their_silence() {
-    let mut harbour = Harbour::new();
+    let mut harbour = Cluster::new();
     harbour.crowd(4, "a1");
     harbour.wait(1_000);
     harbour.now += 9_000;
@@ -97,7 +97,7 @@
 
 #[test]
 fn beats_that_tell_nothing_new_are_not_told() {
-    let mut harbour = Harbour::new();
+    let mut harbour = Cluster::new();
     harbour.calling = vec![("g", "a1")];
     harbour.crowd(1, "a1");
     harbour.wait(6_000);
@@ -118,7 +118,7 @@
 
 #[test]
 fn permits_go_to_near_gateways_and_spread() {
-    let mut harbour = Harbour::new();
+    let mut harbour = Cluster::new();
     harbour.calling = vec![("b", "b1"), ("g", "a1"), ("h", "a1"), ("i", "a2")];
     harbour.wait(4_000);
     for n in 0..6 {
@@ -137,7 +137,7 @@
 
 #[test]
 fn a_permit_moves_through_a_time_in_which_nobody_has_it() {
-    let mut harbour = Harbour::new();
+    let mut harbour = Cluster::new();
     harbour.calling = vec![("g", "a1"), ("h", "a2")];
     harbour.wait(4_000);
     harbour.beat("x", &cold("x:1", "a1", 1, 60_000));
@@ -159,7 +159,7 @@
 
 #[test]
 fn a_life_that_comes_back_has_no_second_permit() {
-    let mut harbour = Harbour::new();
+    let mut harbour = Cluster::new();
     harbour.calling = vec![("g", "a1"), ("h", "a2")];
     harbour.crowd(3, "a2");
     harbour.wait(4_000);
@@ -180,7 +180,7 @@
 
 #[test]
 fn after_an_evacuation_each_server_is_held_until_it_has_beaten() {
-    let mut harbour = Harbour::new();
+    let mut harbour = Cluster::new();
     harbour.calling = vec![("g", "a1")];
     harbour.wait(4_000);
     harbour.beat("x", &beat("x:1", "a1", 1));
@@ -189,11 +189,11 @@
     harbour.register.evacuated(harbour.now, zones(["a1", "b1"]));
     harbour.wait(1_000);
     let mut gateway = harbour.copy();
-    assert_eq!(*gateway.chart().evacuated, zones(["a1", "b1"]));
+    assert_eq!(*gateway.catalog().evacuated, zones(["a1", "b1"]));
     harbour.register.evacuated(harbour.now, zones(["b1"]));
     harbour.tell(&mut gateway, Caller::Gateway).expect("news");
-    let permit = |id: &str| gateway.chart().servers[id].cold.clone();
-    assert_eq!(*gateway.chart().evacuated, zones(["b1"]));
+    let permit = |id: &str| gateway.catalog().servers[id].cold.clone();
+    assert_eq!(*gateway.catalog().evacuated, zones(["b1"]));
     assert_eq!((permit("x"), permit("z")), (Some(String::new()), None), "barred with the withdrawal");
     harbour.now += 100;
     harbour.beat("x", &beat("x:1", "a1", 2));
@@ -206,7 +206,7 @@
 
 #[test]
 fn a_successor_starts_from_its_copy() {
-    let mut old = Harbour::new();
+    let mut old = Cluster::new();
     old.calling = vec![("g", "a1"), ("h", "a1")];
     old.crowd(3, "a1");
     old.wait(6_000);
@@ -220,7 +220,7 @@
     old.tell(&mut follower, Caller::Core);
     assert!(old.permit("c").is_some_and(|holder| !holder.is_empty()));
 
-    let mut new = Harbour::from(70_000, 2, Some(follower));
+    let mut new = Cluster::from(70_000, 2, Some(follower));
     assert!(!new.register.gathering());
     assert_eq!(new.register.gateways(), 2);
     assert_eq!(new.permit("c").as_deref(), Some(""), "the old leader's may still be gone by");
@@ -245,7 +245,7 @@
 
 #[test]
 fn without_a_copy_gateways_keep_what_they_had_until_the_table_is_whole() {
-    let mut old = Harbour::new();
+    let mut old = Cluster::new();
     old.crowd(2, "a1");
     old.beat("x", &draining("x:1", "a1", 9));
     old.beat("lost", &beat("lost:1", "b1", 9));
@@ -257,23 +257,23 @@
     old.wait(1_000);
     let mut gateway = old.copy();
 
-    let mut new = Harbour::from(20_000, 2, None);
+    let mut new = Cluster::from(20_000, 2, None);
     new.register.evacuated(new.now, zones([]));
     new.beat("s0", &beat("s0:1", "a1", 99));
     new.beat("x", &beat("x:1", "a1", 8));
     new.tell(&mut gateway, Caller::Gateway).expect("news");
-    let chart = gateway.chart();
-    assert_eq!(chart.servers.len(), 5, "its own knowledge besides");
-    assert_eq!(chart.servers["s0"].cold, None, "has beaten since");
-    assert_eq!(chart.servers["s1"].cold.as_deref(), Some(""), "may have turned cold with nobody to know");
-    assert_eq!(chart.servers["cold"].cold.as_deref(), Some(""), "its permit was the old leader's to lend");
-    assert_eq!(chart.servers["x"].state, ServerState::Draining, "no way back through an older word");
+    let catalog = gateway.catalog();
+    assert_eq!(catalog.servers.len(), 5, "its own knowledge besides");
+    assert_eq!(catalog.servers["s0"].cold, None, "has beaten since");
+    assert_eq!(catalog.servers["s1"].cold.as_deref(), Some(""), "may have turned cold with nobody to know");
+    assert_eq!(catalog.servers["cold"].cold.as_deref(), Some(""), "its permit was the old leader's to lend");
+    assert_eq!(catalog.servers["x"].state, ServerState::Draining, "no way back through an older word");
     new.register.evacuated(new.now, zones(["b1"]));
     new.tell(&mut gateway, Caller::Gateway).expect("news");
-    assert_eq!(gateway.chart().servers["lost"].cold, None);
+    assert_eq!(gateway.catalog().servers["lost"].cold, None);
     new.register.evacuated(new.now, zones([]));
     new.tell(&mut gateway, Caller::Gateway).expect("news");
-    assert_eq!(gateway.chart().servers["lost"].cold.as_deref(), Some(""), "unknown to the new leader");
+    assert_eq!(gateway.catalog().servers["lost"].cold.as_deref(), Some(""), "unknown to the new leader");
     let mut follower = Copy::new();
     new.tell(&mut follower, Caller::Core);
     assert!(!follower.complete(), "a successor must gather again");
@@ -282,13 +282,13 @@
     new.wait(7_000);
     assert!(!new.register.gathering());
     new.tell(&mut gateway, Caller::Gateway).expect("news");
-    assert!(!gateway.chart().servers.contains_key("lost"));
-    assert_eq!(gateway.chart().servers, new.chart().servers);
+    assert!(!gateway.catalog().servers.contains_key("lost"));
+    assert_eq!(gateway.catalog().servers, new.catalog().servers);
 }
 
 #[test]
 fn operators_see_how_many_of_each_service_are_in_which_state() {
-    let mut harbour = Harbour::new();
+    let mut harbour = Cluster::new();
     harbour.beat("w1", &beat("w:1", "a1", 1));
     harbour.beat("w2", &beat("w:2", "a1", 1));
     harbour.beat("c", &cold("c:1", "a1", 1, 9_000));
--- a/crates/berths/tests/watching.rs
+++ b/crates/registry/tests/watching.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
-use nickeljunction_berths::{Copy, Refused, Seen, Tide};
 use nickeljunction_messages::{Caller, ConfigLine, TrialLine, WatchAnswer, WatchCall};
+use nickeljunction_registry::{Copy, Refused, Seen, Tide};
 use std::rc::Rc;
 
 fn config(version: u64) -> ConfigLine {
@@ -13,9 +13,9 @@
 
 #[test]
 fn a_gateway_is_ready_while_it_calls() {
-    let mut harbour = Harbour::new();
+    let mut harbour = Cluster::new();
     let ready =
-        |harbour: &Harbour| harbour.register.roster().iter().map(|line| line.ready).collect::<Vec<_>>();
+        |harbour: &Cluster| harbour.register.roster().iter().map(|line| line.ready).collect::<Vec<_>>();
     harbour.register.called(harbour.now, &hello("g", "a1", 1, true));
     harbour.wait(2_000);
     assert_eq!(ready(&harbour), [true], "its call is held for a second, the next one may be under way");
@@ -32,9 +32,9 @@
 
 #[test]
 fn operators_see_who_is_away_who_is_silent_and_who_has_which_version() {
-    let mut harbour = Harbour::new();
+    let mut harbour = Cluster::new();
     let call = |version| WatchCall { version, ..hello("g", "a1", 1, true) };
-    let standing = |harbour: &Harbour| {
+    let standing = |harbour: &Cluster| {
         let gateway = harbour.register.gateway_standings(harbour.now).remove(0);
         (gateway.version, gateway.away_ms, gateway.line.ready)
     };
@@ -47,7 +47,7 @@
     harbour.register.called(harbour.now, &call(5));
     assert_eq!(standing(&harbour), (Some(5), None, true));
 
-    let silent = |harbour: &Harbour| {
+    let silent = |harbour: &Cluster| {
         let lives = harbour.register.server_standings(harbour.now);
         lives.iter().map(|life| life.silent_ms).collect::<Vec<_>>()
     };
@@ -62,7 +62,7 @@
 
 #[test]
 fn trials_are_told_where_one_changed_with_the_moment_from_which_they_hold_and_never_lead_back() {
-    let mut harbour = Harbour::new();
+    let mut harbour = Cluster::new();
     harbour.register.trials(Vec::new());
     let mut copy = Copy::new();
     let ask = |copy: &Copy| copy.ask(Caller::Gateway, "g", 1, None, 1_000);
@@ -83,7 +83,7 @@
     // A new leader that lags behind, and the same step once more.
     let of_another = WatchAnswer { term: early.term + 1, ..early };
     assert_eq!(copy.apply(of_another).expect("a new leader").trials, []);
-    assert_eq!(copy.chart().trials.get("t"), Some(&(5, 2)));
+    assert_eq!(copy.catalog().trials.get("t"), Some(&(5, 2)));
     assert_eq!(copy.whole().trials, Some(vec![line(5, 2, 0)]));
     harbour.wait(300);
     let late = harbour.register.answer(harbour.now, &ask(&Copy::new()), 0).and_then(|answer| answer.trials);
@@ -92,7 +92,7 @@
 
 #[test]
 fn a_replaced_life_says_nothing_more() {
-    let mut harbour = Harbour::new();
+    let mut harbour = Cluster::new();
     let register = &mut harbour.register;
     assert_eq!(register.called(1_000, &hello("g", "a1", 9, true)), Seen::Known);
     let silent = Copy::new().ask(Caller::Gateway, "g", 4, None, 1_000);
@@ -106,7 +106,7 @@
 
 #[test]
 fn only_core_members_are_woken_by_the_roster() {
-    let mut harbour = Harbour::new();
+    let mut harbour = Cluster::new();
     harbour.register.called(harbour.now, &hello("g", "a1", 1, false));
     let (mut gateway, mut follower) = (Copy::new(), Copy::new());
     harbour.tell(&mut gateway, Caller::Gateway);
@@ -119,7 +119,7 @@
 
 #[test]
 fn a_change_has_come_round_when_watchers_call_with_its_number() {
-    let mut harbour = Harbour::new();
+    let mut harbour = Cluster::new();
     harbour.register.called(harbour.now, &hello("g", "a1", 1, true));
     let at = harbour.register.beat(harbour.now, "x", &draining("x:1", "a1", 1)).at;
     let mut copy = Copy::new();
@@ -135,7 +135,7 @@
 
 #[test]
 fn who_lags_far_behind_reads_the_whole() {
-    let mut harbour = Harbour::new();
+    let mut harbour = Cluster::new();
     harbour.crowd(2, "a1");
     harbour.wait(6_000);
     let mut copy = harbour.copy();
@@ -145,7 +145,7 @@
     let call = copy.ask(Caller::Core, "watcher", 7, None, 0);
     assert!(harbour.register.answer(harbour.now, &call, 0).is_some_and(|answer| answer.whole));
     harbour.tell(&mut copy, Caller::Core);
-    assert_eq!(copy.chart(), harbour.chart());
+    assert_eq!(copy.catalog(), harbour.catalog());
 }
 
 #[test]
@@ -159,12 +159,12 @@
         ..WatchAnswer::default()
     };
     assert!(copy.apply(answer(3, 10, Some(7))).is_ok_and(|applied| applied.config && applied.leader));
-    let chart = copy.chart();
+    let catalog = copy.catalog();
     assert_eq!(copy.apply(answer(2, 99, Some(8))), Err(Refused::Term(3, 2)));
     assert_eq!(copy.apply(answer(3, 9, None)), Err(Refused::Seq(10, 9)));
     assert_eq!(copy.apply(answer(4, 1, Some(6))), Err(Refused::Config(7, 6)));
-    assert!(Rc::ptr_eq(&chart, &copy.chart()), "a refused answer changes nothing");
+    assert!(Rc::ptr_eq(&catalog, &copy.catalog()), "a refused answer changes nothing");
     assert_eq!((copy.term(), copy.seq()), (3, 10));
     assert!(copy.apply(answer(3, 11, Some(7))).is_ok_and(|applied| !applied.any()));
-    assert!(Rc::ptr_eq(&chart, &copy.chart()), "no news, no swap");
+    assert!(Rc::ptr_eq(&catalog, &copy.catalog()), "no news, no swap");
 }
--- a/crates/wheelhouse/src/effects.rs
+++ b/crates/wheelhouse/src/effects.rs
@@ -2,9 +2,9 @@
 
 use crate::members::{Unfit, Wish};
 use crate::statutes::{Outcome, Trial};
-use nickeljunction_berths::Copy;
 use nickeljunction_consensus::{Entry, Envelope, Write};
 use nickeljunction_messages::{Elsewhere, ServerState, UnitsAnswer};
+use nickeljunction_registry::Copy;
 
 /// Names a call that waits for its answer.
 pub type Ticket = u64;
--- a/crates/wheelhouse/src/leader.rs
+++ b/crates/wheelhouse/src/leader.rs
@@ -3,11 +3,11 @@
 use crate::effects::{Event, Ticket};
 use crate::machine::Wheelhouse;
 use crate::tides::Tides;
-use nickeljunction_berths::{Beat, BeatKind, Register, Seen};
 use nickeljunction_bunker::{Counter, Limit};
 use nickeljunction_messages::{
     Caller, ConfigLine, Elsewhere, ServerState, UnitsAnswer, UnitsCall, WatchAnswer, WatchCall,
 };
+use nickeljunction_registry::{Beat, BeatKind, Register, Seen};
 use nickeljunction_schema::{Bounds, Document};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -102,7 +102,7 @@
         if self.lead.as_ref().is_some_and(|lead| lead.term == term) {
             return;
         }
-        let tuning = nickeljunction_berths::Tuning::new(self.place.heartbeat_ms, self.place.zones.clone());
+        let tuning = nickeljunction_registry::Tuning::new(self.place.heartbeat_ms, self.place.zones.clone());
         let copy = std::mem::take(&mut self.copy);
         let window = (self.place.bounds.quota_window_s * 1_000.0) as u64;
         let logged = self.statutes.gateways().clone();
--- a/crates/wheelhouse/src/machine.rs
+++ b/crates/wheelhouse/src/machine.rs
@@ -5,10 +5,10 @@
 use crate::follow::HOLD_MS;
 use crate::leader::Lead;
 use crate::statutes::{Entry, Statutes};
-use nickeljunction_berths::{Applied, Copy, Refused, Register};
 use nickeljunction_bunker::Counter;
 use nickeljunction_consensus::{Consensus, Envelope, Outputs, ReadTicket, Restored, Tuning};
 use nickeljunction_messages::{Caller, Elsewhere, GatewayLine, WatchAnswer, WatchCall};
+use nickeljunction_registry::{Applied, Copy, Refused, Register};
 use nickeljunction_schema::Bounds;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -340,7 +340,7 @@
     pub fn roster(&self) -> Rc<Vec<GatewayLine>> {
         match &self.lead {
             Some(lead) => lead.register.roster(),
-            None => self.copy.chart().roster.clone(),
+            None => self.copy.catalog().roster.clone(),
         }
     }
 }
--- a/crates/wheelhouse/tests/member.rs
+++ b/crates/wheelhouse/tests/member.rs
@@ -1,10 +1,10 @@
 //! Three members on a fake clock, between links that are cut when told to.
 
-use nickeljunction_berths::Beat;
 use nickeljunction_consensus::{first_id, Envelope, Restored, Tuning};
 use nickeljunction_messages::{
     Caller, EbbCall, GatewayLine, Member, ServerState, TenantUnits, UnitsCall, WatchCall,
 };
+use nickeljunction_registry::Beat;
 use nickeljunction_schema::Bounds;
 use nickeljunction_wheelhouse::{Answer, Change, Held, Lent, Place, Ticket, Wheelhouse};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
