--- a/crates/drydock/src/gateway.rs
+++ b/crates/drydock/src/gateway.rs
@@ -1,11 +1,11 @@
-//! A gateway: the real copy, lease, purse and search, driven by the thin rules of `pilot::link::Link`, which are modelled here.
+//! A gateway: the real copy, lease, allowance and search, driven by the thin rules of `pilot::link::Link`, which are modelled here.
 
 use crate::{host, node_of, Answer, Fact, Node, Out, Packet, Question, TENANT, WINDOW_MS};
-use nickeljunction_bunker::{Purse, Spend};
 use nickeljunction_ebb::Sluice;
 use nickeljunction_messages::{Caller, GatewayLine, WatchAnswer};
 use nickeljunction_pilot::lease::Lease;
 use nickeljunction_pilot::seek::Seek;
+use nickeljunction_quota::{Allowance, Spend};
 use nickeljunction_registry::{Copy, Leave};
 use nickeljunction_schema::Bounds;
 use nickeljunction_wheelhouse::limits;
@@ -38,7 +38,7 @@
     /// For how long it may go by that.
     pub lease: Lease,
     /// Its units.
-    pub purse: Purse,
+    pub allowance: Allowance,
     /// Its search for the leader.
     pub seek: Seek,
     /// Trials that lapse.
@@ -70,14 +70,14 @@
     ) -> Gateway {
         let mut rng = rng.fork();
         let life = rng.u64(1..);
-        let tuning = nickeljunction_bunker::Tuning::new(WINDOW_MS);
+        let tuning = nickeljunction_quota::Tuning::new(WINDOW_MS);
         Gateway {
             node,
             up: true,
             life,
             copy: Copy::new(),
             lease: Lease::new(strict, Bounds::usual().revoke_timeout_s * 1_000.0),
-            purse: Purse::new(now, format!("g{node}"), life, tuning),
+            allowance: Allowance::new(now, format!("g{node}"), life, tuning),
             seek: Seek::new(seeds.to_vec()),
             sluice: Sluice::default(),
             // Answers to the life before are not taken for its own.
@@ -217,10 +217,10 @@
         self.lease.answered(flight.sent as f64, age);
         let catalog = self.copy.catalog();
         if applied.leader {
-            self.purse.moved(now, self.copy.term());
+            self.allowance.moved(now, self.copy.term());
         }
         if let Some(config) = catalog.config.as_ref().filter(|_| applied.config) {
-            self.purse.known(now, &limits(&config.doc, &Bounds::usual()));
+            self.allowance.known(now, &limits(&config.doc, &Bounds::usual()));
         }
         for line in applied.trials {
             let (tenant, step, stage) = (line.tenant, line.step, line.stage);
@@ -243,15 +243,15 @@
             self.units = None;
             self.hang_up(flight, out);
             self.recall = true;
-            self.purse.failed(now);
+            self.allowance.failed(now);
             self.serve_waiting(now);
         }
         if self.units.is_some() {
             return;
         }
-        let Some(units) = self.purse.poll(now) else { return };
+        let Some(units) = self.allowance.poll(now) else { return };
         let Some(to) = self.seek.leader().and_then(node_of) else {
-            self.purse.failed(now);
+            self.allowance.failed(now);
             return self.serve_waiting(now);
         };
         self.next_call += 1;
@@ -271,10 +271,10 @@
         } else if self.units.is_some_and(|flight| flight.call == call) {
             self.units = None;
             match answer {
-                Answer::Units(answer) => self.purse.answered(now, &answer),
+                Answer::Units(answer) => self.allowance.answered(now, &answer),
                 _ => {
                     self.recall = true;
-                    self.purse.failed(now);
+                    self.allowance.failed(now);
                 }
             }
             self.serve_waiting(now);
@@ -296,8 +296,8 @@
     fn serve_waiting(&mut self, now: u64) {
         for until in std::mem::take(&mut self.waiting) {
             let spend = match now < until {
-                true => self.purse.spend(now, TENANT),
-                false => self.purse.give_up(now, TENANT),
+                true => self.allowance.spend(now, TENANT),
+                false => self.allowance.give_up(now, TENANT),
             };
             match spend {
                 Spend::Done { from, until } => self.paced.push((from, until)),
@@ -344,7 +344,7 @@
         let calls = self.watch.iter().chain(&self.finding).map(|flight| flight.until);
         let watch = calls.min().unwrap_or(self.watch_at);
         let paced = self.paced.iter().map(|(from, _)| *from).min().unwrap_or(u64::MAX);
-        let units = self.units.map_or(self.purse.next_wake().unwrap_or(u64::MAX), |flight| flight.until);
+        let units = self.units.map_or(self.allowance.next_wake().unwrap_or(u64::MAX), |flight| flight.until);
         self.waiting.iter().copied().chain([watch, units, paced]).min().unwrap_or(u64::MAX)
     }
 
--- a/crates/harbourmaster/src/resources/status.rs
+++ b/crates/harbourmaster/src/resources/status.rs
@@ -2,8 +2,8 @@
 
 use super::json;
 use crate::helm::Helm;
-use nickeljunction_bunker::{Counter, TenantStanding};
 use nickeljunction_net::desk::{Answering, Call, Resource, Response};
+use nickeljunction_quota::{Counter, TenantStanding};
 use nickeljunction_registry::{state, GatewayStanding, Register, ServerStanding};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
--- a/crates/pilot/src/link.rs
+++ b/crates/pilot/src/link.rs
@@ -8,11 +8,11 @@
 use crate::seek::Seek;
 use crate::table::{Swap, Table};
 use bytes::Bytes;
-use nickeljunction_bunker::{Holding, Limit, Purse, Spend};
 use nickeljunction_messages::{path, EbbCall, Elsewhere, GatewayLine, ServerLine, UnitsAnswer, WatchAnswer};
 use nickeljunction_net::caller::Caller;
 use nickeljunction_net::figures::MOST_LABELLED;
 use nickeljunction_net::wheel::Wheel;
+use nickeljunction_quota::{Allowance, Holding, Limit, Spend};
 use nickeljunction_registry::{Copy, Leave};
 use nickeljunction_schema::{Bounds, Config, Document};
 use serde::{de::DeserializeOwned, Serialize};
@@ -83,7 +83,7 @@
     quay: Rc<Quay>,
     seek: RefCell<Seek>,
     copy: RefCell<Copy>,
-    purse: RefCell<Purse>,
+    allowance: RefCell<Allowance>,
     lease: RefCell<Lease>,
     ebb: Rc<Ebb>,
     leaving: Cell<bool>,
@@ -109,8 +109,8 @@
         seed: u64,
     ) -> Rc<Link> {
         let window = (own.bounds.quota_window_s * 1_000.0) as u64;
-        let tuning = nickeljunction_bunker::Tuning::new(window);
-        let purse = Purse::new(wheel.now() as u64, own.place.name.clone(), own.life, tuning);
+        let tuning = nickeljunction_quota::Tuning::new(window);
+        let allowance = Allowance::new(wheel.now() as u64, own.place.name.clone(), own.life, tuning);
         let lease = Lease::new(own.bounds.revocation_strict, own.bounds.revoke_timeout_s * 1_000.0);
         let seek = Seek::new(seeds);
         let ebb = Rc::new(Ebb::new(wheel.clone()));
@@ -122,7 +122,7 @@
             quay,
             seek: RefCell::new(seek),
             copy: RefCell::new(Copy::new()),
-            purse: RefCell::new(purse),
+            allowance: RefCell::new(allowance),
             lease: RefCell::new(lease),
             ebb,
             leaving: Cell::new(false),
@@ -207,7 +207,7 @@
             term: copy.term(),
             leader: self.seek.borrow().leader().map(str::to_string),
             age_ms: self.lease.borrow().age(now),
-            units: self.purse.borrow_mut().told(now as u64, MOST_LABELLED),
+            units: self.allowance.borrow_mut().told(now as u64, MOST_LABELLED),
         }
     }
 
@@ -346,7 +346,7 @@
         let catalog = self.copy.borrow().catalog();
         if applied.leader {
             log::info!("event=leader peer={from} term={}", self.copy.borrow().term());
-            self.purse.borrow_mut().moved(now as u64, self.copy.borrow().term());
+            self.allowance.borrow_mut().moved(now as u64, self.copy.borrow().term());
             self.low.notify_one();
         }
         if applied.config {
@@ -407,7 +407,7 @@
             let (window, overrun, slack) = (bounds.quota_window_s, bounds.quota_overrun, bounds.quota_slack);
             Some((name.clone(), Limit::with_margin(rate, burst, window, overrun, slack)?))
         });
-        self.purse.borrow_mut().known(self.wheel.now() as u64, &limits.collect());
+        self.allowance.borrow_mut().known(self.wheel.now() as u64, &limits.collect());
         self.ebb.configured(config);
         self.low.notify_one();
         log::info!("event=config version={} routes={}", config.config_version, config.routes.len());
@@ -448,9 +448,9 @@
     /// Makes counted adds for as long as it is polled.
     pub async fn count(self: Rc<Self>) {
         loop {
-            let call = self.purse.borrow_mut().poll(self.wheel.now() as u64);
+            let call = self.allowance.borrow_mut().poll(self.wheel.now() as u64);
             let Some(call) = call else {
-                let wake = self.purse.borrow().next_wake().map_or(f64::INFINITY, |wake| wake as f64);
+                let wake = self.allowance.borrow().next_wake().map_or(f64::INFINITY, |wake| wake as f64);
                 tokio::select! {
                     () = self.low.notified() => {}
                     () = self.wheel.sleep_until(wake.min(self.wheel.now() + 60_000.0)) => {}
@@ -460,8 +460,8 @@
             let answer = self.add(&call).await;
             let now = self.wheel.now() as u64;
             match answer {
-                Some(answer) => self.purse.borrow_mut().answered(now, &answer),
-                None => self.purse.borrow_mut().failed(now),
+                Some(answer) => self.allowance.borrow_mut().answered(now, &answer),
+                None => self.allowance.borrow_mut().failed(now),
             }
             self.units.notify_waiters();
         }
@@ -497,7 +497,7 @@
 
     /// Gives all units back before the end; what is lost on the way lapses by itself.
     pub async fn give_back(&self) {
-        let call = self.purse.borrow_mut().give_back(self.wheel.now() as u64);
+        let call = self.allowance.borrow_mut().give_back(self.wheel.now() as u64);
         self.add(&call).await;
     }
 }
@@ -512,14 +512,14 @@
                 answered.as_mut().enable();
                 let now = self.wheel.now();
                 let spend = {
-                    let mut purse = self.purse.borrow_mut();
+                    let mut allowance = self.allowance.borrow_mut();
                     match now < until {
-                        true => purse.spend(now as u64, tenant),
-                        false => purse.give_up(now as u64, tenant),
+                        true => allowance.spend(now as u64, tenant),
+                        false => allowance.give_up(now as u64, tenant),
                     }
                 };
                 // A batch that runs low is filled up ahead.
-                if self.purse.borrow().next_wake().is_some_and(|wake| wake as f64 <= now) {
+                if self.allowance.borrow().next_wake().is_some_and(|wake| wake as f64 <= now) {
                     self.low.notify_one();
                 }
                 match spend {
@@ -539,7 +539,7 @@
     }
 
     fn also(&self, tenant: &str) -> bool {
-        self.purse.borrow_mut().also(self.wheel.now() as u64, tenant)
+        self.allowance.borrow_mut().also(self.wheel.now() as u64, tenant)
     }
 
     fn stale(&self) -> Option<f64> {
--- a/crates/bunker/src/purse.rs
+++ b/crates/quota/src/allowance.rs
@@ -14,7 +14,7 @@
 /// What becomes of a request that asks for a unit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Spend {
-    /// A unit is spent: the request is to be sent at `from`, and its first byte no later than `until` (the purse's steady
+    /// A unit is spent: the request is to be sent at `from`, and its first byte no later than `until` (the allowance's steady
     /// clock, ms; 0 and `u64::MAX` for a tenant without a limit).
     Done {
         /// First moment at which the request may be sent: now, or in a short while, where the pace demands it.
@@ -209,7 +209,7 @@
 
 /// The units that a gateway holds, of all tenants with a limit.
 #[derive(Debug, Clone)]
-pub struct Purse {
+pub struct Allowance {
     name: String,
     life: u64,
     tuning: Tuning,
@@ -230,10 +230,10 @@
     silent_until: Option<u64>,
 }
 
-impl Purse {
+impl Allowance {
     /// Of the gateway `name`, whose process drew `life` at its start, just now.
-    pub fn new(now: u64, name: impl Into<String>, life: u64, tuning: Tuning) -> Purse {
-        Purse {
+    pub fn new(now: u64, name: impl Into<String>, life: u64, tuning: Tuning) -> Allowance {
+        Allowance {
             name: name.into(),
             life,
             tuning,
--- a/crates/bunker/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -1,7 +1,7 @@
 //! The counter of units: what a tenant may send in any window, lent to gateways in batches. No I/O.
 //!
 //! Two sides. [`Counter`] runs on the core member that leads: it keeps a book of loans for each tenant and answers
-//! gateways' calls. [`Purse`] runs in every gateway: it spends from its loans, fetches ahead and gives back; a unit
+//! gateways' calls. [`Allowance`] runs in every gateway: it spends from its loans, fetches ahead and gives back; a unit
 //! that was spent comes back to the loan that it was spent from when it leaves the window. They say
 //! [`UnitsCall`](nickeljunction_messages::UnitsCall) and [`UnitsAnswer`](nickeljunction_messages::UnitsAnswer) to each other.
 //!
@@ -17,20 +17,20 @@
 //! - A request's first byte is written at `from` at the earliest, and not after `until`.
 //! - Every attempt that is written spends its own unit.
 //!
-//! The gateway's driver, in short: [`Purse::known`] on each configuration; [`Purse::moved`] when another member leads, the first time included;
-//! [`Purse::poll`] after each of its calls and at [`Purse::next_wake`]; what it returns is sent, and then either
-//! [`Purse::answered`] or [`Purse::failed`] is called. A request that got [`Spend::Wait`] spends again after the next
-//! `answered` or `failed`; after the counter time-out it calls [`Purse::give_up`].
+//! The gateway's driver, in short: [`Allowance::known`] on each configuration; [`Allowance::moved`] when another member leads, the first time included;
+//! [`Allowance::poll`] after each of its calls and at [`Allowance::next_wake`]; what it returns is sent, and then either
+//! [`Allowance::answered`] or [`Allowance::failed`] is called. A request that got [`Spend::Wait`] spends again after the next
+//! `answered` or `failed`; after the counter time-out it calls [`Allowance::give_up`].
 
+mod allowance;
 mod counter;
 mod peak;
-mod purse;
 mod ring;
 mod takeover;
 mod tuning;
 
+pub use allowance::{Allowance, Holding, Spend};
 pub use counter::{Counter, Roll, TenantStanding};
-pub use purse::{Holding, Purse, Spend};
 #[cfg(feature = "mutants")]
 pub use tuning::Guard;
 pub use tuning::{Limit, Tuning};
--- a/crates/bunker/src/tuning.rs
+++ b/crates/quota/src/tuning.rs
@@ -36,7 +36,7 @@
     Rest,
 }
 
-/// Figures of the counter and of every gateway's purse. All times in ms; both sides must run with the same `window_ms`,
+/// Figures of the counter and of every gateway's allowance. All times in ms; both sides must run with the same `window_ms`,
 /// `write_ms`, `life_ms`, `lift_ms` and `depth`.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Tuning {
--- a/crates/bunker/tests/calls.rs
+++ b/crates/quota/tests/calls.rs
@@ -1,7 +1,7 @@
 //! Single calls, by hand.
 
-use nickeljunction_bunker::{Counter, Limit, Purse, Spend, TenantStanding, Tuning};
 use nickeljunction_messages::{TenantUnits, UnitsAnswer, UnitsCall};
+use nickeljunction_quota::{Allowance, Counter, Limit, Spend, TenantStanding, Tuning};
 use std::collections::BTreeMap;
 
 fn limits(cap: u64) -> BTreeMap<String, Limit> {
@@ -20,11 +20,11 @@
     counter
 }
 
-fn pair(cap: u64) -> (Counter, Purse, Log) {
-    let mut purse = Purse::new(0, "g", 7, tuning());
-    purse.known(0, &limits(cap));
-    purse.moved(0, 1);
-    (counter(0, 1, cap, &Log::new()), purse, Log::new())
+fn pair(cap: u64) -> (Counter, Allowance, Log) {
+    let mut allowance = Allowance::new(0, "g", 7, tuning());
+    allowance.known(0, &limits(cap));
+    allowance.moved(0, 1);
+    (counter(0, 1, cap, &Log::new()), allowance, Log::new())
 }
 
 /// As a leader does it.
@@ -39,77 +39,77 @@
 
 #[test]
 fn lost_answer_and_second_copy_lend_nothing_twice() {
-    let (mut counter, mut purse, mut log) = pair(80);
-    let first = purse.poll(0).unwrap();
+    let (mut counter, mut allowance, mut log) = pair(80);
+    let first = allowance.poll(0).unwrap();
     assert!(counter.call(5, &first, 4).tell, "nothing for one that isn't on the log");
     let lost = call(&mut counter, &mut log, 5, &first, 4);
     assert_eq!((lost.tenants["t"].granted, lost.tenants["t"].lift), (10, 10));
-    assert_eq!(purse.spend(6, "t"), Spend::Wait);
-    purse.failed(250);
-    assert_eq!(purse.spend(251, "t"), Spend::Wait, "its first units are on their way");
-    let refused = purse.give_up(259, "t");
+    assert_eq!(allowance.spend(6, "t"), Spend::Wait);
+    allowance.failed(250);
+    assert_eq!(allowance.spend(251, "t"), Spend::Wait, "its first units are on their way");
+    let refused = allowance.give_up(259, "t");
     assert!(matches!(refused, Spend::Refused { retry_after_ms: 300.. }), "silent: loans alone, {refused:?}");
     // Its answer comes after all: the batch isn't taken.
-    purse.answered(260, &lost);
-    assert_eq!(purse.held(260, "t"), 0);
-    let second = purse.poll(400).unwrap();
+    allowance.answered(260, &lost);
+    assert_eq!(allowance.held(260, "t"), 0);
+    let second = allowance.poll(400).unwrap();
     let answer = call(&mut counter, &mut log, 405, &second, 4);
     let lent = answer.tenants["t"].granted;
     assert_eq!(counter.used(405, "t"), lent, "what the first call was lent has come back");
     assert!(counter.call(406, &second, 4).tenants.is_empty());
     assert!(counter.call(407, &first, 4).tenants.is_empty());
     assert_eq!(counter.used(407, "t"), lent);
-    purse.answered(410, &answer);
-    assert_eq!(purse.spend(411, "t"), Spend::Done { from: 411, until: 511 });
-    assert_eq!(purse.spend(8_400, "t"), Spend::Wait, "too old");
-    assert!(!purse.also(8_400, "t"), "nor for a further try");
-    assert_eq!(purse.spend(8_400, "free"), Spend::Done { from: 0, until: u64::MAX });
+    allowance.answered(410, &answer);
+    assert_eq!(allowance.spend(411, "t"), Spend::Done { from: 411, until: 511 });
+    assert_eq!(allowance.spend(8_400, "t"), Spend::Wait, "too old");
+    assert!(!allowance.also(8_400, "t"), "nor for a further try");
+    assert_eq!(allowance.spend(8_400, "free"), Spend::Done { from: 0, until: u64::MAX });
 }
 
 #[test]
 fn a_spent_unit_comes_back_to_its_loan_after_a_window_and_the_pace_holds_requests_up() {
-    let (mut counter, mut purse, mut log) = pair(80);
-    let answer = call(&mut counter, &mut log, 5, &purse.poll(0).unwrap(), 4);
-    purse.answered(10, &answer);
+    let (mut counter, mut allowance, mut log) = pair(80);
+    let answer = call(&mut counter, &mut log, 5, &allowance.poll(0).unwrap(), 4);
+    allowance.answered(10, &answer);
     for _ in 0..4 {
-        assert_eq!(purse.spend(20, "t"), Spend::Done { from: 20, until: 120 });
+        assert_eq!(allowance.spend(20, "t"), Spend::Done { from: 20, until: 120 });
     }
     // 10 units a window: one in 500 ms; those who would wait longer ask for more.
-    assert_eq!(purse.spend(400, "t"), Spend::Done { from: 520, until: 620 });
-    assert_eq!(purse.spend(400, "t"), Spend::Wait);
-    assert!(!purse.also(400, "t"), "nor is a further try within the pace");
-    assert_eq!(purse.held(400, "t"), 5);
-    assert_eq!(purse.held(5_149, "t"), 5);
-    assert_eq!(purse.held(5_150, "t"), 9, "a slot's end, the window and the time to write later");
+    assert_eq!(allowance.spend(400, "t"), Spend::Done { from: 520, until: 620 });
+    assert_eq!(allowance.spend(400, "t"), Spend::Wait);
+    assert!(!allowance.also(400, "t"), "nor is a further try within the pace");
+    assert_eq!(allowance.held(400, "t"), 5);
+    assert_eq!(allowance.held(5_149, "t"), 5);
+    assert_eq!(allowance.held(5_150, "t"), 9, "a slot's end, the window and the time to write later");
 }
 
 #[test]
 fn the_counter_allows_a_few_units_beyond_the_pace() {
-    let (mut counter, mut purse, mut log) = pair(80);
-    let answer = call(&mut counter, &mut log, 5, &purse.poll(0).unwrap(), 4);
-    purse.answered(10, &answer);
-    (0..4).for_each(|_| assert!(matches!(purse.spend(20, "t"), Spend::Done { .. })));
-    (0..3).for_each(|_| assert_eq!(purse.spend(25, "t"), Spend::Wait));
-    let ask = purse.poll(purse.next_wake().unwrap()).unwrap();
+    let (mut counter, mut allowance, mut log) = pair(80);
+    let answer = call(&mut counter, &mut log, 5, &allowance.poll(0).unwrap(), 4);
+    allowance.answered(10, &answer);
+    (0..4).for_each(|_| assert!(matches!(allowance.spend(20, "t"), Spend::Done { .. })));
+    (0..3).for_each(|_| assert_eq!(allowance.spend(25, "t"), Spend::Wait));
+    let ask = allowance.poll(allowance.next_wake().unwrap()).unwrap();
     assert_eq!(ask.tenants["t"].boost, 3);
     let answer = call(&mut counter, &mut log, 30, &ask, 4);
     assert_eq!(answer.tenants["t"].boost, 1, "a half of what is left, rounded up");
-    purse.answered(35, &answer);
-    assert_eq!(purse.spend(36, "t"), Spend::Done { from: 36, until: 136 });
-    assert_eq!(purse.spend(36, "t"), Spend::Wait);
+    allowance.answered(35, &answer);
+    assert_eq!(allowance.spend(36, "t"), Spend::Done { from: 36, until: 136 });
+    assert_eq!(allowance.spend(36, "t"), Spend::Wait);
     // A new counter can't know what the old one allowed.
     let mut second = self::counter(100, 2, 80, &log);
-    purse.moved(120, 2);
-    let all = purse.poll(120).unwrap();
+    allowance.moved(120, 2);
+    let all = allowance.poll(120).unwrap();
     assert!(all.tenants["t"].boost > 0);
     assert_eq!(call(&mut second, &mut log, 125, &all, 4).tenants["t"].boost, 0);
 }
 
 #[test]
 fn units_of_a_silent_gateway_count_for_its_life_and_less_over_a_window() {
-    let (mut counter, mut purse, mut log) = pair(80);
-    let answer = call(&mut counter, &mut log, 5, &purse.poll(0).unwrap(), 4);
-    purse.answered(10, &answer);
+    let (mut counter, mut allowance, mut log) = pair(80);
+    let answer = call(&mut counter, &mut log, 5, &allowance.poll(0).unwrap(), 4);
+    allowance.answered(10, &answer);
     assert_eq!(counter.used(8_004, "t"), 10);
     // At its pace it can have spent as much in the rest of the window.
     assert_eq!(counter.used(8_005 + 4_100, "t"), 4 + 2);
@@ -118,27 +118,27 @@
     assert_eq!(counter.used(8_005 + 5_099, "t"), 4 + 1);
     assert_eq!(counter.used(8_005 + 5_100, "t"), 0);
     assert_eq!(counter.after(13_105).unwrap().gone, [7], "it may leave the log");
-    let again = purse.poll(13_106).unwrap();
+    let again = allowance.poll(13_106).unwrap();
     assert!(counter.call(13_110, &again, 4).tell, "nothing for one that leaves the log");
 }
 
 #[test]
 fn a_new_counter_holds_back_what_lives_on_the_log_may_have_until_they_tell() {
-    let (mut counter_1, mut purse, mut log) = pair(80);
-    let answer = call(&mut counter_1, &mut log, 5, &purse.poll(0).unwrap(), 4);
-    purse.answered(10, &answer);
-    (0..4).for_each(|_| assert!(matches!(purse.spend(20, "t"), Spend::Done { .. })));
+    let (mut counter_1, mut allowance, mut log) = pair(80);
+    let answer = call(&mut counter_1, &mut log, 5, &allowance.poll(0).unwrap(), 4);
+    allowance.answered(10, &answer);
+    (0..4).for_each(|_| assert!(matches!(allowance.spend(20, "t"), Spend::Done { .. })));
     let mut counter = counter(900, 2, 80, &log);
     assert_eq!(counter.used(900, "t"), 80);
     let held = TenantStanding { cap: 80, lent: 0, ended: 0, unheard: 80, held_ms: Some(30) };
     assert_eq!(counter.standings(930)["t"], held);
-    purse.moved(950, 2);
-    let all = purse.poll(950).unwrap();
+    allowance.moved(950, 2);
+    let all = allowance.poll(950).unwrap();
     assert!(all.all);
     let answer = call(&mut counter, &mut log, 960, &all, 4);
     assert_eq!(counter.used(960, "t"), 10 + answer.tenants["t"].granted, "the only life has told");
     // Its machine comes back with another process: what the first one had goes with the window.
-    let mut reborn = Purse::new(2_000, "g", 8, tuning());
+    let mut reborn = Allowance::new(2_000, "g", 8, tuning());
     reborn.known(2_000, &limits(80));
     reborn.moved(2_000, 3);
     let mut third = self::counter(2_500, 3, 80, &log);
@@ -146,23 +146,23 @@
     // Of the process that is gone: its depth, and the cap's pace over 4.5 s of the window, and what was allowed beyond.
     assert_eq!(third.used(2_600, "t"), 4 + 72 + 2 + answer.tenants["t"].granted);
     // The old counter's word is out of date from now on.
-    purse.answered(2_605, &UnitsAnswer { seq: all.seq, term: 2, ..UnitsAnswer::default() });
-    purse.moved(2_610, 3);
-    let late = purse.poll(2_610).unwrap();
-    let held = purse.held(2_620, "t");
-    purse.answered(2_620, &UnitsAnswer { seq: late.seq, term: 2, ..UnitsAnswer::default() });
-    assert_eq!(purse.held(2_620, "t"), held);
+    allowance.answered(2_605, &UnitsAnswer { seq: all.seq, term: 2, ..UnitsAnswer::default() });
+    allowance.moved(2_610, 3);
+    let late = allowance.poll(2_610).unwrap();
+    let held = allowance.held(2_620, "t");
+    allowance.answered(2_620, &UnitsAnswer { seq: late.seq, term: 2, ..UnitsAnswer::default() });
+    assert_eq!(allowance.held(2_620, "t"), held);
 }
 
 /// A pair whose first call is held up on its way: that call, and the pair after the second one was answered at 410 ms.
-fn overtaken(cap: u64) -> (UnitsCall, Counter, Purse, Log) {
-    let (mut counter, mut purse, mut log) = pair(cap);
-    let late = purse.poll(0).unwrap();
-    purse.failed(250);
-    let second = purse.poll(400).unwrap();
+fn overtaken(cap: u64) -> (UnitsCall, Counter, Allowance, Log) {
+    let (mut counter, mut allowance, mut log) = pair(cap);
+    let late = allowance.poll(0).unwrap();
+    allowance.failed(250);
+    let second = allowance.poll(400).unwrap();
     let answer = call(&mut counter, &mut log, 405, &second, 4);
-    purse.answered(410, &answer);
-    (late, counter, purse, log)
+    allowance.answered(410, &answer);
+    (late, counter, allowance, log)
 }
 
 #[test]
@@ -175,13 +175,13 @@
 
 #[test]
 fn a_call_that_was_meant_for_another_counter_is_told_anew() {
-    let (late, _, mut purse, mut log) = overtaken(80);
-    assert_eq!(purse.held(410, "t"), 10);
+    let (late, _, mut allowance, mut log) = overtaken(80);
+    assert_eq!(allowance.held(410, "t"), 10);
     let mut counter = self::counter(500, 2, 80, &log);
     assert!(call(&mut counter, &mut log, 510, &late, 4).tell);
     assert_eq!(counter.used(510, "t"), 80, "what it told was of before the ten units");
-    purse.moved(520, 2);
-    call(&mut counter, &mut log, 530, &purse.poll(520).unwrap(), 4);
+    allowance.moved(520, 2);
+    call(&mut counter, &mut log, 530, &allowance.poll(520).unwrap(), 4);
     assert_eq!(counter.used(530, "t"), 10);
 }
 
@@ -219,13 +219,13 @@
 
 #[test]
 fn what_was_spent_under_a_higher_limit_leaves_the_silent_no_less() {
-    let (mut counter_1, mut purse, mut log) = pair(80);
-    let answer = call(&mut counter_1, &mut log, 5, &purse.poll(0).unwrap(), 4);
-    purse.answered(10, &answer);
-    (0..4).for_each(|_| assert!(matches!(purse.spend(20, "t"), Spend::Done { .. })));
-    purse.known(30, &limits(16));
-    purse.moved(40, 2);
-    let told = purse.poll(40).unwrap().tenants["t"].clone();
+    let (mut counter_1, mut allowance, mut log) = pair(80);
+    let answer = call(&mut counter_1, &mut log, 5, &allowance.poll(0).unwrap(), 4);
+    allowance.answered(10, &answer);
+    (0..4).for_each(|_| assert!(matches!(allowance.spend(20, "t"), Spend::Done { .. })));
+    allowance.known(30, &limits(16));
+    allowance.moved(40, 2);
+    let told = allowance.poll(40).unwrap().tenants["t"].clone();
     assert_eq!((told.loan, told.over), (4, 2), "four are spent, two may be");
     // As 12 are spent and 2 may be, the other one may have 10 of 12.
     let mut counter = followed(12, 12, 12, 10);
@@ -254,14 +254,14 @@
 
 #[test]
 fn a_lower_cap_with_a_higher_pace_lends_nothing() {
-    let (mut counter, mut purse, mut log) = pair(40);
-    let answer = call(&mut counter, &mut log, 5, &purse.poll(0).unwrap(), 4);
-    purse.answered(10, &answer);
-    let held = purse.held(20, "t");
+    let (mut counter, mut allowance, mut log) = pair(40);
+    let answer = call(&mut counter, &mut log, 5, &allowance.poll(0).unwrap(), 4);
+    allowance.answered(10, &answer);
+    let held = allowance.held(20, "t");
     let limit = |cap, pace| BTreeMap::from([("t".to_owned(), Limit { cap, pace })]);
-    purse.known(20, &limit(80, 20));
-    let cut = purse.held(20, "t");
+    allowance.known(20, &limit(80, 20));
+    let cut = allowance.held(20, "t");
     assert!(0 < cut && cut < held);
-    purse.known(30, &limit(70, 60));
-    assert_eq!(purse.held(30, "t"), cut);
+    allowance.known(30, &limit(70, 60));
+    assert_eq!(allowance.held(30, "t"), cut);
 }
--- a/crates/bunker/tests/reference.rs
+++ b/crates/quota/tests/reference.rs
@@ -1,10 +1,10 @@
-//! The true counter and purses against a plain reference: histories drawn by chance and shrunk where they fail. The
+//! The true counter and allowances against a plain reference: histories drawn by chance and shrunk where they fail. The
 //! reference knows nothing of loans, paces and takeovers. It has the list of what happened, and from that alone it says
 //! what each life may do.
 
 mod world;
 
-use nickeljunction_bunker::{Guard, Limit, Tuning};
+use nickeljunction_quota::{Guard, Limit, Tuning};
 use proptest::prelude::*;
 use proptest::test_runner::{RngSeed, TestCaseResult, TestError, TestRunner};
 use std::collections::HashMap;
@@ -129,7 +129,7 @@
         let now = world.now;
         for of in 0..RATES.len() {
             let up = world.gateways.iter_mut().filter(|gateway| gateway.up);
-            let held: u64 = up.map(|gateway| gateway.purse.held(now, &world::tenant(of))).sum();
+            let held: u64 = up.map(|gateway| gateway.allowance.held(now, &world::tenant(of))).sum();
             let due = world.tenants[of].due.iter().filter(|(_, until, _)| *until >= now).count() as u64;
             let (sent, cap) = (self.window(of, now), self.cap(of, now));
             let all = sent + due + held;
--- a/crates/bunker/tests/units_model.rs
+++ b/crates/quota/tests/units_model.rs
@@ -1,12 +1,12 @@
-//! A small world of the true [`Counter`] and [`Purse`], step by step in every order: two gateways and one tenant with a
+//! A small world of the true [`Counter`] and [`Allowance`], step by step in every order: two gateways and one tenant with a
 //! cap of four units. Calls and answers are lost, late, doubled and overtaken, gateways freeze (they just do nothing
 //! while time goes on), are killed and come back as new lives, and counters follow each other.
 //!
 //! What can't make a difference to the rule is left out: a gateway spends all that it may at once, and an answer that
 //! comes in time comes at once.
 
-use nickeljunction_bunker::{Counter, Guard, Limit, Purse, Spend, Tuning};
 use nickeljunction_messages::{UnitsAnswer, UnitsCall};
+use nickeljunction_quota::{Allowance, Counter, Guard, Limit, Spend, Tuning};
 use stateright::{Checker, Expectation, Model, Property};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
@@ -49,7 +49,7 @@
     now: u64,
     term: u64,
     counter: Counter,
-    purses: Vec<Purse>,
+    allowances: Vec<Allowance>,
     lives: [u64; 2],
     /// The last gateway that acted in this step: the one before it does so no more.
     turn: usize,
@@ -109,13 +109,13 @@
 
     /// Units that may be spent now, were it not for the pace.
     fn held(&self) -> u64 {
-        self.purses.iter().map(|purse| purse.clone().held(self.now, "t")).sum()
+        self.allowances.iter().map(|allowance| allowance.clone().held(self.now, "t")).sum()
     }
 
     /// A life that has units, and that a new counter would not know of.
     fn unlisted(&self) -> bool {
-        let mut purses = self.purses.clone();
-        (0..2).any(|to| purses[to].held(self.now, "t") > 0 && !self.log.contains_key(&self.lives[to]))
+        let mut allowances = self.allowances.clone();
+        (0..2).any(|to| allowances[to].held(self.now, "t") > 0 && !self.log.contains_key(&self.lives[to]))
     }
 }
 
@@ -175,11 +175,11 @@
         }
     }
 
-    fn purse(&self, now: u64, to: usize, life: u64, world_term: u64) -> Purse {
-        let mut purse = Purse::new(now, format!("g{to}"), life, self.gateways.clone());
-        purse.known(now, &limits(CAP));
-        purse.moved(now, world_term);
-        purse
+    fn allowance(&self, now: u64, to: usize, life: u64, world_term: u64) -> Allowance {
+        let mut allowance = Allowance::new(now, format!("g{to}"), life, self.gateways.clone());
+        allowance.known(now, &limits(CAP));
+        allowance.moved(now, world_term);
+        allowance
     }
 }
 
@@ -195,7 +195,7 @@
             now,
             term: 1,
             counter,
-            purses: (0..2).map(|to| self.purse(now, to, to as u64, 1)).collect(),
+            allowances: (0..2).map(|to| self.allowance(now, to, to as u64, 1)).collect(),
             lives: [0, 1],
             turn: 0,
             waits: [false; 2],
@@ -255,7 +255,7 @@
             }
             Act::Spend(to) => {
                 let before = world.sent.len();
-                while let Spend::Done { from, .. } = world.purses[to].spend(now, "t") {
+                while let Spend::Done { from, .. } = world.allowances[to].spend(now, "t") {
                     world.sent.push(from);
                 }
                 // More who wait ask for more than the cap has.
@@ -265,13 +265,13 @@
                 world.waits[to] = true;
             }
             Act::Exchange(to) => {
-                let call = world.purses[to].poll(now)?;
+                let call = world.allowances[to].poll(now)?;
                 let answer = world.answer(&call);
-                world.purses[to].answered(now, &answer);
+                world.allowances[to].answered(now, &answer);
                 world.waits[to] = false;
             }
             Act::Call(to) => {
-                let call = world.purses[to].poll(now)?;
+                let call = world.allowances[to].poll(now)?;
                 let own = world.calls.iter().filter(|(from, _)| *from == to).count();
                 if own == LATE {
                     let oldest = world.calls.iter().position(|(from, _)| *from == to)?;
@@ -288,14 +288,14 @@
             Act::Answer(number) => {
                 let (life, answer) = world.answers.remove(number);
                 let to = world.lives.iter().position(|own| *own == life)?;
-                world.purses[to].answered(now, &answer);
+                world.allowances[to].answered(now, &answer);
                 world.waits[to] = false;
             }
             Act::Fail(to) => {
-                if world.purses[to].next_wake().is_some() {
+                if world.allowances[to].next_wake().is_some() {
                     return None;
                 }
-                world.purses[to].failed(now);
+                world.allowances[to].failed(now);
             }
             Act::Kill(to) => {
                 world.kills += 1;
@@ -303,9 +303,9 @@
                 world.waits[to] = false;
                 // Its last words have come, or are lost: see `lib.rs`.
                 world.calls.retain(|(from, _)| *from != to);
-                world.purses[to] = self.purse(now, to, world.lives[to], world.term);
+                world.allowances[to] = self.allowance(now, to, world.lives[to], world.term);
                 if world.lowered[to] {
-                    world.purses[to].known(now, &limits(LOWERED));
+                    world.allowances[to].known(now, &limits(LOWERED));
                 }
             }
             Act::Succeed => {
@@ -324,7 +324,7 @@
                 world.lowered[who] = true;
                 match who {
                     2 => world.counter.limits(now, &limits(LOWERED)),
-                    to => world.purses[to].known(now, &limits(LOWERED)),
+                    to => world.allowances[to].known(now, &limits(LOWERED)),
                 }
                 if world.lowered.iter().all(|known| *known) {
                     world.all_lowered = Some(now);
--- a/crates/bunker/tests/world/mod.rs
+++ b/crates/quota/tests/world/mod.rs
@@ -3,8 +3,8 @@
 
 #![allow(dead_code)]
 
-use nickeljunction_bunker::{Counter, Limit, Purse, Roll, Spend, Tuning};
 use nickeljunction_messages::{UnitsAnswer, UnitsCall};
+use nickeljunction_quota::{Allowance, Counter, Limit, Roll, Spend, Tuning};
 use std::collections::BTreeMap;
 
 pub const WINDOW_MS: u64 = 5_000;
@@ -28,7 +28,7 @@
 }
 
 pub struct Gateway {
-    pub purse: Purse,
+    pub allowance: Allowance,
     pub life: u64,
     pub up: bool,
     killed_at: u64,
@@ -151,13 +151,13 @@
     fn gateway(&mut self, number: usize) -> Gateway {
         let tuning = self.gateway_tuning.clone();
         let life = self.rng.u64(..);
-        let mut purse = Purse::new(self.now, format!("g{number}"), life, tuning);
-        purse.known(self.now, &self.limits());
+        let mut allowance = Allowance::new(self.now, format!("g{number}"), life, tuning);
+        allowance.known(self.now, &self.limits());
         // It learns who leads before it learns of any tenant.
-        purse.moved(self.now, self.term);
+        allowance.moved(self.now, self.term);
         let (up, wake) = (true, self.now);
         Gateway {
-            purse,
+            allowance,
             life,
             up,
             wake,
@@ -207,7 +207,7 @@
         let now = self.now;
         for gateway in self.gateways.iter_mut().filter(|gateway| gateway.up && gateway.frozen_until <= now) {
             gateway.flight = None;
-            gateway.purse.moved(now, self.term);
+            gateway.allowance.moved(now, self.term);
             gateway.wake = now + self.rng.u64(0..100);
         }
     }
@@ -228,7 +228,7 @@
             counter.limits(now, &limits);
         }
         for gateway in &mut self.gateways {
-            gateway.purse.known(now, &limits);
+            gateway.allowance.known(now, &limits);
             gateway.wake = now;
         }
     }
@@ -263,7 +263,7 @@
             self.tenants[number].asked += 1;
         }
         let luck = &mut self.tenants[number];
-        match gateway.purse.spend(now, &tenant(number)) {
+        match gateway.allowance.spend(now, &tenant(number)) {
             Spend::Done { from, until } => {
                 assert!(until > from && from >= now && from <= now + 200);
                 luck.due.push((from, until, to));
@@ -277,14 +277,14 @@
                 luck.refused += 1;
             }
         }
-        gateway.wake = gateway.wake.min(gateway.purse.next_wake().unwrap_or(u64::MAX));
+        gateway.wake = gateway.wake.min(gateway.allowance.next_wake().unwrap_or(u64::MAX));
     }
 
     fn retry_waiting(&mut self, to: usize) {
         let now = self.now;
         for (until, number) in std::mem::take(&mut self.gateways[to].waiting) {
             let gateway = &mut self.gateways[to];
-            match gateway.purse.spend(now, &tenant(number)) {
+            match gateway.allowance.spend(now, &tenant(number)) {
                 Spend::Done { from, until } => self.tenants[number].due.push((from, until, to)),
                 Spend::Wait => gateway.waiting.push((until, number)),
                 Spend::Refused { .. } => self.tenants[number].refused += 1,
@@ -304,7 +304,7 @@
         let gateway = &mut self.gateways[to];
         if gateway.flight.is_some_and(|(_, until)| until <= now) {
             gateway.flight = None;
-            gateway.purse.failed(now);
+            gateway.allowance.failed(now);
             self.retry_waiting(to);
         }
         let gateway = &mut self.gateways[to];
@@ -312,13 +312,13 @@
             gateway.waiting.iter().filter(|wait| wait.0 <= now).map(|wait| wait.1).collect();
         gateway.waiting.retain(|wait| wait.0 > now);
         for number in late {
-            match gateway.purse.give_up(now, &tenant(number)) {
+            match gateway.allowance.give_up(now, &tenant(number)) {
                 Spend::Done { from, until } => self.tenants[number].due.push((from, until, to)),
                 _ => self.tenants[number].refused += 1,
             }
         }
         if gateway.flight.is_none() {
-            if let Some(call) = gateway.purse.poll(now) {
+            if let Some(call) = gateway.allowance.poll(now) {
                 self.calls += 1;
                 self.bytes += serde_json::to_string(&call).map_or(0, |text| text.len());
                 gateway.flight = Some((call.seq, now + CALL_MS));
@@ -332,7 +332,7 @@
         let gateway = &mut self.gateways[to];
         gateway.wake = match gateway.flight {
             Some((_, until)) => until,
-            None => gateway.purse.next_wake().unwrap_or(u64::MAX),
+            None => gateway.allowance.next_wake().unwrap_or(u64::MAX),
         };
         if let Some(first) = gateway.waiting.iter().map(|wait| wait.0).min() {
             gateway.wake = gateway.wake.min(first);
@@ -376,7 +376,7 @@
                 if !answer.tell {
                     self.facts.push((now, Fact::Answered(gateway.life, answer.seq)));
                 }
-                gateway.purse.answered(now, &answer);
+                gateway.allowance.answered(now, &answer);
                 if gateway.flight.is_some_and(|(seq, _)| seq == answer.seq) {
                     gateway.flight = None;
                 }
--- a/crates/bunker/tests/worlds.rs
+++ b/crates/quota/tests/worlds.rs
@@ -2,7 +2,7 @@
 
 mod world;
 
-use nickeljunction_bunker::Limit;
+use nickeljunction_quota::Limit;
 use world::World;
 
 /// Six quiet tenants, with limits of `times` what they use and bursts of so many seconds; caps as a site's figures make
@@ -349,11 +349,11 @@
         luck.rate *= 7.5;
     }
     let now = world.now;
-    let held = world.gateways[2].purse.held(now, "t0");
+    let held = world.gateways[2].allowance.held(now, "t0");
     assert!(held > 0);
     world.run(19_980);
     let now = world.now;
-    assert_eq!(world.gateways[2].purse.held(now, "t0"), 0, "stale units were kept");
+    assert_eq!(world.gateways[2].allowance.held(now, "t0"), 0, "stale units were kept");
     world.run(8_000);
     world.check("frozen");
 }
--- a/crates/wheelhouse/src/calls.rs
+++ b/crates/wheelhouse/src/calls.rs
@@ -5,9 +5,9 @@
 use crate::machine::Wheelhouse;
 use crate::members::Wish;
 use crate::statutes::{Entry, Outcome};
-use nickeljunction_bunker::Roll;
 use nickeljunction_consensus::NotLeader;
 use nickeljunction_messages::UnitsCall;
+use nickeljunction_quota::Roll;
 
 /// A proposal that is not on a majority's disks by then is answered as open, ms; the operator repeats it unchanged.
 const PROPOSAL_MS: u64 = 2_500;
--- a/crates/wheelhouse/src/leader.rs
+++ b/crates/wheelhouse/src/leader.rs
@@ -3,10 +3,10 @@
 use crate::effects::{Event, Ticket};
 use crate::machine::Wheelhouse;
 use crate::tides::Tides;
-use nickeljunction_bunker::{Counter, Limit};
 use nickeljunction_messages::{
     Caller, ConfigLine, Elsewhere, ServerState, UnitsAnswer, UnitsCall, WatchAnswer, WatchCall,
 };
+use nickeljunction_quota::{Counter, Limit};
 use nickeljunction_registry::{Beat, BeatKind, Register, Seen};
 use nickeljunction_schema::{Bounds, Document};
 use std::collections::BTreeMap;
@@ -107,7 +107,7 @@
         let window = (self.place.bounds.quota_window_s * 1_000.0) as u64;
         let logged = self.statutes.gateways().clone();
         let known = logged.len();
-        let counter = Counter::new(now, term, nickeljunction_bunker::Tuning::new(window), logged);
+        let counter = Counter::new(now, term, nickeljunction_quota::Tuning::new(window), logged);
         let register = Register::new(now, tuning, term, Some(copy));
         self.out.events.push(Event::LeadBegun {
             term,
