--- a/crates/bosun/src/trial.rs
+++ b/crates/bosun/src/trial.rs
@@ -4,7 +4,7 @@
 use crate::tour::Tour;
 use crate::wire::{Answer, Request};
 use crate::{Shown, Trouble};
-use nickeljunction_ebb::{Curve, Rank};
+use nickeljunction_pacing::{Curve, Rank};
 use nickeljunction_schema::Config;
 use serde_json::{json, Value};
 use std::fmt::Write;
--- a/crates/drydock/src/gateway.rs
+++ b/crates/drydock/src/gateway.rs
@@ -1,8 +1,8 @@
 //! A gateway: the real copy, lease, allowance and search, driven by the thin rules of `pilot::link::Link`, which are modelled here.
 
 use crate::{host, node_of, Answer, Fact, Node, Out, Packet, Question, TENANT, WINDOW_MS};
-use nickeljunction_ebb::Sluice;
 use nickeljunction_messages::{Caller, GatewayLine, WatchAnswer};
+use nickeljunction_pacing::Throttle;
 use nickeljunction_pilot::lease::Lease;
 use nickeljunction_pilot::seek::Seek;
 use nickeljunction_quota::{Allowance, Spend};
@@ -42,7 +42,7 @@
     /// Its search for the leader.
     pub seek: Seek,
     /// Trials that lapse.
-    pub sluice: Sluice,
+    pub throttle: Throttle,
     rng: fastrand::Rng,
     watch: Option<Flight>,
     /// Calls to all who may lead, and whom they asked; while no leader is known.
@@ -79,7 +79,7 @@
             lease: Lease::new(strict, Bounds::usual().revoke_timeout_s * 1_000.0),
             allowance: Allowance::new(now, format!("g{node}"), life, tuning),
             seek: Seek::new(seeds.to_vec()),
-            sluice: Sluice::default(),
+            throttle: Throttle::default(),
             // Answers to the life before are not taken for its own.
             next_call: rng.u64(..1 << 40),
             rng,
@@ -108,7 +108,7 @@
 
     /// Step and stage that it goes by.
     pub fn tide(&self, now: u64) -> (u64, u32) {
-        let standings = self.sluice.clone().standings(now as f64);
+        let standings = self.throttle.clone().standings(now as f64);
         standings.iter().find(|one| one.tenant == TENANT).map_or((0, 0), |one| (one.step, one.stage))
     }
 
@@ -224,7 +224,7 @@
         }
         for line in applied.trials {
             let (tenant, step, stage) = (line.tenant, line.step, line.stage);
-            let news = self.sluice.told(now as f64, &tenant, step, stage, line.in_ms as f64);
+            let news = self.throttle.told(now as f64, &tenant, step, stage, line.in_ms as f64);
             assert!(news, "gateway {}: step {step} is news to its copy alone", self.node);
             out.facts.push(Fact::Tide { life: self.life, tenant, step, stage, holds: now + line.in_ms });
         }
--- a/crates/ebb/src/lib.rs
+++ b/crates/pacing/src/lib.rs
@@ -3,14 +3,14 @@
 //!
 //! - [`Curve`]: what each stage does to each [`Rank`] of requests, out of the configuration.
 //! - [`Pacer`] runs at the leader: it divides a tenant's pace among gateways by what each is asked.
-//! - [`Sluice`] runs in every gateway: it says for each request whether it passes, waits, or is told when to come back.
+//! - [`Throttle`] runs in every gateway: it says for each request whether it passes, waits, or is told when to come back.
 //!
 //! `docs/design/ebb.md` argues why it is so. Nothing here is needed for the rules of quotas: a share of pace slows, a unit admits.
 
 mod curve;
 mod pacer;
-mod sluice;
+mod throttle;
 
 pub use curve::{Curve, Rank, Step};
 pub use pacer::{Pacer, LEASE_MS};
-pub use sluice::{Arrival, Sluice, Standing, Verdict};
+pub use throttle::{Arrival, Standing, Throttle, Verdict};
--- a/crates/ebb/src/sluice.rs
+++ b/crates/pacing/src/throttle.rs
@@ -56,7 +56,7 @@
 pub enum Verdict {
     /// It goes on at once.
     Pass,
-    /// It goes on at `until`, ms of the caller's clock; [`Sluice::done`] is told then, or when its client has gone.
+    /// It goes on at `until`, ms of the caller's clock; [`Throttle::done`] is told then, or when its client has gone.
     Hold {
         /// That moment.
         until: f64,
@@ -305,12 +305,12 @@
 
 /// All slowed tenants at one gateway. Without one it keeps nothing and costs a look at an empty map.
 #[derive(Debug, Clone, Default)]
-pub struct Sluice {
+pub struct Throttle {
     tenants: BTreeMap<String, Tenant>,
     waiting: usize,
 }
 
-impl Sluice {
+impl Throttle {
     /// A trial as the leader told it: `step` rises with each change, `stage` holds from `in_ms` on. What is not higher than
     /// known is dropped: a gateway never goes back. Whether it was news.
     pub fn told(&mut self, now: f64, tenant: &str, step: u64, stage: u32, in_ms: f64) -> bool {
--- a/crates/ebb/tests/sluice.rs
+++ b/crates/pacing/tests/throttle.rs
@@ -1,7 +1,7 @@
 //! The ebb over nine gateways in virtual time: clients that send steadily, come back as they are told, and leave; gateways that ask
 //! the leader for shares each half second, are cut off, die and come anew.
 
-use nickeljunction_ebb::{Arrival, Curve, Pacer, Rank, Sluice, Verdict};
+use nickeljunction_pacing::{Arrival, Curve, Pacer, Rank, Throttle, Verdict};
 use nickeljunction_schema::Document;
 use proptest::prelude::*;
 use std::cmp::Reverse;
@@ -51,7 +51,7 @@
     rng: fastrand::Rng,
     now: f64,
     curve: Curve,
-    sluices: Vec<Sluice>,
+    sluices: Vec<Throttle>,
     lives: Vec<u64>,
     cut: Vec<bool>,
     pacer: Pacer,
@@ -88,7 +88,7 @@
             ends: Vec::new(),
             told: 0,
         };
-        world.sluices = vec![Sluice::default(); size];
+        world.sluices = vec![Throttle::default(); size];
         world
     }
 
@@ -110,7 +110,7 @@
     }
 
     fn restart(&mut self, at: usize) {
-        self.sluices[at] = Sluice::default();
+        self.sluices[at] = Throttle::default();
         self.lives[at] += 100;
         self.tell(at, 0.0);
     }
@@ -342,68 +342,68 @@
 /// Clients whose deadlines differ look like ones that come back; while nobody was told to, they wait like all others.
 #[test]
 fn a_short_deadline_alone_lets_nobody_pass() {
-    let mut sluice = Sluice::default();
-    sluice.told(0.0, TENANT, 1, 1, 0.0);
-    sluice.curves(|_| Some(curve(&[(60.0, 0.4, 0.1, 1.0)])));
+    let mut throttle = Throttle::default();
+    throttle.told(0.0, TENANT, 1, 1, 0.0);
+    throttle.curves(|_| Some(curve(&[(60.0, 0.4, 0.1, 1.0)])));
     for number in 0..200 {
         let now = 2_000.0 + 50.0 * f64::from(number);
         let left_ms = 2_000.0 + 10.0 * f64::from(number % 200);
         let arrival = Arrival { rank: Rank::First, left_ms, expected_ms: 100.0, again: number % 4 != 0 };
-        assert_eq!(sluice.arrive(now, TENANT, &arrival), Verdict::Hold { until: now + 400.0 });
-        sluice.done(TENANT);
+        assert_eq!(throttle.arrive(now, TENANT, &arrival), Verdict::Hold { until: now + 400.0 });
+        throttle.done(TENANT);
     }
 }
 
 #[test]
 fn lapsed_restored_and_lapsed_again_at_once_with_late_words_and_a_frozen_gateway() {
-    let mut sluice = Sluice::default();
+    let mut throttle = Throttle::default();
     let stages = [(9.0, 0.1, 0.0, 1.0), (9.0, 0.4, 0.1, 1.0), (9.0, 0.8, 0.2, 1.0)];
-    let slow = |sluice: &mut Sluice, now: f64| {
-        sluice.curves(|_| Some(curve(&stages)));
+    let slow = |throttle: &mut Throttle, now: f64| {
+        throttle.curves(|_| Some(curve(&stages)));
         let arrival = Arrival { rank: Rank::First, left_ms: 9_000.0, expected_ms: 10.0, again: false };
-        match sluice.arrive(now, TENANT, &arrival) {
+        match throttle.arrive(now, TENANT, &arrival) {
             Verdict::Hold { until } => {
-                sluice.done(TENANT);
+                throttle.done(TENANT);
                 until - now
             }
             Verdict::Pass => 0.0,
             told => panic!("{told:?}"),
         }
     };
-    assert!(!sluice.active(0.0) && slow(&mut sluice, 0.0) == 0.0);
-    assert!(sluice.told(0.0, TENANT, 1, 1, 300.0));
-    assert_eq!(slow(&mut sluice, 299.0), 0.0, "before its moment");
-    assert_eq!(slow(&mut sluice, 2_000.0), 100.0);
+    assert!(!throttle.active(0.0) && slow(&mut throttle, 0.0) == 0.0);
+    assert!(throttle.told(0.0, TENANT, 1, 1, 300.0));
+    assert_eq!(slow(&mut throttle, 299.0), 0.0, "before its moment");
+    assert_eq!(slow(&mut throttle, 2_000.0), 100.0);
     // It stood still while two stages passed, and wakes in the third; the second's word comes late.
-    assert!(sluice.told(30_000.0, TENANT, 3, 3, 0.0));
-    assert!(!sluice.told(30_001.0, TENANT, 2, 2, 0.0), "a word of before leads back");
-    assert_eq!(slow(&mut sluice, 30_500.0), 450.0, "half way between the stages");
-    assert_eq!(slow(&mut sluice, 32_000.0), 800.0);
+    assert!(throttle.told(30_000.0, TENANT, 3, 3, 0.0));
+    assert!(!throttle.told(30_001.0, TENANT, 2, 2, 0.0), "a word of before leads back");
+    assert_eq!(slow(&mut throttle, 30_500.0), 450.0, "half way between the stages");
+    assert_eq!(slow(&mut throttle, 32_000.0), 800.0);
     // Restored: down again over the ramp, and no step.
-    assert!(sluice.told(40_000.0, TENANT, 4, 0, 0.0));
+    assert!(throttle.told(40_000.0, TENANT, 4, 0, 0.0));
     let mut last = 800.0;
     for at in 1..=10 {
-        let wait = slow(&mut sluice, 40_000.0 + 100.0 * f64::from(at));
+        let wait = slow(&mut throttle, 40_000.0 + 100.0 * f64::from(at));
         assert!(wait <= last && last - wait < 81.0, "{last} {wait}");
         last = wait;
     }
-    assert!(!sluice.active(41_000.0));
-    assert!(sluice.told(41_100.0, TENANT, 5, 1, 0.0) && sluice.active(41_100.0));
-    assert_eq!(slow(&mut sluice, 43_000.0), 100.0);
+    assert!(!throttle.active(41_000.0));
+    assert!(throttle.told(41_100.0, TENANT, 5, 1, 0.0) && throttle.active(41_100.0));
+    assert_eq!(slow(&mut throttle, 43_000.0), 100.0);
 }
 
 #[test]
 fn a_thousand_lapsed_tenants_hold_a_bounded_number_of_requests() {
-    let mut sluice = Sluice::default();
+    let mut throttle = Throttle::default();
     let arrival = Arrival { rank: Rank::First, left_ms: 2_000.0, expected_ms: 100.0, again: false };
     let (mut held, mut told) = (0, 0);
     for tenant in 0..1_000 {
-        sluice.told(0.0, &tenant.to_string(), 1, 1, 0.0);
+        throttle.told(0.0, &tenant.to_string(), 1, 1, 0.0);
     }
-    sluice.curves(|_| Some(curve(&[(9.0, 0.5, 0.1, 1.0)])));
+    throttle.curves(|_| Some(curve(&[(9.0, 0.5, 0.1, 1.0)])));
     for tenant in 0..1_000 {
         for _ in 0..3 {
-            match sluice.arrive(2_000.0, &tenant.to_string(), &arrival) {
+            match throttle.arrive(2_000.0, &tenant.to_string(), &arrival) {
                 Verdict::Hold { .. } => held += 1,
                 Verdict::ComeBack { retry_after_ms } => {
                     assert!(retry_after_ms > 0.0);
@@ -414,11 +414,11 @@
         }
     }
     assert_eq!((held, told), (256, 2_744));
-    assert_eq!(sluice.arrive(2_000.0, "other", &arrival), Verdict::Pass, "who never lapsed feels nothing");
+    assert_eq!(throttle.arrive(2_000.0, "other", &arrival), Verdict::Pass, "who never lapsed feels nothing");
     let last = Arrival { rank: Rank::Never, ..arrival };
-    assert_eq!(sluice.arrive(2_000.0, "0", &last), Verdict::Pass, "a booking needs no place in the queue");
-    (0..256).for_each(|_| sluice.done("0"));
-    assert!(matches!(sluice.arrive(2_000.0, "999", &arrival), Verdict::Hold { .. }));
+    assert_eq!(throttle.arrive(2_000.0, "0", &last), Verdict::Pass, "a booking needs no place in the queue");
+    (0..256).for_each(|_| throttle.done("0"));
+    assert!(matches!(throttle.arrive(2_000.0, "999", &arrival), Verdict::Hold { .. }));
 }
 
 proptest! {
@@ -430,15 +430,15 @@
         share in 0.0f64..40.0,
         calls in proptest::collection::vec((0u8..3, 0.0f64..4_000.0, 0.0f64..900.0, any::<bool>(), 0.0f64..300.0), 1..120),
     ) {
-        let mut sluice = Sluice::default();
-        sluice.told(0.0, TENANT, 1, 2, 0.0);
-        sluice.curves(|_| Some(curve(&[(9.0, 0.1, 0.0, 1.0), (9.0, 0.9, 0.4, 0.4)])));
-        sluice.shares(&BTreeMap::from([(TENANT.to_string(), share)]));
+        let mut throttle = Throttle::default();
+        throttle.told(0.0, TENANT, 1, 2, 0.0);
+        throttle.curves(|_| Some(curve(&[(9.0, 0.1, 0.0, 1.0), (9.0, 0.9, 0.4, 0.4)])));
+        throttle.shares(&BTreeMap::from([(TENANT.to_string(), share)]));
         let mut now = 0.0;
         for (rank, left_ms, expected_ms, again, gap) in calls {
             now += gap;
             let rank = RANKS[usize::from(rank)];
-            match sluice.arrive(now, TENANT, &Arrival { rank, left_ms, expected_ms, again }) {
+            match throttle.arrive(now, TENANT, &Arrival { rank, left_ms, expected_ms, again }) {
                 Verdict::Pass => {}
                 Verdict::Hold { until } => {
                     prop_assert!(rank != Rank::Never && until > now && until + expected_ms <= now + left_ms);
--- a/crates/pilot/src/ebb.rs
+++ b/crates/pilot/src/ebb.rs
@@ -1,10 +1,10 @@
-//! Holds requests of tenants whose trial lapsed, as `nickeljunction-ebb` says, and asks the leader for shares of their paces.
+//! Holds requests of tenants whose trial lapsed, as `nickeljunction-pacing` says, and asks the leader for shares of their paces.
 //! Without such a tenant it does nothing.
 
 use crate::link::Link;
-use nickeljunction_ebb::{Arrival, Curve, Rank, Sluice, Standing, Verdict};
 use nickeljunction_messages::{path, EbbAnswer, EbbCall, TrialLine};
 use nickeljunction_net::wheel::Wheel;
+use nickeljunction_pacing::{Arrival, Curve, Rank, Standing, Throttle, Verdict};
 use nickeljunction_schema::Config;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -54,7 +54,7 @@
 /// See the module.
 pub struct Ebb {
     wheel: Wheel,
-    sluice: RefCell<Sluice>,
+    throttle: RefCell<Throttle>,
     routes: RefCell<BTreeMap<Box<str>, Known>>,
     active: Cell<bool>,
     leaving: Cell<bool>,
@@ -70,7 +70,7 @@
 
 impl Drop for Held<'_> {
     fn drop(&mut self) {
-        self.0.sluice.borrow_mut().done(self.1);
+        self.0.throttle.borrow_mut().done(self.1);
     }
 }
 
@@ -79,7 +79,7 @@
     pub fn new(wheel: Wheel) -> Ebb {
         Ebb {
             wheel,
-            sluice: RefCell::default(),
+            throttle: RefCell::default(),
             routes: RefCell::default(),
             active: Cell::new(false),
             leaving: Cell::new(false),
@@ -97,9 +97,9 @@
     /// Trials as the leader told them just now, by the configuration in force.
     pub fn told(&self, trials: &[TrialLine], config: Option<&Config>) {
         let now = self.wheel.now();
-        let mut sluice = self.sluice.borrow_mut();
+        let mut throttle = self.throttle.borrow_mut();
         for line in trials {
-            if sluice.told(now, &line.tenant, line.step, line.stage, line.in_ms as f64) {
+            if throttle.told(now, &line.tenant, line.step, line.stage, line.in_ms as f64) {
                 log::info!(
                     "event=trial tenant={:?} step={} stage={} in_ms={}",
                     line.tenant,
@@ -109,7 +109,7 @@
                 );
             }
         }
-        drop(sluice);
+        drop(throttle);
         if let Some(config) = config {
             self.configured(config);
         }
@@ -119,11 +119,11 @@
     /// Another configuration is in force.
     pub fn configured(&self, config: &Config) {
         let known = |tenant: &str| config.tenants.contains_key(tenant);
-        self.sluice.borrow_mut().curves(|tenant| known(tenant).then(|| Curve::of(config, tenant)));
+        self.throttle.borrow_mut().curves(|tenant| known(tenant).then(|| Curve::of(config, tenant)));
     }
 
     fn look(&self) {
-        let active = self.sluice.borrow().active(self.wheel.now());
+        let active = self.throttle.borrow().active(self.wheel.now());
         if !active {
             self.routes.borrow_mut().clear();
         }
@@ -158,7 +158,7 @@
             (told && slow.deadline_ms < AGAIN_PART * known.longest_ms, known.expected_ms(slow.aim_ms))
         };
         let arrival = Arrival { rank: Rank::of(slow.gives_way), left_ms: slow.left_ms, expected_ms, again };
-        let verdict = self.sluice.borrow_mut().arrive(now, slow.tenant, &arrival);
+        let verdict = self.throttle.borrow_mut().arrive(now, slow.tenant, &arrival);
         match verdict {
             Verdict::Pass => Ok(()),
             Verdict::ComeBack { retry_after_ms } => Err(retry_after_ms),
@@ -185,7 +185,7 @@
 
     /// How slowed tenants stand here, for operators.
     pub fn standings(&self) -> Vec<Standing> {
-        self.sluice.borrow_mut().standings(self.wheel.now())
+        self.throttle.borrow_mut().standings(self.wheel.now())
     }
 
     /// Asks the leader for shares while a tenant is slowed, for as long as it is polled.
@@ -203,13 +203,13 @@
     async fn ask(&self, link: &Link) {
         self.seq.set(self.seq.get() + 1);
         let (demand, held) = {
-            let (now, sluice) = (self.wheel.now(), self.sluice.borrow());
-            (sluice.demand(now), sluice.shares_held(now))
+            let (now, throttle) = (self.wheel.now(), self.throttle.borrow());
+            (throttle.demand(now), throttle.shares_held(now))
         };
         let call = EbbCall { demand, held, seq: self.seq.get(), ..link.ebb_call() };
         let Some(answer) = link.ask_leader::<_, EbbAnswer>(path::EBB, &call, ANSWER_MS).await else { return };
         if answer.seq == call.seq {
-            self.sluice.borrow_mut().shares(&answer.shares);
+            self.throttle.borrow_mut().shares(&answer.shares);
         }
     }
 }
--- a/crates/pilot/src/metrics.rs
+++ b/crates/pilot/src/metrics.rs
@@ -3,8 +3,8 @@
 use crate::front::{Front, Lifecycle};
 use crate::link::Link;
 use crate::quay::Quay;
-use nickeljunction_ebb::Standing;
 use nickeljunction_net::figures::{Kind, Page, Writer, MOST_LABELLED};
+use nickeljunction_pacing::Standing;
 use std::rc::Rc;
 
 /// What the figures are read from.
