--- a/crates/drydock/src/audit.rs
+++ b/crates/drydock/src/audit.rs
@@ -1,9 +1,9 @@
 //! Checks on all that comes out of the machines, as it comes. A fault panics with the world's seed and time.
 
 use crate::{Answer, Fact, Node, Question};
+use nickeljunction_replica::state::{CoreOrder, Entry, ReplicatedState, Trial};
+use nickeljunction_replica::Wish;
 use nickeljunction_schema::Bounds;
-use nickeljunction_wheelhouse::statutes::{CoreOrder, Entry, Statutes, Trial};
-use nickeljunction_wheelhouse::Wish;
 use std::collections::{BTreeMap, HashMap};
 
 /// A configuration that was acknowledged.
@@ -65,7 +65,7 @@
     pub strict: bool,
     committed: BTreeMap<u64, (u64, Option<String>)>,
     /// The state that the committed entries make.
-    pub state: Statutes,
+    pub state: ReplicatedState,
     applied: u64,
     leaders: HashMap<u64, Node>,
     /// In the order of their acknowledgements.
@@ -268,7 +268,7 @@
     }
 
     /// A member's state has all that was acknowledged and is the log's.
-    pub fn check_state(&self, member: Node, state: &Statutes) {
+    pub fn check_state(&self, member: Node, state: &ReplicatedState) {
         let seed = self.seed;
         assert_eq!(state, &self.state, "seed {seed}: member {member}'s state is another one");
         for acked in &self.acked {
--- a/crates/drydock/src/gateway.rs
+++ b/crates/drydock/src/gateway.rs
@@ -7,8 +7,8 @@
 use nickeljunction_pilot::seek::Seek;
 use nickeljunction_quota::{Allowance, Spend};
 use nickeljunction_registry::{Copy, Leave};
+use nickeljunction_replica::limits;
 use nickeljunction_schema::Bounds;
-use nickeljunction_wheelhouse::limits;
 
 // The figures of `pilot::link`.
 const HOLD_MS: u64 = 1_000;
--- a/crates/drydock/src/lib.rs
+++ b/crates/drydock/src/lib.rs
@@ -1,4 +1,4 @@
-//! The whole harbour in virtual time, for tests alone: core members' machines (`nickeljunction_wheelhouse`, all that
+//! The whole harbour in virtual time, for tests alone: core members' machines (`nickeljunction_replica`, all that
 //! `harbourmaster` decides) and gateways' (copy, allowance, lease, search), driven as the programs drive them, with scripted
 //! operators and servers between links and disks that fail when told to.
 //!
@@ -20,7 +20,7 @@
 use nickeljunction_consensus::Envelope;
 use nickeljunction_messages::{UnitsAnswer, UnitsCall, WatchAnswer, WatchCall};
 use nickeljunction_registry::Beat;
-use nickeljunction_wheelhouse::Wish;
+use nickeljunction_replica::Wish;
 
 /// A machine's place in the world: core members first, then gateways, then the one of operators and servers.
 pub type Node = usize;
--- a/crates/drydock/src/member.rs
+++ b/crates/drydock/src/member.rs
@@ -4,13 +4,12 @@
 use nickeljunction_consensus::{Consensus, Restored, Tuning, Write};
 use nickeljunction_messages::{Elsewhere, WatchCall};
 use nickeljunction_registry::Copy;
+use nickeljunction_replica::state::ReplicatedState;
+use nickeljunction_replica::{
+    self as replica, follow, Change, CoreView, Effects, Event, Held, Lent, Place, Replica, Round, Ticket,
+};
 use nickeljunction_schema::Bounds;
 use nickeljunction_storage::{Hold, MemoryHold};
-use nickeljunction_wheelhouse::statutes::Statutes;
-use nickeljunction_wheelhouse::{
-    self as wheelhouse, follow, Change, CoreView, Effects, Event, Held, Lent, Place, Round, Ticket,
-    Wheelhouse,
-};
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
@@ -54,7 +53,7 @@
     pub disk_ms: u64,
     /// What it noted down of servers and gateways, and when: outlives the process, but not the loss of power.
     pub hint: Option<(u64, Copy)>,
-    house: Option<Wheelhouse>,
+    house: Option<Replica>,
     rng: fastrand::Rng,
     /// Calls that wait for the agreement.
     jobs: BTreeMap<Ticket, Job>,
@@ -105,8 +104,8 @@
             heartbeat_ms: HEARTBEAT_MS,
         };
         let seed = self.rng.u64(..);
-        let mut house = Wheelhouse::new(Rc::new(place), restored, Tuning::default(), seed, now);
-        let fresh = |(at, _): &(u64, Copy)| now - at <= wheelhouse::HINT_GOOD_MS;
+        let mut house = Replica::new(Rc::new(place), restored, Tuning::default(), seed, now);
+        let fresh = |(at, _): &(u64, Copy)| now - at <= replica::HINT_GOOD_MS;
         if let Some((_, copy)) = self.hint.take().filter(fresh) {
             house.remember(copy);
         }
@@ -127,12 +126,12 @@
 
     /// Its agreement, while it runs.
     pub fn book(&self) -> Option<&Consensus> {
-        self.house.as_ref().map(Wheelhouse::book)
+        self.house.as_ref().map(Replica::book)
     }
 
     /// What its log makes, while it runs.
-    pub fn statutes(&self) -> Option<&Statutes> {
-        self.house.as_ref().map(Wheelhouse::statutes)
+    pub fn state(&self) -> Option<&ReplicatedState> {
+        self.house.as_ref().map(Replica::state)
     }
 
     /// The core's machines as it sees them, while it leads.
@@ -147,11 +146,11 @@
 
     /// What a failed check tells of it.
     pub(crate) fn view(&self, now: u64) -> String {
-        let (Some(book), Some(statutes)) = (self.book(), self.statutes()) else { return "down".into() };
+        let (Some(book), Some(state)) = (self.book(), self.state()) else { return "down".into() };
         let members: Vec<&str> = book.members().iter().map(|member| member.host.as_str()).collect();
         format!(
             "version {} leads {} term {} commit {} sick {} quorum {:?} writes {} writing {:?} of {members:?}, itself {}",
-            statutes.version(),
+            state.version(),
             self.leads(),
             book.term(),
             book.commit(),
@@ -166,7 +165,7 @@
     // ---- As helm ----
 
     /// Does something with the machine and carries out what follows from it.
-    fn act<R>(&mut self, now: u64, out: &mut Out, act: impl FnOnce(&mut Wheelhouse) -> R) -> Option<R> {
+    fn act<R>(&mut self, now: u64, out: &mut Out, act: impl FnOnce(&mut Replica) -> R) -> Option<R> {
         let house = self.house.as_mut()?;
         let result = act(house);
         let effects = house.take();
@@ -193,16 +192,16 @@
         for (ticket, answer) in effects.answers {
             let Some(job) = self.jobs.remove(&ticket) else { continue };
             let answer = match answer {
-                wheelhouse::Answer::Confirmed => Answer::State(self.statutes().map_or(0, Statutes::version)),
-                wheelhouse::Answer::Units(units) => Answer::Units(units),
-                wheelhouse::Answer::Taken => Answer::Done,
-                wheelhouse::Answer::Conflict(_) => Answer::Conflict,
-                wheelhouse::Answer::Unknown => Answer::Unknown,
-                wheelhouse::Answer::Elsewhere(elsewhere) => elsewhere.into(),
-                wheelhouse::Answer::Unfit(_) if matches!(job.question, Question::Core(_)) => Answer::Unfit,
-                unfit @ (wheelhouse::Answer::Wrong(_)
-                | wheelhouse::Answer::Unfit(_)
-                | wheelhouse::Answer::Missing(_)) => {
+                replica::Answer::Confirmed => Answer::State(self.state().map_or(0, ReplicatedState::version)),
+                replica::Answer::Units(units) => Answer::Units(units),
+                replica::Answer::Taken => Answer::Done,
+                replica::Answer::Conflict(_) => Answer::Conflict,
+                replica::Answer::Unknown => Answer::Unknown,
+                replica::Answer::Elsewhere(elsewhere) => elsewhere.into(),
+                replica::Answer::Unfit(_) if matches!(job.question, Question::Core(_)) => Answer::Unfit,
+                unfit @ (replica::Answer::Wrong(_)
+                | replica::Answer::Unfit(_)
+                | replica::Answer::Missing(_)) => {
                     panic!("{:?}: {unfit:?}", job.question)
                 }
             };
@@ -305,7 +304,7 @@
         None
     }
 
-    fn wait(&mut self, now: u64, job: Job, out: &mut Out, ask: impl FnOnce(&mut Wheelhouse) -> Ticket) {
+    fn wait(&mut self, now: u64, job: Job, out: &mut Out, ask: impl FnOnce(&mut Replica) -> Ticket) {
         let Some(house) = self.house.as_mut() else { return };
         self.jobs.insert(ask(house), job);
         let effects = house.take();
--- a/crates/drydock/src/world.rs
+++ b/crates/drydock/src/world.rs
@@ -482,7 +482,7 @@
         self.sure_leader().is_some()
             && self.gateways.iter().all(steps)
             && self.gateways.iter().all(|gateway| gateway.version() == version && gateway.ready(self.now))
-            && self.wanted().iter().all(|node| self.members[*node].statutes() == Some(&self.audit.state))
+            && self.wanted().iter().all(|node| self.members[*node].state() == Some(&self.audit.state))
     }
 
     /// Waits for that, and checks that nothing acknowledged is lost.
@@ -494,7 +494,7 @@
         };
         assert!(fine, "seed {}, {} ms: not at one: {}", self.seed, self.now, told());
         for node in self.wanted() {
-            self.members[node].statutes().into_iter().for_each(|state| self.audit.check_state(node, state));
+            self.members[node].state().into_iter().for_each(|state| self.audit.check_state(node, state));
         }
     }
 }
--- a/crates/harbourmaster/src/follow.rs
+++ b/crates/harbourmaster/src/follow.rs
@@ -3,7 +3,7 @@
 use crate::helm::Helm;
 use nickeljunction_messages::{path, WatchAnswer};
 use nickeljunction_net::caller::Caller;
-use nickeljunction_wheelhouse::follow::{AGAIN_MS, HOLD_MS, SLACK_MS};
+use nickeljunction_replica::follow::{AGAIN_MS, HOLD_MS, SLACK_MS};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 
--- a/crates/harbourmaster/src/helm.rs
+++ b/crates/harbourmaster/src/helm.rs
@@ -1,4 +1,4 @@
-//! The driver of this core member: turns its machine ([`Wheelhouse`]) and carries out what comes out of it. Handlers of
+//! The driver of this core member: turns its machine ([`Replica`]) and carries out what comes out of it. Handlers of
 //! calls come in here.
 
 mod metrics;
@@ -14,8 +14,8 @@
 };
 use nickeljunction_net::wheel::Wheel;
 use nickeljunction_registry::{Applied, Beat, Copy, Refused};
-use nickeljunction_wheelhouse::{
-    Answer, Change, CoreView, Effects, Held, Lent, Place, Round, Ticket, TrialView, Wheelhouse, Wish,
+use nickeljunction_replica::{
+    Answer, Change, CoreView, Effects, Held, Lent, Place, Replica, Round, Ticket, TrialView, Wish,
 };
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -37,7 +37,7 @@
     /// See there.
     pub ports: Ports,
     wheel: Wheel,
-    house: RefCell<Wheelhouse>,
+    house: RefCell<Replica>,
     /// Calls that wait for the agreement.
     waits: RefCell<HashMap<Ticket, oneshot::Sender<Answer>, ahash::RandomState>>,
     disk: mpsc::UnboundedSender<Job>,
@@ -68,7 +68,7 @@
         place: Rc<Place>,
         ports: Ports,
         wheel: Wheel,
-        house: Wheelhouse,
+        house: Replica,
         disk: mpsc::UnboundedSender<Job>,
         peers: Rc<Peers>,
     ) -> Rc<Helm> {
@@ -112,7 +112,7 @@
                 () = self.sooner.notified() => continue,
                 () = self.wheel.sleep_until(wake) => {}
             }
-            self.turn(Wheelhouse::tick);
+            self.turn(Replica::tick);
         }
     }
 
@@ -139,7 +139,7 @@
     }
 
     /// Does something with the machine and carries out what follows from it.
-    fn turn<R>(&self, act: impl FnOnce(&mut Wheelhouse, u64) -> R) -> R {
+    fn turn<R>(&self, act: impl FnOnce(&mut Replica, u64) -> R) -> R {
         let now = self.now();
         let mut house = self.house.borrow_mut();
         let result = act(&mut house, now);
@@ -176,7 +176,7 @@
     // ---- For who waits for the agreement ----
 
     /// Asks the machine and waits for its answer.
-    async fn wait(&self, ask: impl FnOnce(&mut Wheelhouse, u64) -> Ticket) -> Answer {
+    async fn wait(&self, ask: impl FnOnce(&mut Replica, u64) -> Ticket) -> Answer {
         let (done, told) = oneshot::channel();
         let ticket = self.turn(|house, now| {
             let ticket = ask(house, now);
@@ -197,7 +197,7 @@
         match self.wait(|house, now| house.read(now)).await {
             Answer::Confirmed => {
                 let house = self.house.borrow();
-                Ok(look(house.statutes().version(), house.statutes().doc()))
+                Ok(look(house.state().version(), house.state().doc()))
             }
             Answer::Elsewhere(elsewhere) => Err(elsewhere),
             _ => Err(self.elsewhere()),
@@ -353,7 +353,7 @@
     /// What operators see of this member.
     pub fn status(&self) -> serde_json::Value {
         let house = self.house.borrow();
-        let (book, statutes, roster) = (house.book(), house.statutes(), house.roster());
+        let (book, state, roster) = (house.book(), house.state(), house.roster());
         let servers = match house.leads() {
             Some((register, _)) => register.tally(),
             None => {
@@ -370,8 +370,8 @@
             "members": book.members().iter().map(|member| member.host.clone()).collect::<Vec<_>>(),
             "quorum_age_ms": book.quorum_age(self.now()),
             "disk_sick": book.sick(),
-            "config_version": statutes.version(),
-            "evacuated": statutes.evacuated(),
+            "config_version": state.version(),
+            "evacuated": state.evacuated(),
             "servers": servers,
             "gateways": roster.iter().map(|line| serde_json::json!({
                 "name": line.name, "front": line.front, "zone": line.zone, "ready": line.ready,
--- a/crates/harbourmaster/src/helm/metrics.rs
+++ b/crates/harbourmaster/src/helm/metrics.rs
@@ -48,7 +48,7 @@
 
     fn write_agreement(&self, page: &mut Page) {
         let house = self.house.borrow();
-        let (book, statutes, now) = (house.book(), house.statutes(), self.now());
+        let (book, state, now) = (house.book(), house.state(), self.now());
         let flag = |is: bool| f64::from(u8::from(is));
         let gauge = Kind::Gauge;
         page.one("harbourmaster_term", gauge, "Newest term known.", book.term() as f64);
@@ -91,20 +91,20 @@
             "harbourmaster_config_version",
             gauge,
             "Version of the configuration in the state, 0 before the first.",
-            statutes.version() as f64,
+            state.version() as f64,
         );
         page.one(
             "harbourmaster_evacuated_zones",
             gauge,
             "Zones that are evacuated.",
-            statutes.evacuated().len() as f64,
+            state.evacuated().len() as f64,
         );
         page.figure(
             "harbourmaster_trial_stage",
             gauge,
             "Stage of a tenant's trial that ever changed; 0: full pace.",
         );
-        for (tenant, trial) in statutes.trials().iter().take(MOST_LABELLED) {
+        for (tenant, trial) in state.trials().iter().take(MOST_LABELLED) {
             page.value(&[("tenant", tenant)], f64::from(trial.stage));
         }
         page.figure("harbourmaster_messages_total", Kind::Counter, "Messages between members.");
@@ -210,8 +210,8 @@
     use nickeljunction_net::clock::Clock;
     use nickeljunction_net::figures::well_formed;
     use nickeljunction_net::wheel::Wheel;
+    use nickeljunction_replica::{Place, Replica};
     use nickeljunction_schema::Bounds;
-    use nickeljunction_wheelhouse::{Place, Wheelhouse};
 
     /// Operators' boards go by these.
     const NAMES: &str = "harbourmaster_term harbourmaster_leads harbourmaster_commit harbourmaster_applied \
@@ -233,7 +233,7 @@
             heartbeat_ms: 1_500,
         });
         let restored = Restored::first(me.clone(), vec![me]);
-        let mut house = Wheelhouse::new(place.clone(), restored, Tuning::default(), 1, 0);
+        let mut house = Replica::new(place.clone(), restored, Tuning::default(), 1, 0);
         for _ in 0..50 {
             house.tick(house.next_wake());
             let writes = house.take().writes;
--- a/crates/harbourmaster/src/hint.rs
+++ b/crates/harbourmaster/src/hint.rs
@@ -6,7 +6,7 @@
 
 use nickeljunction_messages::WatchAnswer;
 use nickeljunction_registry::Copy;
-use nickeljunction_wheelhouse::HINT_GOOD_MS;
+use nickeljunction_replica::HINT_GOOD_MS;
 use serde::{Deserialize, Serialize};
 use std::io::Write;
 use std::path::{Path, PathBuf};
--- a/crates/harbourmaster/src/resources/config.rs
+++ b/crates/harbourmaster/src/resources/config.rs
@@ -3,8 +3,8 @@
 use super::{go_to, json};
 use crate::helm::Helm;
 use nickeljunction_net::desk::{Answering, Call, Resource, Response};
+use nickeljunction_replica::{Answer, Change};
 use nickeljunction_schema::if_match;
-use nickeljunction_wheelhouse::{Answer, Change};
 use std::rc::Rc;
 
 /// See the module.
--- a/crates/harbourmaster/src/resources/core.rs
+++ b/crates/harbourmaster/src/resources/core.rs
@@ -5,7 +5,7 @@
 use super::{go_to, json, name_under, CORE};
 use crate::helm::Helm;
 use nickeljunction_net::desk::{Answering, Call, Resource, Response};
-use nickeljunction_wheelhouse::{Answer, Wish};
+use nickeljunction_replica::{Answer, Wish};
 use serde::Deserialize;
 use std::net::IpAddr;
 use std::rc::Rc;
--- a/crates/harbourmaster/src/resources/evacuations.rs
+++ b/crates/harbourmaster/src/resources/evacuations.rs
@@ -3,7 +3,7 @@
 use super::{go_to, name_under, EVACUATIONS};
 use crate::helm::Helm;
 use nickeljunction_net::desk::{Answering, Call, Resource, Response};
-use nickeljunction_wheelhouse::Answer;
+use nickeljunction_replica::Answer;
 use std::rc::Rc;
 
 /// See the module.
--- a/crates/harbourmaster/src/resources/inner.rs
+++ b/crates/harbourmaster/src/resources/inner.rs
@@ -5,7 +5,7 @@
 use nickeljunction_consensus::Envelope;
 use nickeljunction_messages::{EbbCall, Elsewhere, UnitsCall, WatchAnswer, WatchCall};
 use nickeljunction_net::desk::{Answering, Call, Resource, Response};
-use nickeljunction_wheelhouse::Held as Hold;
+use nickeljunction_replica::Held as Hold;
 use serde::de::DeserializeOwned;
 use std::rc::Rc;
 
@@ -158,8 +158,8 @@
     use nickeljunction_net::caller::Caller as Calls;
     use nickeljunction_net::clock::Clock;
     use nickeljunction_net::wheel::Wheel;
+    use nickeljunction_replica::{Place, Replica};
     use nickeljunction_schema::Bounds;
-    use nickeljunction_wheelhouse::{Place, Wheelhouse};
     use std::task::{Context, Poll};
     use tokio::sync::mpsc;
 
@@ -179,7 +179,7 @@
         let wheel = Wheel::new(Clock::start());
         let (disk, jobs) = mpsc::unbounded_channel();
         let peers = Peers::new(Calls::new(wheel.clone()), 1);
-        let house = Wheelhouse::new(place.clone(), restored, Tuning::default(), 1, 0);
+        let house = Replica::new(place.clone(), restored, Tuning::default(), 1, 0);
         (Helm::new(place, Ports { control: 1, inner: 1 }, wheel, house, disk, peers), jobs)
     }
 
--- a/crates/harbourmaster/src/resources/trials.rs
+++ b/crates/harbourmaster/src/resources/trials.rs
@@ -4,7 +4,7 @@
 use super::{go_to, json, name_under, TRIALS};
 use crate::helm::Helm;
 use nickeljunction_net::desk::{Answering, Call, Resource, Response};
-use nickeljunction_wheelhouse::{Answer, TrialView};
+use nickeljunction_replica::{Answer, TrialView};
 use std::rc::Rc;
 
 /// See the module.
@@ -57,7 +57,7 @@
     use super::*;
     use crate::disk::Job;
     use crate::resources::inner::{tests::alone, Ebb};
-    use nickeljunction_wheelhouse::Change;
+    use nickeljunction_replica::Change;
     use serde_json::{json, Value};
 
     async fn ask(resource: &dyn Resource, method: &str, target: &str, body: Value) -> (u16, Value) {
--- a/crates/harbourmaster/src/serve.rs
+++ b/crates/harbourmaster/src/serve.rs
@@ -13,9 +13,9 @@
 use nickeljunction_net::figures;
 use nickeljunction_net::start::{listen, Order, Orders, StartError};
 use nickeljunction_net::wheel::Wheel;
+use nickeljunction_replica::{Place, Replica};
 use nickeljunction_schema::{CoreAddresses, Settings, SettingsError};
 use nickeljunction_storage::{Hold, HoldError, SledHold};
-use nickeljunction_wheelhouse::{Place, Wheelhouse};
 use quick_error::quick_error;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -133,7 +133,7 @@
     let caller = Caller::new(wheel.clone());
     let peers = Peers::new(Caller::within(wheel.clone(), PEER_CONNECT_MS), ports.inner);
     let now = wheel.now() as u64;
-    let house = Wheelhouse::new(place.clone(), restored, Tuning::default(), dice.u64(..), now);
+    let house = Replica::new(place.clone(), restored, Tuning::default(), dice.u64(..), now);
     let helm = Helm::new(place, ports, wheel.clone(), house, writes, peers);
     if let Some(copy) = hint::load(&addresses.data) {
         helm.remember(copy);
--- a/crates/harbourmaster/src/store.rs
+++ b/crates/harbourmaster/src/store.rs
@@ -2,8 +2,8 @@
 
 use crate::cli::StoreCmd;
 use nickeljunction_consensus::{draw_id, Body, Hard, Member, Snapshot, Write};
+use nickeljunction_replica::state::{Entry, ReplicatedState};
 use nickeljunction_storage::{Hold, HoldError, SledHold, Survey};
-use nickeljunction_wheelhouse::statutes::{Entry, Statutes};
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
@@ -58,7 +58,7 @@
     term: u64,
     /// Term that the disk knew of.
     hard_term: u64,
-    state: Statutes,
+    state: ReplicatedState,
 }
 
 /// Does an order and returns its exit code: 0 done or sound, 1 unsound, 2 bad use.
@@ -126,11 +126,11 @@
     }
     let unsound = |what: String| StoreError::Unsound(what);
     let Some(from) = survey.me.clone() else { return Err(unsound("me: is missing".into())) };
-    let (mut index, mut term, mut state) = (0, 0, Statutes::default());
+    let (mut index, mut term, mut state) = (0, 0, ReplicatedState::default());
     if let Some(snapshot) = &survey.snapshot {
         (index, term) = (snapshot.index, snapshot.term);
         if !snapshot.state.is_empty() {
-            state = Statutes::from_text(&snapshot.state)
+            state = ReplicatedState::from_text(&snapshot.state)
                 .map_err(|error| unsound(format!("snapshot {index}: {error}")))?;
         }
     }
@@ -188,8 +188,8 @@
         "first_entry": survey.entries.first().map(|entry| entry.index),
         "last_entry": survey.entries.last().map(|entry| entry.index),
         "members": members(survey),
-        "config_version": state.as_ref().map(Statutes::version),
-        "evacuated": state.as_ref().map(Statutes::evacuated),
+        "config_version": state.as_ref().map(ReplicatedState::version),
+        "evacuated": state.as_ref().map(ReplicatedState::evacuated),
         "gateways": state.as_ref().map(|state| state.gateways().values().collect::<Vec<_>>()),
         "faults": survey.faults,
     })
@@ -346,7 +346,7 @@
             digest: "d".into(),
             doc: json!({"config_version": version}),
         };
-        let mut state = Statutes::default();
+        let mut state = ReplicatedState::default();
         state.apply(put(0, 2));
         let data = |entry: &Entry| Body::Data(serde_json::to_string(entry).expect("JSON"));
         let entry = |index, body| nickeljunction_consensus::Entry { index, term: 5, body };
@@ -391,13 +391,13 @@
             Consensus::new(lost, Tuning::default(), 2, 0),
         ];
         books[1].seek(&[me.host]);
-        let mut states = [Statutes::default(), Statutes::default()];
+        let mut states = [ReplicatedState::default(), ReplicatedState::default()];
         for now in 0..8_000 {
             for at in 0..2 {
                 books[at].tick(now);
                 let out = books[at].take();
                 if let Some(snapshot) = out.restored_state {
-                    states[at] = Statutes::from_text(&snapshot.state).expect("own text");
+                    states[at] = ReplicatedState::from_text(&snapshot.state).expect("own text");
                 }
                 for entry in out.committed.iter().filter_map(|entry| entry.data()) {
                     states[at].apply(serde_json::from_str(entry).expect("own entry"));
--- a/crates/harbourmaster/src/tell.rs
+++ b/crates/harbourmaster/src/tell.rs
@@ -1,6 +1,6 @@
 //! The machine's events as log lines.
 
-use nickeljunction_wheelhouse::Event;
+use nickeljunction_replica::Event;
 
 /// Logs an event.
 pub fn tell(event: &Event) {
--- a/crates/wheelhouse/src/calls.rs
+++ b/crates/replica/src/calls.rs
@@ -2,9 +2,9 @@
 
 use crate::change::{Change, Fit};
 use crate::effects::{Answer, Event, Ticket};
-use crate::machine::Wheelhouse;
+use crate::machine::Replica;
 use crate::members::Wish;
-use crate::statutes::{Entry, Outcome};
+use crate::state::{Entry, Outcome};
 use nickeljunction_consensus::NotLeader;
 use nickeljunction_messages::UnitsCall;
 use nickeljunction_quota::Roll;
@@ -54,7 +54,7 @@
     Entry(Proposed, Option<Outcome>),
 }
 
-impl Wheelhouse {
+impl Replica {
     fn ticket(&mut self) -> Ticket {
         self.next_ticket += 1;
         self.next_ticket
@@ -76,7 +76,7 @@
     }
 
     /// An operator orders who is to be a member of the core: [`Answer::Taken`] once it is on the log, or where it is so
-    /// already. [`Wheelhouse::core_view`] tells how far it is.
+    /// already. [`Replica::core_view`] tells how far it is.
     pub fn order(&mut self, now: u64, wish: Wish) -> Ticket {
         let ticket = self.ticket();
         self.confirm(now, Reading::Core(ticket, wish));
@@ -185,7 +185,7 @@
     pub(crate) fn go_on(&mut self, now: u64, settled: Settled) {
         let (ticket, answer) = match settled {
             Settled::Read(Reading::Get(ticket), true) => (ticket, Answer::Confirmed),
-            Settled::Read(Reading::Change(ticket, change), true) => match change.check(&self.statutes) {
+            Settled::Read(Reading::Change(ticket, change), true) => match change.check(&self.state) {
                 Ok(Fit { base, version, entry }) => {
                     let proposed = Proposed::Put { ticket, patch: change.patch, base, version };
                     return self.propose(now, &entry, now + PROPOSAL_MS, proposed);
--- a/crates/wheelhouse/src/change.rs
+++ b/crates/replica/src/change.rs
@@ -1,7 +1,7 @@
 //! An operator's change of the configuration, checked against the state.
 
 use crate::effects::Answer;
-use crate::statutes::{Entry, Statutes};
+use crate::state::{Entry, ReplicatedState};
 use bytes::Bytes;
 use nickeljunction_schema::{call_digest, Document, Patch, Problem};
 
@@ -29,7 +29,7 @@
 
 impl Change {
     /// What goes on the log; else the answer.
-    pub(crate) fn check(&self, state: &Statutes) -> Result<Fit, Answer> {
+    pub(crate) fn check(&self, state: &ReplicatedState) -> Result<Fit, Answer> {
         let wants = "If-Match: wants the version that this builds on, 0 for the first";
         let base = self.base.ok_or_else(|| Answer::Wrong(wants.into()))?;
         let digest = call_digest(if self.patch { "PATCH" } else { "PUT" }, Some(base), &self.body);
@@ -46,7 +46,7 @@
 
     /// The version that it names, and the whole document that it makes; `None` where that can't be told because it builds
     /// on another version.
-    fn read(&self, state: &Statutes, base: u64) -> Result<(u64, Option<Document>), Answer> {
+    fn read(&self, state: &ReplicatedState, base: u64) -> Result<(u64, Option<Document>), Answer> {
         if !self.patch {
             let document = Document::read(&self.body).map_err(bad)?;
             return Ok((document.version(), Some(document)));
@@ -66,7 +66,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::statutes::Outcome;
+    use crate::state::Outcome;
     use proptest::prelude::*;
     use proptest::test_runner::RngSeed;
     use serde_json::{json, Value};
@@ -146,7 +146,7 @@
         /// one of a race wins, nothing invalid is in force, and what is read back is what was sent.
         #[test]
         fn changes_come_to_what_a_plain_merge_makes_of_them(steps in prop::collection::vec(step(), 1..60)) {
-            let mut state = Statutes::default();
+            let mut state = ReplicatedState::default();
             let (mut version, mut doc) = (0, Value::Null);
             let mut sent: Vec<Call> = Vec::new();
             let (mut fit, mut taken): (Vec<(Call, Entry)>, Vec<Call>) = (Vec::new(), Vec::new());
--- a/crates/wheelhouse/src/effects.rs
+++ b/crates/replica/src/effects.rs
@@ -1,7 +1,7 @@
 //! What comes out of the machine.
 
 use crate::members::{Unfit, Wish};
-use crate::statutes::{Outcome, Trial};
+use crate::state::{Outcome, Trial};
 use nickeljunction_consensus::{Entry, Envelope, Write};
 use nickeljunction_messages::{Elsewhere, ServerState, UnitsAnswer};
 use nickeljunction_registry::Copy;
@@ -20,7 +20,7 @@
     pub answers: Vec<(Ticket, Answer)>,
     /// Held watch calls and rounds are to look again.
     pub changed: bool,
-    /// [`crate::Wheelhouse::next_wake`] may have come nearer.
+    /// [`crate::Replica::next_wake`] may have come nearer.
     pub sooner: bool,
     /// To be kept on the machine for a next process, without a sync.
     pub hint: Option<Copy>,
@@ -33,7 +33,7 @@
 /// The answer to a call that waited for the agreement.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Answer {
-    /// To a read: a majority has confirmed the lead since it came, and [`crate::Wheelhouse::statutes`] may be told.
+    /// To a read: a majority has confirmed the lead since it came, and [`crate::Replica::state`] may be told.
     Confirmed,
     /// To counted adds.
     Units(UnitsAnswer),
--- a/crates/wheelhouse/src/tides.rs
+++ b/crates/replica/src/lapsed_trials.rs
@@ -2,8 +2,8 @@
 
 use crate::calls::Proposed;
 use crate::effects::Event;
-use crate::machine::Wheelhouse;
-use crate::statutes::{Entry, Statutes, Trial, TrialOrder};
+use crate::machine::Replica;
+use crate::state::{Entry, ReplicatedState, Trial, TrialOrder};
 use nickeljunction_messages::{EbbAnswer, EbbCall, Elsewhere};
 use nickeljunction_pacing::{Curve, Pacer};
 use nickeljunction_registry::Tide;
@@ -42,7 +42,7 @@
 
 /// All trials that ever changed, and who has which share of a pace. Soft state of one lead.
 #[derive(Debug, Default)]
-pub(crate) struct Tides {
+pub(crate) struct LapsedTrials {
     turns: BTreeMap<String, Turn>,
     /// Version of the configuration that the curves are from.
     version: u64,
@@ -51,20 +51,20 @@
     pacer: Pacer,
 }
 
-fn config(statutes: &Statutes) -> Config {
-    Document::of(statutes.doc().clone()).map(|document| document.config().clone()).unwrap_or_default()
+fn config(state: &ReplicatedState) -> Config {
+    Document::of(state.doc().clone()).map(|document| document.config().clone()).unwrap_or_default()
 }
 
-impl Tides {
+impl LapsedTrials {
     /// Takes over what the log says; gives the tenants whose trial changed, and all there is to tell.
-    pub(crate) fn log(&mut self, now: u64, statutes: &Statutes) -> (Vec<String>, Vec<Tide>) {
+    pub(crate) fn log(&mut self, now: u64, state: &ReplicatedState) -> (Vec<String>, Vec<Tide>) {
         let live = std::mem::replace(&mut self.begun, true);
-        let trials = statutes.trials();
+        let trials = state.trials();
         let known = |tenant: &String| self.turns.contains_key(tenant);
         // Most cores never have one.
-        if self.version != statutes.version() && !trials.is_empty() || !trials.keys().all(known) {
-            self.version = statutes.version();
-            let config = config(statutes);
+        if self.version != state.version() && !trials.is_empty() || !trials.keys().all(known) {
+            self.version = state.version();
+            let config = config(state);
             for tenant in trials.keys() {
                 let curve = Curve::of(&config, tenant);
                 let fresh = Turn {
@@ -80,7 +80,7 @@
         }
         let mut changed = Vec::new();
         for (tenant, turn) in &mut self.turns {
-            let trial = statutes.trial(tenant);
+            let trial = state.trial(tenant);
             if trial != turn.trial {
                 // What is older than this lead may hold at some gateways since long.
                 let holds = if live { now + HOLDS_AFTER_MS } else { now };
@@ -141,13 +141,13 @@
     }
 }
 
-impl Wheelhouse {
+impl Replica {
     /// The trials of all tenants as this member, which leads, sees them.
     pub fn trials(&self, now: u64) -> BTreeMap<String, TrialView> {
-        let config = config(&self.statutes);
+        let config = config(&self.state);
         let tides = self.lead.as_ref().map(|lead| &lead.tides);
         let view = |tenant: &String| {
-            let (trial, curve) = (self.statutes.trial(tenant), Curve::of(&config, tenant));
+            let (trial, curve) = (self.state.trial(tenant), Curve::of(&config, tenant));
             let (direction, state) = words(trial, curve.stages());
             let due = tides.and_then(|tides| tides.turns.get(tenant)?.due());
             TrialView {
@@ -169,14 +169,14 @@
     /// # Errors
     /// There is no such tenant; what is wanted.
     pub(crate) fn trial_entry(&self, tenant: &str, lapse: bool) -> Result<Option<Entry>, String> {
-        if !self.statutes.has_tenant(tenant) {
+        if !self.state.has_tenant(tenant) {
             return Err(format!(
                 "{tenant:?} is no tenant: wants the name of one that is in the configuration"
             ));
         }
-        let trial = self.statutes.trial(tenant);
+        let trial = self.state.trial(tenant);
         let order = if lapse { TrialOrder::Lapse } else { TrialOrder::Restore };
-        let most = Curve::of(&config(&self.statutes), tenant).stages();
+        let most = Curve::of(&config(&self.state), tenant).stages();
         let entry = Entry::Trial { tenant: tenant.to_owned(), base: trial.step, order, most };
         Ok((trial.lapses != lapse).then_some(entry))
     }
@@ -219,10 +219,10 @@
     /// Tells the register and operators what the log says of trials.
     pub(crate) fn publish_tides(&mut self, now: u64) {
         let Some(lead) = &mut self.lead else { return };
-        let (changed, tides) = lead.tides.log(now, &self.statutes);
+        let (changed, tides) = lead.tides.log(now, &self.state);
         lead.register.trials(tides);
         for tenant in changed {
-            let trial = self.statutes.trial(&tenant);
+            let trial = self.state.trial(&tenant);
             self.out.events.push(Event::Trial { tenant, trial });
         }
     }
--- a/crates/wheelhouse/src/leader.rs
+++ b/crates/replica/src/leader.rs
@@ -1,8 +1,8 @@
 //! What only a leader has and does: registers, counter, and who is answered by its lease.
 
 use crate::effects::{Event, Ticket};
-use crate::machine::Wheelhouse;
-use crate::tides::Tides;
+use crate::lapsed_trials::LapsedTrials;
+use crate::machine::Replica;
 use nickeljunction_messages::{
     Caller, ConfigLine, Elsewhere, ServerState, UnitsAnswer, UnitsCall, WatchAnswer, WatchCall,
 };
@@ -26,7 +26,7 @@
     pub term: u64,
     pub register: Register,
     pub counter: Counter,
-    pub tides: Tides,
+    pub tides: LapsedTrials,
     /// Version of the configuration that `register` and `counter` know.
     pub version: u64,
     /// The counter's wish to forget lives is on its way to the log.
@@ -83,7 +83,7 @@
     tenants.filter_map(|(name, tenant)| Some((name.clone(), limit(tenant)?))).collect()
 }
 
-impl Wheelhouse {
+impl Replica {
     pub(crate) fn take_or_leave_lead(&mut self, now: u64) {
         let term = self.book.term();
         if !self.book.ready() {
@@ -105,20 +105,26 @@
         let tuning = nickeljunction_registry::Tuning::new(self.place.heartbeat_ms, self.place.zones.clone());
         let copy = std::mem::take(&mut self.copy);
         let window = (self.place.bounds.quota_window_s * 1_000.0) as u64;
-        let logged = self.statutes.gateways().clone();
+        let logged = self.state.gateways().clone();
         let known = logged.len();
         let counter = Counter::new(now, term, nickeljunction_quota::Tuning::new(window), logged);
         let register = Register::new(now, tuning, term, Some(copy));
         self.out.events.push(Event::LeadBegun {
             term,
-            version: self.statutes.version(),
+            version: self.state.version(),
             servers: register.servers(),
             gateways: register.gateways(),
             unheard: known,
             held_ms: counter.held_ms(),
         });
-        self.lead =
-            Some(Lead { term, register, counter, tides: Tides::default(), version: 0, forgets: false });
+        self.lead = Some(Lead {
+            term,
+            register,
+            counter,
+            tides: LapsedTrials::default(),
+            version: 0,
+            forgets: false,
+        });
         self.publish(now);
         self.out.changed = true;
     }
@@ -127,13 +133,13 @@
     pub(crate) fn publish(&mut self, now: u64) {
         self.publish_tides(now);
         let Some(lead) = &mut self.lead else { return };
-        lead.register.evacuated(now, self.statutes.evacuated().clone());
+        lead.register.evacuated(now, self.state.evacuated().clone());
         lead.register.core(self.book.members().iter().map(|member| member.host.clone()).collect());
-        lead.counter.logged(self.statutes.gateways());
-        let version = self.statutes.version();
+        lead.counter.logged(self.state.gateways());
+        let version = self.state.version();
         if version > lead.version {
             lead.version = version;
-            let doc = self.statutes.doc();
+            let doc = self.state.doc();
             lead.counter.limits(now, &limits(doc, &self.place.bounds));
             lead.register.config(Rc::new(ConfigLine { version, doc: doc.clone() }));
         }
--- a/crates/wheelhouse/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -1,16 +1,16 @@
-//! The state machine of one core member (a replicated state machine with a leader's lease): agreement, statutes, registers,
+//! The state machine of one core member (a replicated state machine with a leader's lease): agreement, state, registers,
 //! counter, and the rules by which they are driven. No I/O.
 //!
-//! [`Wheelhouse`] takes the time of a steady clock (ms, whole), messages, completions of writes and calls. What is to be done
-//! waits in [`Wheelhouse::take`], which the driver calls after every call that takes `now`; then it
+//! [`Replica`] takes the time of a steady clock (ms, whole), messages, completions of writes and calls. What is to be done
+//! waits in [`Replica::take`], which the driver calls after every call that takes `now`; then it
 //!
-//! 1. sends [`Effects::send`] and gives [`Effects::writes`] to the disk, in order, telling [`Wheelhouse::written`] of each,
+//! 1. sends [`Effects::send`] and gives [`Effects::writes`] to the disk, in order, telling [`Replica::written`] of each,
 //! 2. answers the waiting callers in [`Effects::answers`], each by the ticket that its call was given,
 //! 3. lets held calls look again where [`Effects::changed`], and sets its alarm anew where [`Effects::sooner`],
 //! 4. keeps [`Effects::hint`] as well as may be, and logs [`Effects::events`].
 //!
 //! ```text
-//! Wheelhouse::new(Rc<Place>, Restored, Tuning, seed, now) -> Wheelhouse
+//! Replica::new(Rc<Place>, Restored, Tuning, seed, now) -> Replica
 //!   .tick(now)   .next_wake() -> u64   .heard(now, messages)   .written(now, ticket, fine)   .take() -> Effects
 //!   .seek(now, hosts)   .resign(now)   .remember(Copy)
 //! for callers that wait for the agreement, answered by ticket in time of their own:
@@ -20,7 +20,7 @@
 //!   .units(now, &call) -> Result<Lent, Elsewhere>   .ebb(now, &call) -> Result<EbbAnswer, Elsewhere>
 //!   .called(now, &call) -> Result<Held, Elsewhere>   .watch(now, &call, &held) -> Result<Option<WatchAnswer>, Elsewhere>
 //!   .beat(now, id, &beat) -> Result<Option<Round>, Elsewhere>   .gone(now, id)   .come_round(now, &round)
-//! for followers: .elsewhere() .ask(life) .learned(answer); to look at: .book() .statutes() .copy() .leads()
+//! for followers: .elsewhere() .ask(life) .learned(answer); to look at: .book() .state() .copy() .leads()
 //! ```
 //!
 //! The same driver runs in `harbourmaster::helm` over sockets and in `drydock` over virtual time.
@@ -29,15 +29,15 @@
 mod change;
 mod effects;
 pub mod follow;
+mod lapsed_trials;
 mod leader;
 mod machine;
 mod members;
-pub mod statutes;
-mod tides;
+pub mod state;
 
 pub use change::Change;
 pub use effects::{Answer, Effects, Event, Ticket};
+pub use lapsed_trials::{TrialView, HOLDS_AFTER_MS};
 pub use leader::{limits, Held, Lent, Round};
-pub use machine::{Place, Wheelhouse, HINT_GOOD_MS};
+pub use machine::{Place, Replica, HINT_GOOD_MS};
 pub use members::{Berth, CoreView, Unfit, Wish};
-pub use tides::{TrialView, HOLDS_AFTER_MS};
--- a/crates/wheelhouse/src/machine.rs
+++ b/crates/replica/src/machine.rs
@@ -4,7 +4,7 @@
 use crate::effects::{Effects, Event, Ticket};
 use crate::follow::HOLD_MS;
 use crate::leader::Lead;
-use crate::statutes::{Entry, Statutes};
+use crate::state::{Entry, ReplicatedState};
 use nickeljunction_consensus::{Consensus, Envelope, Outputs, ReadTicket, Restored, Tuning};
 use nickeljunction_messages::{Caller, Elsewhere, GatewayLine, WatchAnswer, WatchCall};
 use nickeljunction_quota::Counter;
@@ -41,14 +41,14 @@
 
 /// One core member. See the crate's page for how it is driven.
 #[derive(Debug)]
-pub struct Wheelhouse {
+pub struct Replica {
     pub(crate) place: Rc<Place>,
     /// A leader whose majority has not answered for so long answers nobody: below the time in which another one can be
     /// elected.
     pub(crate) lease_ms: u64,
     pub(crate) book: Consensus,
-    pub(crate) statutes: Statutes,
-    /// Index of the last entry that `statutes` holds.
+    pub(crate) state: ReplicatedState,
+    /// Index of the last entry that `state` holds.
     applied: u64,
     snapshot_at: u64,
     /// So many orders on the core's members does `book` know.
@@ -70,14 +70,14 @@
     pub(crate) out: Effects,
 }
 
-impl Wheelhouse {
+impl Replica {
     /// A member that has loaded its disk. `seed` is for the random part of election times and differs between machines.
-    pub fn new(place: Rc<Place>, restored: Restored, tuning: Tuning, seed: u64, now: u64) -> Wheelhouse {
-        Wheelhouse {
+    pub fn new(place: Rc<Place>, restored: Restored, tuning: Tuning, seed: u64, now: u64) -> Replica {
+        Replica {
             place,
             lease_ms: tuning.election_min_ms,
             book: Consensus::new(restored, tuning, seed, now),
-            statutes: Statutes::default(),
+            state: ReplicatedState::default(),
             applied: 0,
             snapshot_at: 0,
             away_from: 0,
@@ -102,7 +102,7 @@
 
     // ---- Time, messages, disk ----
 
-    /// When [`Wheelhouse::tick`] is due, by the clock of `now`, ms.
+    /// When [`Replica::tick`] is due, by the clock of `now`, ms.
     pub fn next_wake(&self) -> u64 {
         let late = self.waits.values().map(|(_, until, _)| *until);
         let late = late.chain(self.reads.values().map(|(until, _)| *until));
@@ -113,7 +113,7 @@
             .unwrap_or(self.age_at)
     }
 
-    /// Lets time pass; due whenever [`Wheelhouse::next_wake`] is reached. Early and late calls are harmless.
+    /// Lets time pass; due whenever [`Replica::next_wake`] is reached. Early and late calls are harmless.
     pub fn tick(&mut self, now: u64) {
         if self.book.next_wake() <= now {
             self.turn(now, |book| book.tick(now));
@@ -183,9 +183,9 @@
         if let Some(snapshot) = outputs.restored_state {
             // The very first one holds only the members.
             match snapshot.state.is_empty() {
-                true => self.statutes = Statutes::default(),
-                false => match Statutes::from_text(&snapshot.state) {
-                    Ok(statutes) => self.statutes = statutes,
+                true => self.state = ReplicatedState::default(),
+                false => match ReplicatedState::from_text(&snapshot.state) {
+                    Ok(state) => self.state = state,
                     // Written by this program and checked on the disk: a fault, but no reason to end.
                     Err(error) => self
                         .out
@@ -200,7 +200,7 @@
             debug_assert_eq!(entry.index, self.applied + 1, "a gap in what was committed");
             self.applied = entry.index;
             let outcome = entry.data().and_then(|data| match serde_json::from_str::<Entry>(data) {
-                Ok(entry) => Some(self.statutes.apply(entry)),
+                Ok(entry) => Some(self.state.apply(entry)),
                 Err(error) => {
                     let error = error.to_string();
                     self.out.events.push(Event::EntryUnreadable { index: entry.index, error });
@@ -213,7 +213,7 @@
             }
             self.out.applied.push(entry);
         }
-        let (orders, order) = self.statutes.core();
+        let (orders, order) = self.state.core();
         if self.away_from != orders {
             self.away_from = orders;
             self.book.away(order.away.clone());
@@ -230,7 +230,7 @@
         }
         if self.applied >= self.snapshot_at + SNAPSHOT_EVERY {
             self.snapshot_at = self.applied;
-            self.book.snapshot(now, self.applied, self.statutes.to_text());
+            self.book.snapshot(now, self.applied, self.state.to_text());
         }
         if news {
             self.publish(now);
@@ -316,14 +316,14 @@
         &self.book
     }
 
-    /// Index of the last entry that [`Wheelhouse::statutes`] holds.
+    /// Index of the last entry that [`Replica::state`] holds.
     pub fn applied(&self) -> u64 {
         self.applied
     }
 
     /// What the log makes.
-    pub fn statutes(&self) -> &Statutes {
-        &self.statutes
+    pub fn state(&self) -> &ReplicatedState {
+        &self.state
     }
 
     /// What a leader told, while another one leads.
--- a/crates/wheelhouse/src/members.rs
+++ b/crates/replica/src/members.rs
@@ -1,7 +1,7 @@
 //! Operators' orders on who is a member of the core: what is asked for, checked against who is there.
 
-use crate::machine::Wheelhouse;
-use crate::statutes::{CoreOrder, Entry};
+use crate::machine::Replica;
+use crate::state::{CoreOrder, Entry};
 use nickeljunction_consensus::{Away, Seen, MEMBERS_MAX, MEMBERS_MIN};
 use quick_error::quick_error;
 use serde::Serialize;
@@ -192,7 +192,7 @@
     Ok(())
 }
 
-impl Wheelhouse {
+impl Replica {
     /// The members by host, and whether they answer this one, which leads.
     fn hosts(&self, now: u64) -> Vec<(String, bool)> {
         let seen = self.book.seen(now);
@@ -204,7 +204,7 @@
 
     /// The entry that a wish makes, on top of what was ordered; `None`: nothing is to be done.
     pub(crate) fn core_entry(&self, now: u64, wish: &Wish) -> Result<Option<Entry>, Unfit> {
-        let (base, last) = self.statutes.core();
+        let (base, last) = self.state.core();
         Ok(order(wish, last, &self.hosts(now))?.map(|order| Entry::Core { base, order }))
     }
 
@@ -230,7 +230,7 @@
         };
         let mut machines = vec![own];
         machines.extend(self.book.seen(now).into_iter().map(other));
-        let (orders, order) = self.statutes.core();
+        let (orders, order) = self.state.core();
         let awaited =
             order.come.as_ref().filter(|come| !machines.iter().any(|known| known.host == **come)).cloned();
         machines.extend(awaited.map(|host| Berth {
--- a/crates/wheelhouse/src/statutes.rs
+++ b/crates/replica/src/state.rs
@@ -136,7 +136,7 @@
 
 /// The state that the log's entries make.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct Statutes {
+pub struct ReplicatedState {
     version: u64,
     doc: Value,
     taken: VecDeque<Taken>,
@@ -156,7 +156,7 @@
     core.0 == 0
 }
 
-impl Statutes {
+impl ReplicatedState {
     /// Takes the next entry of the log.
     pub fn apply(&mut self, entry: Entry) -> Outcome {
         match entry {
@@ -281,8 +281,8 @@
     /// From a snapshot of the log.
     ///
     /// # Errors
-    /// The text was not made by [`Statutes::to_text`].
-    pub fn from_text(text: &str) -> Result<Statutes, serde_json::Error> {
+    /// The text was not made by [`ReplicatedState::to_text`].
+    pub fn from_text(text: &str) -> Result<ReplicatedState, serde_json::Error> {
         serde_json::from_str(text)
     }
 }
@@ -297,7 +297,7 @@
 
     #[test]
     fn of_two_changes_on_one_version_the_first_on_the_log_wins_and_its_repeat_is_taken() {
-        let mut state = Statutes::default();
+        let mut state = ReplicatedState::default();
         assert_eq!(state.apply(put(0, 4, "a")), Outcome::Taken);
         assert_eq!(state.apply(put(4, 7, "b")), Outcome::Taken);
         assert_eq!(state.apply(put(4, 9, "c")), Outcome::Conflict);
@@ -309,7 +309,7 @@
 
     #[test]
     fn a_snapshot_brings_all_of_it_back() {
-        let mut state = Statutes::default();
+        let mut state = ReplicatedState::default();
         state.apply(put(0, 4, "a"));
         state.apply(Entry::Evacuate("z1".into()));
         state.apply(Entry::Evacuate("z2".into()));
@@ -323,13 +323,13 @@
         assert_eq!(state.apply(Entry::Core { base: 0, order: order.clone() }), Outcome::Taken);
         let late = Entry::Core { base: 0, order: CoreOrder::default() };
         assert_eq!(state.apply(late), Outcome::Conflict, "it was made without the other one in view");
-        let mut back = Statutes::from_text(&state.to_text()).expect("own text");
+        let mut back = ReplicatedState::from_text(&state.to_text()).expect("own text");
         assert_eq!(back.core(), (1, &order));
         assert_eq!(back, state);
         assert!(back.evacuated().iter().eq(["z2"]));
         assert_eq!(back.gateways(), &come(8));
         assert_eq!(back.apply(put(0, 4, "a")), Outcome::Taken, "repeats are known after a snapshot, too");
-        assert!(Statutes::from_text("{").is_err());
+        assert!(ReplicatedState::from_text("{").is_err());
     }
 
     fn with(base: u64, version: u64, tenants: &[&str], state: Option<&str>) -> Entry {
@@ -344,7 +344,7 @@
     }
 
     /// Step, whether it lapses, stage.
-    fn stands(state: &Statutes) -> (u64, bool, u32) {
+    fn stands(state: &ReplicatedState) -> (u64, bool, u32) {
         let trial = state.trial("peach");
         (trial.step, trial.lapses, trial.stage)
     }
@@ -352,7 +352,7 @@
     #[test]
     fn a_trial_goes_by_one_stage_at_a_time_and_of_two_entries_on_one_step_the_first_holds() {
         use TrialOrder::{Lapse, Restore, Stage};
-        let mut state = Statutes::default();
+        let mut state = ReplicatedState::default();
         assert_eq!(state.apply(trial(0, Lapse)), Outcome::Conflict, "no such tenant");
         state.apply(with(0, 1, &["peach"], None));
         assert!(
@@ -383,13 +383,13 @@
             );
         }
         assert_eq!((state.apply(trial(6, Lapse)), stands(&state)), (Outcome::Conflict, (7, false, 0)));
-        let back = Statutes::from_text(&state.to_text()).expect("own text");
+        let back = ReplicatedState::from_text(&state.to_text()).expect("own text");
         assert_eq!((stands(&back), &back), ((7, false, 0), &state));
     }
 
     #[test]
     fn a_document_orders_where_it_says_another_thing_than_the_one_before() {
-        let mut state = Statutes::default();
+        let mut state = ReplicatedState::default();
         let mut put = |version: u64, tenants: &[&str], says: Option<&str>| {
             assert_eq!(state.apply(with(version - 1, version, tenants, says)), Outcome::Taken);
             stands(&state)
--- a/crates/wheelhouse/tests/member.rs
+++ b/crates/replica/tests/member.rs
@@ -5,8 +5,8 @@
     Caller, EbbCall, GatewayLine, Member, ServerState, TenantUnits, UnitsCall, WatchCall,
 };
 use nickeljunction_registry::Beat;
+use nickeljunction_replica::{Answer, Change, Held, Lent, Place, Replica, Ticket};
 use nickeljunction_schema::Bounds;
-use nickeljunction_wheelhouse::{Answer, Change, Held, Lent, Place, Ticket, Wheelhouse};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
@@ -17,7 +17,7 @@
 /// Disks write at once, messages come within the ms.
 struct Core {
     now: u64,
-    houses: Vec<Wheelhouse>,
+    houses: Vec<Replica>,
     answers: BTreeMap<Ticket, Answer>,
     /// Nobody hears them, and they hear nobody.
     cut: BTreeSet<usize>,
@@ -42,7 +42,7 @@
                 heartbeat_ms: 1_000,
             };
             let restored = Restored::first(member(node), (0..3).map(member).collect());
-            Wheelhouse::new(Rc::new(place), restored, Tuning::default(), seed + node as u64, now)
+            Replica::new(Rc::new(place), restored, Tuning::default(), seed + node as u64, now)
         };
         let houses = (0..3).map(house).collect();
         let (cut, still) = (BTreeSet::new(), BTreeSet::new());
@@ -57,7 +57,7 @@
 
     /// The one that surely leads.
     fn leader(&self) -> usize {
-        let sure = |house: &Wheelhouse| {
+        let sure = |house: &Replica| {
             house.leads().is_some() && house.book().quorum_age(self.now).is_some_and(|age| age < 350)
         };
         let leaders: Vec<usize> = (0..3).filter(|node| sure(&self.houses[*node])).collect();
@@ -66,7 +66,7 @@
     }
 
     /// Does something at a member and carries out what follows from it, everywhere.
-    fn at<R>(&mut self, node: usize, act: impl FnOnce(&mut Wheelhouse, u64) -> R) -> R {
+    fn at<R>(&mut self, node: usize, act: impl FnOnce(&mut Replica, u64) -> R) -> R {
         let result = act(&mut self.houses[node], self.now);
         let mut mail: VecDeque<(usize, usize, Envelope)> = VecDeque::new();
         let mut busy = vec![node];
@@ -103,7 +103,7 @@
             self.now += 1;
             for node in 0..3 {
                 if !self.still.contains(&node) && self.houses[node].next_wake() <= self.now {
-                    self.at(node, Wheelhouse::tick);
+                    self.at(node, Replica::tick);
                 }
             }
         }
@@ -161,7 +161,7 @@
     }
 }
 
-fn units(to: &Wheelhouse, life: u64, seq: u64) -> UnitsCall {
+fn units(to: &Replica, life: u64, seq: u64) -> UnitsCall {
     let to = to.book().term();
     let want = TenantUnits { want: 10, ..TenantUnits::default() };
     let tenants = BTreeMap::from([("peach".into(), want)]);
@@ -282,7 +282,7 @@
     assert_ne!(next, old);
     core.cut.clear();
     core.run(1_000);
-    assert!(core.houses.iter().all(|house| house.statutes().gateways().is_empty()), "it never came");
+    assert!(core.houses.iter().all(|house| house.state().gateways().is_empty()), "it never came");
     assert_eq!(lent(&core, next), 0);
 
     // The same where nothing is lost.
@@ -293,7 +293,7 @@
     assert_eq!(answer.tenants["peach"].granted, lent(&core, next));
     assert!(lent(&core, next) > 0);
     core.run(200);
-    assert!(core.houses.iter().all(|house| house.statutes().gateways().contains_key(&9)));
+    assert!(core.houses.iter().all(|house| house.state().gateways().contains_key(&9)));
     assert!(matches!(core.at(next, |house, now| house.units(now, &units(house, 9, 3))), Ok(Lent::Now(_))));
 }
 
@@ -317,7 +317,7 @@
     core.run(1_000);
     let again = core.change(next, 1, 2);
     assert_eq!(core.answered(again), Some(Answer::Conflict(Some(3))));
-    assert!(core.houses.iter().all(|house| house.statutes().version() == 3));
+    assert!(core.houses.iter().all(|house| house.state().version() == 3));
 }
 
 #[test]
--- a/crates/wheelhouse/tests/members.rs
+++ b/crates/replica/tests/members.rs
@@ -3,8 +3,8 @@
 
 use nickeljunction_consensus::{draw_id, first_id, Envelope, Restored, Tuning};
 use nickeljunction_messages::Member;
+use nickeljunction_replica::{Answer, Place, Replica, Ticket, Unfit, Wish};
 use nickeljunction_schema::Bounds;
-use nickeljunction_wheelhouse::{Answer, Place, Ticket, Unfit, Wheelhouse, Wish};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -12,7 +12,7 @@
 
 struct Core {
     now: u64,
-    houses: BTreeMap<String, Wheelhouse>,
+    houses: BTreeMap<String, Replica>,
     mail: Vec<(u64, String, Envelope)>,
     answers: Vec<(String, Ticket, Answer)>,
 }
@@ -30,7 +30,7 @@
             bounds: Bounds::default(),
             heartbeat_ms: 1_500,
         });
-        let mut house = Wheelhouse::new(place, restored, Tuning::default(), number.into(), self.now);
+        let mut house = Replica::new(place, restored, Tuning::default(), number.into(), self.now);
         house.seek(self.now, &[host(1), host(2), host(3)]);
         self.houses.insert(host(number), house);
     }
