--- a/crates/drydock/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -8,14 +8,14 @@
 mod audit;
 mod gateway;
 mod member;
-mod people;
-mod world;
+mod operators;
+mod simulation;
 
 pub use audit::{Acked, Audit, Said, Tide, Told};
 pub use gateway::Gateway;
 pub use member::Member;
-pub use people::{Order, People, Server};
-pub use world::{Plan, World};
+pub use operators::{Operators, Order, Server};
+pub use simulation::{Plan, World};
 
 use nickeljunction_consensus::Envelope;
 use nickeljunction_messages::{UnitsAnswer, UnitsCall, WatchAnswer, WatchCall};
--- a/crates/drydock/src/people.rs
+++ b/crates/simulation/src/operators.rs
@@ -56,7 +56,7 @@
 
 /// All who call from outside.
 #[derive(Debug)]
-pub struct People {
+pub struct Operators {
     node: Node,
     members: usize,
     /// By their number.
@@ -66,9 +66,9 @@
     calls: u64,
 }
 
-impl People {
-    pub(crate) fn new(node: Node, members: usize) -> People {
-        People { node, members, orders: Vec::new(), servers: Vec::new(), calls: 0 }
+impl Operators {
+    pub(crate) fn new(node: Node, members: usize) -> Operators {
+        Operators { node, members, orders: Vec::new(), servers: Vec::new(), calls: 0 }
     }
 
     /// An operator asks, at this member first.
--- a/crates/drydock/src/world.rs
+++ b/crates/simulation/src/simulation.rs
@@ -1,6 +1,6 @@
 //! The clock, the network, and what befalls machines.
 
-use crate::{host, Answer, Audit, Gateway, Member, Node, Out, Packet, People, Question, TENANT};
+use crate::{host, Answer, Audit, Gateway, Member, Node, Operators, Out, Packet, Question, TENANT};
 use nickeljunction_consensus::{draw_id, first_id, Restored, Tuning};
 use nickeljunction_schema::value_digest;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -36,7 +36,7 @@
     /// Gateways; their nodes come after the members'.
     pub gateways: Vec<Gateway>,
     /// Operators and servers.
-    pub people: People,
+    pub people: Operators,
     /// Checks.
     pub audit: Audit,
     /// Hosts of the seeds.
@@ -72,7 +72,7 @@
             now,
             members,
             gateways,
-            people: People::new(plan.members + plan.gateways, plan.members),
+            people: Operators::new(plan.members + plan.gateways, plan.members),
             audit: Audit::new(seed, plan.strict),
             seeds: seeds.clone(),
             cuts: BTreeSet::new(),
--- a/crates/drydock/tests/cases.rs
+++ b/crates/simulation/tests/cases.rs
@@ -1,6 +1,6 @@
 //! The hard cases of the whole harbour, one by one; each over some seeds, which a failure names.
 
-use nickeljunction_drydock::{host, Answer, Plan, Question, World, WINDOW_MS};
+use nickeljunction_simulation::{host, Answer, Plan, Question, World, WINDOW_MS};
 
 const SEEDS: u64 = 12;
 const THREE: Plan = Plan { members: 3, seeds: 3, gateways: 3, strict: false };
--- a/crates/drydock/tests/storms.rs
+++ b/crates/simulation/tests/storms.rs
@@ -1,7 +1,7 @@
 //! Storms over whole harbours: 30 s of faults drawn by chance, then calm. `STORM=seed` plays one again.
 
-use nickeljunction_drydock::{host, Plan, Question, World, WINDOW_MS};
 use nickeljunction_replica::Wish;
+use nickeljunction_simulation::{host, Plan, Question, World, WINDOW_MS};
 use std::collections::BTreeSet;
 
 /// In each of two halves, which run at once.
--- a/crates/drydock/tests/tides.rs
+++ b/crates/simulation/tests/tides.rs
@@ -1,6 +1,6 @@
 //! Trials that lapse and are restored, in the whole harbour: each case over some seeds, which a failure names.
 
-use nickeljunction_drydock::{Plan, World};
+use nickeljunction_simulation::{Plan, World};
 
 const SEEDS: u64 = 8;
 const NINE: Plan = Plan { members: 3, seeds: 3, gateways: 9, strict: false };
@@ -65,7 +65,7 @@
 /// Each of these steps held at all of these gateways within 250 ms, from 300 ms after the leader took it.
 fn in_step(world: &World, gateways: &[usize], steps: std::ops::RangeInclusive<u64>) {
     for step in steps {
-        let of = |told: &&nickeljunction_drydock::Told| {
+        let of = |told: &&nickeljunction_simulation::Told| {
             told.step == step && gateways.iter().any(|gateway| world.edge(*gateway) == told.gateway)
         };
         let holds: Vec<u64> = world.audit.told.iter().filter(of).map(|told| told.holds).collect();
