--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 CONFIG ?= examples/config.json
 
 # The programs of the global load balancer, as deploy/system.toml builds them.
-SYSTEM = -p nickeljunction-edge -p nickeljunction-controller -p nickeljunction-bosun
+SYSTEM = -p nickeljunction-edge -p nickeljunction-controller -p nickeljunction-ctl
 
 .PHONY: demo demo-system demo-ebb build test lint bench run
 
@@ -15,13 +15,13 @@
 # configuration, sends requests, kills the leader, and ends all of it. Linux: it needs all of 127.0.0.0/8.
 demo-system:
 	cargo build --release --locked $(SYSTEM)
-	target/release/bosun demo
+	target/release/njctl demo
 
 # A tenant's trial lapses and is restored under traffic at nine gateways, among faults; checked, and drawn to
 # target/ebb.svg. Some 50 s; not part of the tests. Linux, as above.
 demo-ebb:
 	cargo build --release --locked $(SYSTEM)
-	target/release/bosun demo-ebb
+	target/release/njctl demo-ebb
 
 build:
 	cargo build --release --locked
--- a/crates/controller/src/cli.rs
+++ b/crates/controller/src/cli.rs
@@ -35,7 +35,7 @@
             /// Prints the state that its log makes as JSON: configuration, evacuated zones.
             cmd export {
                 required folder: PathBuf
-                /// Only the configuration, as `bosun put` takes it.
+                /// Only the configuration, as `njctl put` takes it.
                 optional --config
                 /// Into this file instead, which must not exist.
                 optional --out file: PathBuf
--- a/crates/bosun/src/completion.rs
+++ b/crates/ctl/src/completion.rs
@@ -1,6 +1,6 @@
 //! Completion for shells, made from the commands' own help, so that it can't lag behind them.
 
-use crate::flags::Bosun;
+use crate::flags::Njctl;
 
 /// Flags of a command, or of all (with an empty name); its own commands count among them.
 #[derive(Debug, Default, PartialEq)]
@@ -12,9 +12,9 @@
 /// The general flags, then each command with its own.
 fn words() -> Vec<Words> {
     let mut all = vec![Words::default()];
-    let help = Bosun::from_vec(vec!["--help".into()]).err().map(|help| help.to_string()).unwrap_or_default();
+    let help = Njctl::from_vec(vec!["--help".into()]).err().map(|help| help.to_string()).unwrap_or_default();
     for line in help.lines() {
-        if let Some(name) = line.strip_prefix("bosun ") {
+        if let Some(name) = line.strip_prefix("njctl ") {
             // A command's own commands are words like its flags.
             if let Some((_, own)) = name.split_once(' ') {
                 // One that has two names is told with both.
@@ -42,7 +42,7 @@
         "bash" => Some(bash(commands, &names, &common)),
         // Its own bash completion reads the same script.
         "zsh" => Some(format!(
-            "#compdef bosun\nautoload -U +X bashcompinit && bashcompinit\n{}",
+            "#compdef njctl\nautoload -U +X bashcompinit && bashcompinit\n{}",
             bash(commands, &names, &common)
         )),
         "fish" => Some(fish(commands, &names, &general.flags)),
@@ -56,7 +56,7 @@
         cases += &format!("      {}) words=\"{}\" ;;\n", command.name, command.flags.join(" "));
     }
     format!(
-        r#"_bosun() {{
+        r#"_njctl() {{
   local word=${{COMP_WORDS[COMP_CWORD]}} command= words= each
   for each in "${{COMP_WORDS[@]:1:COMP_CWORD-1}}"; do
     case " {names} " in *" $each "*) command=$each; break ;; esac
@@ -70,7 +70,7 @@
   COMPREPLY=($(compgen -W "$words {common}" -- "$word"))
   [ -n "$command" ] && [ "${{word#-}}" = "$word" ] && COMPREPLY+=($(compgen -f -- "$word"))
 }}
-complete -F _bosun bosun
+complete -F _njctl njctl
 "#
     )
 }
@@ -78,16 +78,16 @@
 fn fish(commands: &[Words], names: &str, common: &[String]) -> String {
     let mut text = String::new();
     for flag in common {
-        text += &format!("complete -c bosun -l {}\n", flag.trim_start_matches('-'));
+        text += &format!("complete -c njctl -l {}\n", flag.trim_start_matches('-'));
     }
     for command in commands {
         let name = &command.name;
-        text += &format!("complete -c bosun -n 'not __fish_seen_subcommand_from {names}' -a {name}\n");
+        text += &format!("complete -c njctl -n 'not __fish_seen_subcommand_from {names}' -a {name}\n");
         for flag in &command.flags {
             let own = !flag.starts_with('-');
             let flag = flag.trim_start_matches('-');
             let kind = if own { "-a" } else { "-l" };
-            text += &format!("complete -c bosun -n '__fish_seen_subcommand_from {name}' {kind} {flag}\n");
+            text += &format!("complete -c njctl -n '__fish_seen_subcommand_from {name}' {kind} {flag}\n");
         }
     }
     text
@@ -105,7 +105,7 @@
             let words = source.lines().filter_map(|line| line.trim().strip_prefix(kind));
             words.filter_map(|rest| Some(rest.split([' ', '{']).next()?.to_string())).collect()
         };
-        let commands: Vec<String> = after("cmd ").into_iter().filter(|name| name != "bosun").collect();
+        let commands: Vec<String> = after("cmd ").into_iter().filter(|name| name != "njctl").collect();
         let flags = after("optional --");
         assert!(commands.len() > 9 && flags.len() > 8, "{commands:?} {flags:?}");
         for shell in ["bash", "zsh", "fish"] {
--- a/crates/bosun/src/demo/mod.rs
+++ b/crates/ctl/src/demo/mod.rs
@@ -1,4 +1,4 @@
-//! `bosun demo`: the whole system on one machine. Three core processes and two gateways on loopback, stand-ins for
+//! `njctl demo`: the whole system on one machine. Three core processes and two gateways on loopback, stand-ins for
 //! servers, a configuration, requests, and the loss of the leader; each step says what it saw, and the first one that
 //! doesn't do what it should ends the demonstration.
 
@@ -102,7 +102,7 @@
             play.fleet.clear();
         }
         if played.is_err() {
-            let _ = writeln!(err, "bosun: settings and logs are in {}", play.fleet.folder.display());
+            let _ = writeln!(err, "njctl: settings and logs are in {}", play.fleet.folder.display());
         }
         played.map(|()| play)
     });
@@ -120,7 +120,7 @@
         let _ = writeln!(stage.out, "all steps did what they should, in {took:.1} s");
     }
     if let Some(failure) = failure {
-        let _ = writeln!(err, "bosun: {failure}");
+        let _ = writeln!(err, "njctl: {failure}");
         return FAILED;
     }
     if let (true, Ok(play)) = (keep, &played) {
@@ -154,7 +154,7 @@
                 let _ =
                     writeln!(out, "{}", json!({"ok": false, "error": error, "step": "listen", "peer": null}));
             }
-            let _ = writeln!(err, "bosun: {error}");
+            let _ = writeln!(err, "njctl: {error}");
             FAILED
         }
     }
@@ -584,7 +584,7 @@
         let front = self.fleet.front(self.fleet.all(Part::Edge)[0]);
         format!(
             "left running until you interrupt it (Ctrl-C ends all of it); settings, logs and disks: {}\ntry:\n  \
-            bosun --at {controls} status\n  \
+            njctl --at {controls} status\n  \
             curl -i -H 'Host: {HOST}' -H 'X-Attempt-Id: 1' -H 'Authorization: Bearer {KEY}' http://{front}/slots/1",
             self.fleet.folder.display()
         )
--- a/crates/bosun/src/ebb_demo/mod.rs
+++ b/crates/ctl/src/ebb_demo/mod.rs
@@ -1,4 +1,4 @@
-//! `bosun demo-ebb`: a tenant's trial lapses and is restored under traffic, among faults; what clients and stand-ins noted is
+//! `njctl demo-ebb`: a tenant's trial lapses and is restored under traffic, among faults; what clients and stand-ins noted is
 //! checked, told as a table and drawn.
 
 mod check;
@@ -72,11 +72,11 @@
     let broken = match broken.transpose() {
         Ok(broken) if (least..=most).contains(&length_s) => broken,
         Ok(_) => {
-            let _ = writeln!(err, "bosun: --seconds wants {least} to {most}, got {length_s}");
+            let _ = writeln!(err, "njctl: --seconds wants {least} to {most}, got {length_s}");
             return BAD_INPUT;
         }
         Err(name) => {
-            let _ = writeln!(err, "bosun: --broken wants twice, denied, lost, uneven or late, got {name:?}");
+            let _ = writeln!(err, "njctl: --broken wants twice, denied, lost, uneven or late, got {name:?}");
             return BAD_INPUT;
         }
     };
@@ -105,7 +105,7 @@
             if json {
                 let _ = writeln!(out, "{}", json!({"ok": false, "error": error.to_string()}));
             }
-            let _ = writeln!(err, "bosun: {error}");
+            let _ = writeln!(err, "njctl: {error}");
             FAILED
         }
     }
--- a/crates/bosun/src/flags.rs
+++ b/crates/ctl/src/flags.rs
@@ -6,7 +6,7 @@
     /// Tells the control of nickeljunction what to do, and what it knows. FILE may be '-' for standard input.
     ///
     /// Ends with 0 (done), 1 (refused or failed) or 2 (bad use, or bad input: file and place are named).
-    cmd bosun {
+    cmd njctl {
         /// HOST:PORT of control, several joined by commas, tried in turn; else taken from NICKELJUNCTION_CONTROL.
         optional --at addresses: String
         /// Most seconds for the whole order (default: 10).
--- a/crates/bosun/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -15,7 +15,7 @@
 mod watch;
 mod wire;
 
-use flags::{Bosun, BosunCmd};
+use flags::{Njctl, NjctlCmd};
 use nickeljunction_schema::{Document, Patch, Problem};
 use quick_error::quick_error;
 use serde_json::{json, Value};
@@ -138,7 +138,7 @@
     let arguments = arguments.into_iter().map(|word| if word == "-" { STANDARD_INPUT.into() } else { word });
     let arguments: Vec<OsString> = arguments.collect();
     let wants_json = arguments.iter().any(|word| word == "--json");
-    let flags = match Bosun::from_vec(arguments) {
+    let flags = match Njctl::from_vec(arguments) {
         Ok(flags) => flags,
         // Where nobody reads what is printed, nothing is left to be done about it: here and below.
         Err(help) if help.is_help() => {
@@ -146,29 +146,29 @@
             return DONE;
         }
         Err(error) => {
-            let trouble = Trouble::Use(format!("{error}; see bosun --help"));
+            let trouble = Trouble::Use(format!("{error}; see njctl --help"));
             // They could not be read, but whoever asked for JSON parses what comes.
             if wants_json {
                 let _ = writeln!(out, "{}", trouble.as_json());
             }
-            let _ = writeln!(err, "bosun: {trouble}");
+            let _ = writeln!(err, "njctl: {trouble}");
             return BAD_INPUT;
         }
     };
     let json = flags.json;
-    if let BosunCmd::Demo(demo) = &flags.subcommand {
+    if let NjctlCmd::Demo(demo) = &flags.subcommand {
         return demo::run(demo.keep, json, out, err);
     }
-    if let BosunCmd::DemoEbb(told) = &flags.subcommand {
+    if let NjctlCmd::DemoEbb(told) = &flags.subcommand {
         return ebb_demo::run(told, json, out, err);
     }
     let order = Order { flags, control, input, begin: Instant::now() };
     let shown = match &order.flags.subcommand {
-        BosunCmd::StandIn(told) => match order.server(told) {
+        NjctlCmd::StandIn(told) => match order.server(told) {
             Ok(server) => return demo::stand_in(server, json, out, err),
             Err(trouble) => Err(trouble),
         },
-        BosunCmd::Watch(told) => match order.watch(told) {
+        NjctlCmd::Watch(told) => match order.watch(told) {
             Ok((tour, pace)) => {
                 // It ends early where nobody reads it.
                 let _ = watch::run(&tour, &pace, json, out);
@@ -186,7 +186,7 @@
     let mut code = DONE;
     if let Some(trouble) = &shown.trouble {
         code = trouble.code();
-        let _ = writeln!(err, "bosun: {trouble}");
+        let _ = writeln!(err, "njctl: {trouble}");
     }
     let _ = if json { writeln!(out, "{}", shown.json) } else { write!(out, "{}", shown.text) };
     let _ = out.flush();
@@ -207,7 +207,7 @@
 }
 
 struct Order<'a> {
-    flags: Bosun,
+    flags: Njctl,
     control: Option<String>,
     input: &'a mut dyn Read,
     begin: Instant,
@@ -215,19 +215,19 @@
 
 impl Order<'_> {
     fn carry_out(mut self) -> Result<Shown, Trouble> {
-        let command = std::mem::replace(&mut self.flags.subcommand, BosunCmd::Get(flags::Get {}));
+        let command = std::mem::replace(&mut self.flags.subcommand, NjctlCmd::Get(flags::Get {}));
         match command {
-            BosunCmd::Check(check) => self.check(&check.file, check.base.as_deref()),
-            BosunCmd::Put(put) => self.put(&put.file, put.on),
-            BosunCmd::Patch(patch) => self.patch(&patch.file, patch.on),
-            BosunCmd::Get(_) => self.get(),
-            BosunCmd::Evacuate(evacuate) => self.evacuation("POST", &evacuate.zone),
-            BosunCmd::Return(back) => self.evacuation("DELETE", &back.zone),
-            BosunCmd::Status(status) => self.status(status.strict),
-            BosunCmd::Core(told) => core::carry_out(&told.subcommand, &self.tour()?),
-            BosunCmd::Trial(told) => self.trial(&told.subcommand),
-            BosunCmd::Explain(told) => self.explain(told),
-            BosunCmd::Completion(told) => {
+            NjctlCmd::Check(check) => self.check(&check.file, check.base.as_deref()),
+            NjctlCmd::Put(put) => self.put(&put.file, put.on),
+            NjctlCmd::Patch(patch) => self.patch(&patch.file, patch.on),
+            NjctlCmd::Get(_) => self.get(),
+            NjctlCmd::Evacuate(evacuate) => self.evacuation("POST", &evacuate.zone),
+            NjctlCmd::Return(back) => self.evacuation("DELETE", &back.zone),
+            NjctlCmd::Status(status) => self.status(status.strict),
+            NjctlCmd::Core(told) => core::carry_out(&told.subcommand, &self.tour()?),
+            NjctlCmd::Trial(told) => self.trial(&told.subcommand),
+            NjctlCmd::Explain(told) => self.explain(told),
+            NjctlCmd::Completion(told) => {
                 let script = completion::script(&told.shell);
                 let wrong =
                     || Trouble::Use(format!("completion wants bash, zsh or fish, got {:?}", told.shell));
@@ -235,7 +235,7 @@
                 Ok(Shown { json: json!({"ok": true, "script": text}), text, trouble: None })
             }
             // They stay instead of carrying out an order: see `run`.
-            BosunCmd::StandIn(_) | BosunCmd::Demo(_) | BosunCmd::DemoEbb(_) | BosunCmd::Watch(_) => {
+            NjctlCmd::StandIn(_) | NjctlCmd::Demo(_) | NjctlCmd::DemoEbb(_) | NjctlCmd::Watch(_) => {
                 Err(Trouble::Use("no order".into()))
             }
         }
--- a/crates/bosun/tests/orders.rs
+++ b/crates/ctl/tests/orders.rs
@@ -1,6 +1,6 @@
 //! Orders against scripted control servers on loopback ports: what is sent, to whom, and how each order ends.
 
-use bosun::{run, BAD_INPUT, DONE, FAILED};
+use ctl::{run, BAD_INPUT, DONE, FAILED};
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpListener;
@@ -210,7 +210,7 @@
     wrong["routes"]["r"]["timeout_s"] = 0.into();
     let end = order("check - --json", &wrong);
     assert_eq!((end.code, &end.json()["place"]), (BAD_INPUT, &json!("routes.r.timeout_s")));
-    assert_eq!(end.err, "bosun: standard input: routes.r.timeout_s: wants a number above 0, got 0\n");
+    assert_eq!(end.err, "njctl: standard input: routes.r.timeout_s: wants a number above 0, got 0\n");
     let end = order("check -", &document(7));
     assert_eq!(
         end.out,
@@ -218,7 +218,7 @@
     );
     let patch = json!({"config_version": 9, "upsert": {"backends": {"c": {}}}});
     assert_eq!(order("check -", &patch).code, DONE);
-    let base = std::env::temp_dir().join(format!("bosun-base-{}.json", std::process::id()));
+    let base = std::env::temp_dir().join(format!("njctl-base-{}.json", std::process::id()));
     for (version, code) in [(8, DONE), (9, BAD_INPUT)] {
         std::fs::write(&base, document(version).to_string()).unwrap();
         let end = order(&format!("check - --json --base {}", base.display()), &patch);
@@ -240,7 +240,7 @@
     ] {
         let end = order(&format!("{bad} --json"), &document(7));
         assert_eq!(end.json()["ok"], false, "{bad}");
-        assert_eq!((end.code, end.err.starts_with("bosun: ")), (BAD_INPUT, true), "{bad}: {}", end.err);
+        assert_eq!((end.code, end.err.starts_with("njctl: ")), (BAD_INPUT, true), "{bad}: {}", end.err);
     }
     let help = order("--help", &Value::Null);
     assert_eq!(help.code, DONE);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,5 +1,5 @@
 //! The configuration as an immutable table, compiled once a version: which route, tenant and homes a request has.
-//! Gateways go by it, and `bosun explain` tells of it.
+//! Gateways go by it, and `njctl explain` tells of it.
 
 use nickeljunction_schema::{Config, Limits};
 use std::borrow::Cow;
