Split the fleet's membership machine into modules of one job each

Public items are unchanged.

cargo test -p nickeljunction-fleet: 28 passed, 0 failed (4 unit, 19 membership, 1 reference, 4 share model).

--- /dev/null
+++ b/crates/fleet/src/machine/config.rs
@@ -0,0 +1,30 @@
+//! What a gateway's membership machine is given at its start.
+
+use crate::view::Place;
+
+/// What a gateway is told at its start.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// Its number.
+    pub me: u16,
+    /// Who may be a member, itself among them; any order.
+    pub roster: Vec<Place>,
+    /// Datagrams a second that a gateway takes in; it drops the rest.
+    pub mail_per_s: f64,
+    /// Epoch of its configuration.
+    pub epoch: u32,
+    /// For random numbers; another one at each start.
+    pub seed: u64,
+}
+
+/// A roster that can't be used: what is wrong and wanted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BadRoster(pub String);
+
+impl std::fmt::Display for BadRoster {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for BadRoster {}
