--- /dev/null
+++ b/crates/decide/tests/module/common.rs
@@ -0,0 +1,172 @@
+//! One limiter with a clock, and what its tests tell it and read from it.
+
+use nickeljunction_decide::api::*;
+use nickeljunction_decide::decide::Limiter;
+use std::collections::BTreeMap;
+
+pub(crate) fn class(name: &str, repeat: Repeat) -> Class {
+    let (aim_ms, give_up_ms, key_ttl_ms, group) = (500.0, 2000.0, 1000.0, Group::All);
+    let name = name.to_string();
+    Class { name, aim_ms, give_up_ms, repeat, group, key_ttl_ms, late_share: 0.0, stream: false, worth: 1.0 }
+}
+
+pub(crate) fn plan(name: &str, rate: f64, burst: f64, ceiling: f64, at_once: f64) -> Plan {
+    Plan {
+        name: name.to_string(),
+        rate,
+        burst,
+        at_once,
+        price: 1.0,
+        excess_worth: 0.0,
+        over_cost: 1.0,
+        ceiling_rate: ceiling * rate,
+        ceiling_burst: ceiling * burst,
+        ceiling_slack: 1.0,
+    }
+}
+
+pub(crate) fn settings() -> Settings {
+    Settings {
+        siblings: 2,
+        zone: "z".into(),
+        step_ms: 4.0,
+        classes: vec![
+            class("safe", Repeat::Repeatable),
+            class("keyed", Repeat::ByKey),
+            class("once", Repeat::Once),
+        ],
+        plans: vec![
+            plan("soft", 10.0, 20.0, 0.0, 0.0),
+            plan("hard", 10.0, 20.0, 2.0, 0.0),
+            plan("few", 0.0, 0.0, 0.0, 2.0),
+            plan("free", 0.0, 0.0, 0.0, 0.0),
+        ],
+        counter: true,
+        counter_timeout_ms: 50.0,
+        units_top: 1.0,
+        may_cancel: true,
+        max_attempts: 3,
+        max_retry_after_ms: 500.0,
+        retry_after: true,
+        second_copies: true,
+        cold_from: 0.2,
+        cold_ms: 10_000.0,
+        drain_grace_ms: 500.0,
+        fall_multiple: 2.0,
+        fall_ms: 1000.0,
+        answer_grace_ms: 16.0,
+        ..Settings::default()
+    }
+}
+
+/// One limiter with a clock.
+pub(crate) struct Rig {
+    pub(crate) limiter: Limiter,
+    pub(crate) now: f64,
+}
+
+impl Rig {
+    pub(crate) fn new(settings: Settings, servers: usize) -> Rig {
+        let mut rig = Rig { limiter: Limiter::new(settings, 7).expect("good settings"), now: 100_000.0 };
+        let list = (0..servers).map(|at| server(at, ServerState::Up, 0.0)).collect();
+        rig.tell(Event::Servers(ListKind::Saved, list));
+        rig
+    }
+
+    pub(crate) fn tell(&mut self, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.limiter.on_event(self.now, event, &mut out);
+        out
+    }
+
+    pub(crate) fn request(&mut self, id: &str, class: &str, plan: &str) -> Vec<Action> {
+        self.tell(Event::Request(arrival(id, class, plan)))
+    }
+
+    pub(crate) fn outcome(&mut self, id: &str, attempt: usize, server: &str, status: Status) -> Vec<Action> {
+        let closed = status == Status::Ok;
+        self.tell(Event::Outcome(Outcome { attempt, status, closed, ..answer(id, server, 50.0) }))
+    }
+
+    /// Sweeps for so long.
+    pub(crate) fn run(&mut self, ms: f64) -> Vec<Action> {
+        let (end, mut out) = (self.now + ms, Vec::new());
+        while self.now < end {
+            self.now += 8.0;
+            out.extend(self.tell(Event::Timer("sweep".into())));
+        }
+        out
+    }
+
+    pub(crate) fn counted(&mut self, name: &str, status: Status, total: f64) -> Vec<Action> {
+        self.tell(Event::Counted(name.into(), status, total))
+    }
+}
+
+/// A request of one unit of customer 5, which comes in through two doors.
+pub(crate) fn arrival(id: &str, class: &str, plan: &str) -> Arrival {
+    let (id, class, plan) = (id.into(), class.into(), plan.into());
+    Arrival { id, class, plan, customer: 5, patience_ms: 2000.0, units: 1.0, doors: 2, retry: false }
+}
+
+/// The good answer to a first attempt.
+pub(crate) fn answer(id: &str, server: &str, latency_ms: f64) -> Outcome {
+    let (id, server, load) = (id.into(), server.into(), BTreeMap::new());
+    let (attempt, status, settled, closed) = (0, Status::Ok, 0.0, true);
+    Outcome { id, attempt, server, status, settled, latency_ms, closed, load }
+}
+
+/// So many gateways of one fleet, each with numbers of its own.
+pub(crate) fn gateways(count: usize, servers: usize) -> Vec<Rig> {
+    let gateway = |me| {
+        let own = Settings { me, siblings: count, ..settings() };
+        let mut rig = Rig { limiter: Limiter::new(own, me as u64).expect("good settings"), now: 100_000.0 };
+        let list = (0..servers).map(|at| server(at, ServerState::Up, 0.0)).collect();
+        rig.tell(Event::Servers(ListKind::Saved, list));
+        rig
+    };
+    (0..count).map(gateway).collect()
+}
+
+pub(crate) fn server(at: usize, state: ServerState, launched: f64) -> ServerEntry {
+    ServerEntry { server: format!("s{at}"), state, zone: "z".into(), cell: 0, weight: 1.0, launched, near: 0 }
+}
+
+pub(crate) fn sends(out: &[Action]) -> Vec<(String, String)> {
+    let pick = |action: &Action| match action {
+        Action::Send(id, server, _) => Some((id.clone(), server.clone())),
+        _ => None,
+    };
+    out.iter().filter_map(pick).collect()
+}
+
+pub(crate) fn counts(out: &[Action]) -> Vec<(String, f64)> {
+    let pick = |action: &Action| match action {
+        Action::Count(name, add, _) => Some((name.clone(), *add)),
+        _ => None,
+    };
+    out.iter().filter_map(pick).collect()
+}
+
+pub(crate) fn refused(out: &[Action], id: &str) -> bool {
+    out.iter().any(|action| matches!(action, Action::Refuse(other, _) if other == id))
+}
+
+pub(crate) fn failed(out: &[Action], id: &str) -> bool {
+    out.iter().any(|action| matches!(action, Action::Fail(other) if other == id))
+}
+
+/// A customer's quota lease, with `total` on the books before it.
+pub(crate) fn lease(rig: &mut Rig, id: &str, plan: &str) -> (Vec<(String, f64)>, Vec<Action>) {
+    let asked = counts(&rig.request(id, "safe", plan));
+    let mut out = Vec::new();
+    for (name, add) in &asked {
+        out.extend(rig.counted(name, Status::Ok, *add));
+    }
+    (asked, out)
+}
+
+/// One of a hundred gateways; requests have up to six units, which are settled afterwards.
+pub(crate) fn among_many(servers: usize) -> Rig {
+    Rig::new(Settings { siblings: 100, settles: true, units_top: 6.0, ..settings() }, servers)
+}
