--- a/crates/controller/src/resources/config.rs
+++ b/crates/controller/src/resources/config.rs
@@ -47,6 +47,11 @@
             Answer::Unknown => {
                 Response::error(503, "not known to be taken: repeat it unchanged").with("Retry-After", "0.2")
             }
+            // Not 412: it may have been taken. Nor when to come again: the answer stays the same.
+            Answer::Forgotten(version) => Response::error(
+                503,
+                &format!("forgotten: version {version} is too old to tell whether it was taken"),
+            ),
             Answer::Elsewhere(elsewhere) => go_to(&self.0, call, &elsewhere),
             Answer::Confirmed | Answer::Units(_) | Answer::Unfit(_) | Answer::Missing(_) => {
                 go_to(&self.0, call, &self.0.elsewhere())
--- a/crates/controller/src/resources/core.rs
+++ b/crates/controller/src/resources/core.rs
@@ -75,9 +75,11 @@
                 Response::error(503, "not known to be taken: repeat it unchanged").with("Retry-After", "0.2")
             }
             Answer::Elsewhere(elsewhere) => go_to(&self.0, call, &elsewhere),
-            Answer::Confirmed | Answer::Units(_) | Answer::Wrong(_) | Answer::Missing(_) => {
-                go_to(&self.0, call, &self.0.elsewhere())
-            }
+            Answer::Confirmed
+            | Answer::Units(_)
+            | Answer::Wrong(_)
+            | Answer::Missing(_)
+            | Answer::Forgotten(_) => go_to(&self.0, call, &self.0.elsewhere()),
         })
     }
 }
--- a/crates/replica/src/change.rs
+++ b/crates/replica/src/change.rs
@@ -1,6 +1,7 @@
 //! An operator's change of the configuration, checked against the state.
 
 use crate::effects::Answer;
+use crate::order_memory::Recall;
 use crate::state::{Entry, ReplicatedState};
 use bytes::Bytes;
 use nickeljunction_schema::{call_digest, Document, Patch, Problem};
@@ -34,8 +35,11 @@
         let base = self.base.ok_or_else(|| Answer::Wrong(wants.into()))?;
         let digest = call_digest(if self.patch { "PATCH" } else { "PUT" }, Some(base), &self.body);
         let (version, document) = self.read(state, base)?;
-        if state.knows(version, &digest) {
-            return Err(Answer::Taken);
+        match state.recall(version, &digest) {
+            Recall::Taken => return Err(Answer::Taken),
+            // What was taken had a version above its base.
+            Recall::Forgotten if base < version => return Err(Answer::Forgotten(version)),
+            Recall::Forgotten | Recall::NotTaken => {}
         }
         let in_place = || Answer::Conflict(Some(state.version()));
         let document = document.filter(|_| base == state.version()).ok_or_else(in_place)?;
--- a/crates/replica/src/effects.rs
+++ b/crates/replica/src/effects.rs
@@ -49,6 +49,8 @@
     Missing(String),
     /// Whether it will be taken is not known: it is to be repeated unchanged.
     Unknown,
+    /// Whether it was taken is not known any more: this version is as old as what was forgotten.
+    Forgotten(u64),
     /// This member doesn't lead, or is not sure of it.
     Elsewhere(Elsewhere),
 }
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -33,6 +33,7 @@
 mod leader;
 mod machine;
 mod members;
+pub mod order_memory;
 pub mod state;
 
 pub use change::Change;
--- a/crates/replica/src/state.rs
+++ b/crates/replica/src/state.rs
@@ -1,14 +1,11 @@
 //! What must outlive everything, as the agreed log makes it: the configuration with its version, the evacuated zones, tenants'
 //! trials, and which gateways' processes have units. No I/O and no clock: entries go in, one after the other and the same at every member.
 
+use crate::order_memory::{FormerRecord, OrderMemory, Recall};
 use nickeljunction_consensus::Away;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
-
-/// Calls remembered by their digests, so that a repeated one gets its 200: operators repeat a call without a clear
-/// answer for some seconds, and the fastest storms send three a second.
-const REMEMBERED: usize = 64;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// An entry of the log.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -127,19 +124,17 @@
     Conflict,
 }
 
-/// A call that was taken, by what identifies it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-struct Taken {
-    version: u64,
-    digest: String,
-}
-
 /// The state that the log's entries make.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct ReplicatedState {
     version: u64,
     doc: Value,
-    taken: VecDeque<Taken>,
+    /// As former programs kept it: they want the list, which stays empty here.
+    #[serde(default)]
+    taken: Vec<FormerRecord>,
+    /// Changes that were taken.
+    #[serde(default)]
+    orders: OrderMemory,
     evacuated: BTreeSet<String>,
     /// Processes of gateways that units may be lent to, or were, with the names of their machines.
     #[serde(default)]
@@ -171,10 +166,7 @@
                 let before = std::mem::replace(&mut self.doc, doc);
                 self.version = version;
                 self.trials_of(&before);
-                self.taken.push_back(Taken { version, digest });
-                if self.taken.len() > REMEMBERED {
-                    self.taken.pop_front();
-                }
+                self.orders.add(version, &digest);
             }
             Entry::Evacuate(zone) => {
                 self.evacuated.insert(zone);
@@ -242,9 +234,14 @@
         self.doc["tenants"].get(tenant).is_some()
     }
 
-    /// This very call was taken before.
+    /// This very call was taken before, as far as is remembered.
     pub fn knows(&self, version: u64, digest: &str) -> bool {
-        self.taken.iter().any(|taken| taken.version == version && taken.digest == digest)
+        self.recall(version, digest) == Recall::Taken
+    }
+
+    /// What became of this very call.
+    pub fn recall(&self, version: u64, digest: &str) -> Recall {
+        self.orders.recall(version, digest)
     }
 
     /// Version in force; 0: none yet.
@@ -283,7 +280,9 @@
     /// # Errors
     /// The text was not made by [`ReplicatedState::to_text`].
     pub fn from_text(text: &str) -> Result<ReplicatedState, serde_json::Error> {
-        serde_json::from_str(text)
+        let mut state: ReplicatedState = serde_json::from_str(text)?;
+        state.orders.adopt(&std::mem::take(&mut state.taken));
+        Ok(state)
     }
 }
 
--- a/crates/simulation/src/audit.rs
+++ b/crates/simulation/src/audit.rs
@@ -272,7 +272,7 @@
         let seed = self.seed;
         assert_eq!(state, &self.state, "seed {seed}: member {member}'s state is another one");
         for acked in &self.acked {
-            let known = self.acked.len() > 60 || state.knows(acked.version, &acked.digest);
+            let known = state.knows(acked.version, &acked.digest);
             assert!(known, "seed {seed}: {acked:?} is lost");
         }
         for zone in &self.evacuated {
--- a/crates/simulation/src/member.rs
+++ b/crates/simulation/src/member.rs
@@ -196,7 +196,7 @@
                 replica::Answer::Units(units) => Answer::Units(units),
                 replica::Answer::Taken => Answer::Done,
                 replica::Answer::Conflict(_) => Answer::Conflict,
-                replica::Answer::Unknown => Answer::Unknown,
+                replica::Answer::Unknown | replica::Answer::Forgotten(_) => Answer::Unknown,
                 replica::Answer::Elsewhere(elsewhere) => elsewhere.into(),
                 replica::Answer::Unfit(_) if matches!(job.question, Question::Core(_)) => Answer::Unfit,
                 unfit @ (replica::Answer::Wrong(_)
