--- a/crates/replica/src/change.rs
+++ b/crates/replica/src/change.rs
@@ -4,7 +4,8 @@
 use crate::order_memory::Recall;
 use crate::state::{Entry, ReplicatedState};
 use bytes::Bytes;
-use nickeljunction_schema::{call_digest, Document, Patch, Problem};
+use nickeljunction_schema::{body_version, read_body, value_digest, Document, Patch, Problem};
+use serde_json::Value;
 
 /// A change as an operator sent it.
 #[derive(Debug, Clone, PartialEq)]
@@ -33,13 +34,17 @@
     pub(crate) fn check(&self, state: &ReplicatedState) -> Result<Fit, Answer> {
         let wants = "If-Match: wants the version that this builds on, 0 for the first";
         let base = self.base.ok_or_else(|| Answer::Wrong(wants.into()))?;
-        let digest = call_digest(if self.patch { "PATCH" } else { "PUT" }, Some(base), &self.body);
-        let (version, document) = self.read(state, base)?;
-        match state.recall(version, &digest) {
-            Recall::Taken => return Err(Answer::Taken),
-            // What was taken had a version above its base.
-            Recall::Forgotten if base < version => return Err(Answer::Forgotten(version)),
-            Recall::Forgotten | Recall::NotTaken => {}
+        let body = read_body(&self.body).map_err(bad)?;
+        let digest = value_digest(if self.patch { "PATCH" } else { "PUT" }, Some(base), &body);
+        // A repeat is known before it is judged: a newer program may judge otherwise than the one that took it.
+        let recall = body_version(&body).map_or(Recall::NotTaken, |version| state.recall(version, &digest));
+        if recall == Recall::Taken {
+            return Err(Answer::Taken);
+        }
+        let (version, document) = self.read(state, base, body)?;
+        // What was taken had a version above its base.
+        if recall == Recall::Forgotten && base < version {
+            return Err(Answer::Forgotten(version));
         }
         let in_place = || Answer::Conflict(Some(state.version()));
         let document = document.filter(|_| base == state.version()).ok_or_else(in_place)?;
@@ -50,12 +55,17 @@
 
     /// The version that it names, and the whole document that it makes; `None` where that can't be told because it builds
     /// on another version.
-    fn read(&self, state: &ReplicatedState, base: u64) -> Result<(u64, Option<Document>), Answer> {
+    fn read(
+        &self,
+        state: &ReplicatedState,
+        base: u64,
+        body: Value,
+    ) -> Result<(u64, Option<Document>), Answer> {
         if !self.patch {
-            let document = Document::read(&self.body).map_err(bad)?;
+            let document = Document::of(body).map_err(bad)?;
             return Ok((document.version(), Some(document)));
         }
-        let patch = Patch::read(&self.body).map_err(bad)?;
+        let patch = Patch::of(body).map_err(bad)?;
         if base != state.version() {
             return Ok((patch.version(), None));
         }
@@ -73,7 +83,7 @@
     use crate::state::Outcome;
     use proptest::prelude::*;
     use proptest::test_runner::RngSeed;
-    use serde_json::{json, Value};
+    use serde_json::json;
 
     #[derive(Debug, Clone)]
     enum Step {
--- a/crates/replica/tests/order_memory.rs
+++ b/crates/replica/tests/order_memory.rs
@@ -150,6 +150,26 @@
     assert!(matches!(not_above, Answer::Wrong(_)), "on the newest, and not above it: {not_above:?}");
 }
 
+#[test]
+fn a_repeat_of_what_an_older_program_took_is_known_before_it_is_judged() {
+    // Today's rules want a weight above 0.
+    let mut body = document(2);
+    body["routes"]["r"]["max_attempts"] = json!(0);
+    let digest = call_digest("PUT", Some(0), body.to_string().as_bytes());
+    let taken = Entry::Put { base: 0, version: 2, digest, doc: body.clone() };
+    let mut core = Alone::new("", &[serde_json::to_string(&taken).expect("JSON")]);
+    assert_eq!(core.replica.state().version(), 2);
+    assert_eq!(core.send(false, 0, &body), Answer::Taken);
+    assert!(matches!(core.send(false, 2, &body), Answer::Wrong(_)), "another order");
+    let change = Change {
+        patch: false,
+        base: Some(0),
+        body: br#"{"config_version":2,"config_version":2}"#[..].into(),
+    };
+    core.replica.change(core.now, change);
+    assert!(matches!(core.write()[..], [Answer::Wrong(_)]), "a number that stands twice");
+}
+
 /// As a former program wrote it, with so many changes.
 fn former(changes: u64, first: u64) -> String {
     let version = |number| (first + number) * STEP;
--- a/crates/schema/src/document.rs
+++ b/crates/schema/src/document.rs
@@ -1,6 +1,7 @@
 //! A configuration whole, as it was sent, with its checked typed view.
 
 use crate::config::{Config, Route, Trial};
+use crate::lenient;
 use quick_error::quick_error;
 use serde::de::{Deserialize, Deserializer, Error, MapAccess, SeqAccess, Visitor};
 use serde_json::{Map, Value};
@@ -51,7 +52,7 @@
 impl Document {
     /// Reads and checks a body. The error names the first place that is wrong.
     pub fn read(bytes: &[u8]) -> Result<Document, Problem> {
-        Document::of(read_whole(bytes)?)
+        Document::of(read_body(bytes)?)
     }
 
     /// The same for JSON that was read already.
@@ -102,8 +103,8 @@
     }
 }
 
-/// Reads JSON whole: an object in which no name stands twice.
-pub(crate) fn read_whole(bytes: &[u8]) -> Result<Value, Problem> {
+/// Reads the body of a change, whole: an object in which no name stands twice. For [`Document::of`] and `Patch::of`.
+pub fn read_body(bytes: &[u8]) -> Result<Value, Problem> {
     let mut reader = serde_json::Deserializer::from_slice(bytes);
     let Once(value) =
         Once::deserialize(&mut reader).map_err(|error| Problem::Unreadable(error.to_string()))?;
@@ -114,6 +115,11 @@
     Ok(value)
 }
 
+/// The version that a change's body names, whatever else is in it.
+pub fn body_version(body: &Value) -> Option<u64> {
+    body.get("config_version").and_then(|version| lenient::whole(version).ok())
+}
+
 /// A typed view of JSON; the error names the place.
 fn typed<'a, T: Deserialize<'a>>(raw: &'a Value) -> Result<T, Problem> {
     serde_path_to_error::deserialize(raw).map_err(|error| {
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use config::{Backend, Config, Limits, Route, RouteType, Share, Stage, Tenant, Trial, TrialState};
 pub use digest::{call_digest, if_match, value_digest};
-pub use document::{Document, Problem};
+pub use document::{body_version, read_body, Document, Problem};
 pub use patch::{apply_delta, delta, Patch, Table};
 pub use settings::{
     Bounds, CoreAddresses, EdgeAddresses, FaultTolerance, Listen, MachineLimits, Settings, SettingsError,
--- a/crates/schema/src/patch.rs
+++ b/crates/schema/src/patch.rs
@@ -1,6 +1,6 @@
 //! Changes of named items, and the difference of two documents.
 
-use crate::document::{read_whole, Document, Problem};
+use crate::document::{read_body, Document, Problem};
 use serde_json::{json, Map, Value};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -50,7 +50,7 @@
     /// `name`; also `limits`, whole) and `remove` (for each table a list of names). Whether the items are right
     /// shows in [`Patch::apply`], in the document that results.
     pub fn read(bytes: &[u8]) -> Result<Patch, Problem> {
-        Patch::of(read_whole(bytes)?)
+        Patch::of(read_body(bytes)?)
     }
 
     /// The same for JSON that was read already.
