Decide what an exchange with a server means in a module without I/O

Whose an answer is, what it proves, what may be sent again and whether the connection may carry another request was decided amid the sockets of attempt.rs and proxy.rs. It now stands in exchange_state.rs, which these drive. New guards: what must not run twice is not sent while a server may have run it, whatever the core says; and a surplus answer is not read past on a connection that has carried both HEAD and other requests, where its end can't be told.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -1,17 +1,13 @@
-//! One send of a request to one server, and what its answer proves.
-//!
-//! Until the first byte is written the request has not run; from then on it may have, unless the server says otherwise.
-//! An answer counts when it names the request's own id: bytes of an earlier one may come in its place.
+//! One send of a request to one server over its sockets; what its answer means is decided in [`crate::exchange_state`].
 
 use crate::exchange::{Body, Exchange, Part, Served, ServedBody, Stream, MOST_WHOLE};
+use crate::exchange_state::{verdict, Receiver, Sends, Verdict};
 use crate::pool::{Link, Pool, SendError};
 use bytes::{Bytes, BytesMut};
 use nickeljunction_core::facade::{Outcome, Repeat};
 use nickeljunction_core::life::Answer;
-use nickeljunction_http::stream::{
-    put_chunk, put_last_chunk, put_line, read_answer_head, AnswerHead, BodyReader,
-};
-use nickeljunction_http::{Chunk, Framing, Headers, HttpError, MOST_HEAD};
+use nickeljunction_http::stream::{put_chunk, put_last_chunk, put_line, AnswerHead, BodyReader};
+use nickeljunction_http::{Chunk, Framing, Headers};
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
 use std::io;
@@ -29,8 +25,6 @@
 const PARTS_AHEAD: usize = 2;
 /// A body up to this length is written together with its head, bytes.
 const WITH_HEAD: usize = 8 * 1024;
-/// A surplus answer up to this length is read past, bytes; one longer ends the connection.
-const MOST_SURPLUS: u64 = 1024 * 1024;
 /// Header lines of a client that are not passed on, since this side writes its own or keeps them to itself.
 const NOT_PASSED: [&str; 5] =
     ["authorization", "x-attempt-id", "x-deadline-remaining", "x-expected-instance", "x-tenant-name"];
@@ -51,12 +45,10 @@
     /// Its unit is good for a first byte until then, ms of the program's clock.
     pub(crate) unit_until: f64,
     reply: RefCell<Option<oneshot::Sender<Answer<Served>>>>,
-    /// Servers that it has been sent to, or is being.
-    pub(crate) sends: Cell<u32>,
+    /// What went out of it.
+    sends: Cell<Sends>,
     /// The budget of its service has counted it.
     pub(crate) counted: Cell<bool>,
-    /// Sends that have run or may have.
-    exposed: Cell<u32>,
     /// The last whole answer that told of a failure.
     failure: RefCell<Option<Served>>,
     /// Sends that were given up and go on all the same, and what the client is told should none of them be answered.
@@ -81,9 +73,8 @@
             deadline: exchange.arrived + exchange.patience_ms,
             unit_until: exchange.unit_until,
             reply: RefCell::new(Some(exchange.reply)),
-            sends: Cell::new(0),
+            sends: Cell::default(),
             counted: Cell::new(false),
-            exposed: Cell::new(0),
             failure: RefCell::new(None),
             kept: RefCell::default(),
             parked: RefCell::default(),
@@ -149,22 +140,27 @@
         let Some(reply) = self.reply.borrow_mut().take() else { return };
         let answer = match (answer, self.failure.borrow_mut().take()) {
             (Answer::Served(served), _) | (_, Some(served)) => Answer::Served(served),
-            (Answer::ShortOnCapacityReply(_), _) if self.repeat == Repeat::Once && self.exposed.get() > 0 => {
-                Answer::Failed
-            }
+            (Answer::ShortOnCapacityReply(_), _) if !self.sends().may_refuse(self.repeat) => Answer::Failed,
             (answer, _) => answer,
         };
         // A client that has gone awaits nothing.
         let _ = reply.send(answer);
     }
 
-    fn expose(&self) {
-        self.exposed.set(self.exposed.get() + 1);
+    /// What went out of it so far.
+    pub(crate) fn sends(&self) -> Sends {
+        self.sends.get()
+    }
+
+    /// Something goes out of it, or has turned out not to have.
+    pub(crate) fn note(&self, change: impl FnOnce(&mut Sends)) {
+        let mut sends = self.sends.get();
+        change(&mut sends);
+        self.sends.set(sends);
     }
 
-    /// The server vouches for not having run it.
-    fn absolve(&self) {
-        self.exposed.set(self.exposed.get().saturating_sub(1));
+    fn is_head(&self) -> bool {
+        self.method == "HEAD"
     }
 
     /// The head as the server of this id gets it, with so many ms left.
@@ -265,8 +261,10 @@
         whole = Bytes::new();
     }
     let peer = link.peer;
-    load.expose();
-    let mut incoming = Incoming { from: BytesMut::new(), peer, clean: true };
+    load.note(Sends::expose);
+    link.carried.add(load.is_head());
+    let came = Receiver::new(&load.attempt_id, load.is_head(), link.carried);
+    let mut incoming = Incoming { came, peer };
     let sent = match stream {
         None => {
             let wrote = match link.stream.write_all(&head[written..]).await {
@@ -289,8 +287,8 @@
                     came = incoming.more(&mut reading, READ_BYTES) => came?,
                 }
                 // A server may answer before it has the whole body: what it would still get is of no use to it.
-                if incoming.answered(load) {
-                    incoming.clean = false;
+                if incoming.came.answered() {
+                    incoming.came.cut_short();
                     break Ok(());
                 }
             }
@@ -301,7 +299,7 @@
             return Err(error);
         }
         // It may have answered and closed before it read all.
-        incoming.clean = false;
+        incoming.came.cut_short();
         return match answer(pool, id, load, link, incoming).await {
             Ok(ended) => Ok(ended),
             Err(_) => Err(error),
@@ -363,18 +361,17 @@
 
 /// What comes from a server.
 struct Incoming {
-    from: BytesMut,
+    came: Receiver,
     peer: SocketAddr,
-    /// The connection can be used again as far as is known.
-    clean: bool,
 }
 
 impl Incoming {
     /// Reads some more.
     async fn more(&mut self, reading: &mut (impl AsyncRead + Unpin), most: usize) -> Result<(), SendError> {
-        let begun = !self.from.is_empty();
-        self.from.reserve(most);
-        match reading.read_buf(&mut self.from).await {
+        let from = &mut self.came.from;
+        let begun = !from.is_empty();
+        from.reserve(most);
+        match reading.read_buf(from).await {
             Ok(0) if begun => Err(SendError::Cut(self.peer)),
             Ok(0) => Err(SendError::Silent(self.peer, io::ErrorKind::UnexpectedEof.into())),
             Ok(_) => Ok(()),
@@ -383,62 +380,22 @@
         }
     }
 
-    fn garbled(&self, error: HttpError) -> SendError {
-        SendError::Garbled(self.peer, error)
-    }
-
-    /// What has come is the answer to this request, or nothing that could be followed by it.
-    fn answered(&self, load: &Load) -> bool {
-        match read_answer_head(&mut self.from.clone(), MOST_HEAD, load.method == "HEAD") {
-            Ok(Some(head)) => head.headers.get("x-attempt-id") == Some(&load.attempt_id),
-            Ok(None) => false,
-            Err(_) => true,
-        }
-    }
-
-    /// The head of the answer to this request. One surplus answer to an earlier request may come before it; two would be
-    /// no accident.
-    async fn head(&mut self, link: &mut Link, load: &Load) -> Result<AnswerHead, SendError> {
-        for turn in 0..2 {
-            let head = loop {
-                let head = read_answer_head(&mut self.from, MOST_HEAD, load.method == "HEAD");
-                match head.map_err(|error| self.garbled(error))? {
-                    Some(head) => break head,
-                    None => self.more(&mut link.stream, READ_BYTES).await?,
-                }
-            };
-            match head.headers.single("x-attempt-id").map_err(|error| self.garbled(error))? {
-                Some(id) if id == load.attempt_id => return Ok(head),
-                Some(_) if turn == 0 => {
-                    self.clean = false;
-                    self.skip(link, &head).await?;
-                }
-                Some(_) => break,
-                None => return Err(SendError::Foreign(self.peer, "no id")),
-            }
-        }
-        Err(SendError::Foreign(self.peer, "another id"))
-    }
-
-    /// Reads past the body of an answer to another request.
-    async fn skip(&mut self, link: &mut Link, head: &AnswerHead) -> Result<(), SendError> {
-        let reader = BodyReader::new(head.framing, MOST_SURPLUS);
-        let mut reader = reader.map_err(|error| self.garbled(error))?;
-        while !reader.is_complete() {
-            match reader.next(&mut self.from).map_err(|error| self.garbled(error))? {
-                Chunk::Incomplete => self.more(&mut link.stream, READ_BYTES).await?,
-                Chunk::Part(_) | Chunk::End => {}
+    /// The head of the answer to this request.
+    async fn head(&mut self, link: &mut Link) -> Result<AnswerHead, SendError> {
+        loop {
+            match self.came.head().map_err(|flaw| SendError::flaw(self.peer, flaw))? {
+                Some(head) => return Ok(head),
+                None => self.more(&mut link.stream, READ_BYTES).await?,
             }
         }
-        Ok(())
     }
 
     /// The body, or its start where it is longer than [`MOST_WHOLE`].
     async fn body(&mut self, link: &mut Link, reader: &mut BodyReader) -> Result<Bytes, SendError> {
         let mut whole = BytesMut::new();
         loop {
-            let step = reader.next(&mut self.from).map_err(|error| self.garbled(error))?;
-            match step {
+            let step = reader.next(&mut self.came.from);
+            match step.map_err(|error| SendError::Garbled(self.peer, error))? {
                 Chunk::Part(part) if whole.is_empty() && reader.is_complete() => return Ok(part),
                 Chunk::Part(part) => whole.extend_from_slice(&part),
                 Chunk::End => return Ok(whole.freeze()),
@@ -455,36 +412,6 @@
     }
 }
 
-/// What the status and lines of an answer prove.
-#[derive(Debug, Clone, Copy, PartialEq)]
-enum Proof {
-    /// It has not run.
-    TurnedAway,
-    /// The client's answer.
-    Answer,
-    /// It has run, and failed.
-    Failure,
-    /// It may have run, and the status would promise the client that it has not.
-    Unclear,
-    /// Not the server's own answer.
-    Spoilt(&'static str),
-}
-
-fn proof(head: &AnswerHead) -> Proof {
-    if head.status == 421 || head.headers.get("x-not-executed").is_some() {
-        return Proof::TurnedAway;
-    }
-    if head.headers.all("content-encoding").any(|coding| !coding.eq_ignore_ascii_case("identity")) {
-        return Proof::Spoilt("encoded");
-    }
-    match head.status {
-        200..=299 if head.headers.get("x-response-seal").is_none() => Proof::Spoilt("no seal"),
-        408 | 429 | 503 => Proof::Unclear,
-        ..=499 => Proof::Answer,
-        _ => Proof::Failure,
-    }
-}
-
 /// Reads the answer and says what it proves.
 async fn answer(
     pool: &Rc<Pool>,
@@ -493,47 +420,38 @@
     mut link: Link,
     mut incoming: Incoming,
 ) -> Result<Ended, SendError> {
-    let head = incoming.head(&mut link, load).await?;
-    incoming.clean &= head.keep_alive;
+    let head = incoming.head(&mut link).await?;
     link.heed(head.headers.get("keep-alive"));
-    let proof = proof(&head);
     let mut reader =
         BodyReader::new(head.framing, u64::MAX).map_err(|error| SendError::Garbled(link.peer, error))?;
-    if proof == Proof::TurnedAway {
-        load.absolve();
-        let misdirected = head.status == 421;
-        // Its body matters only for the connection, and not enough to wait for it.
-        let mut whole = Ok(Chunk::Incomplete);
-        while !reader.is_complete() {
-            whole = reader.next(&mut incoming.from);
-            if matches!(whole, Ok(Chunk::Incomplete) | Err(_)) {
-                break;
+    let (outcome, deliver, in_reserve) = match verdict(&head, load.repeat) {
+        Verdict::TurnedAway { misdirected } => {
+            load.note(Sends::vouched);
+            // Its body matters only for the connection, and not enough to wait for it.
+            while !reader.is_complete() {
+                if matches!(reader.next(&mut incoming.came.from), Ok(Chunk::Incomplete) | Err(_)) {
+                    break;
+                }
             }
+            give_back(pool, id, link, &incoming, reader.is_complete() && !misdirected);
+            return Ok(Ended { misdirected, ..Ended::with(Outcome::TurnedAway, None, None) });
         }
-        drop(whole);
-        give_back(pool, id, link, &incoming, reader.is_complete() && !misdirected);
-        return Ok(Ended { misdirected, ..Ended::with(Outcome::TurnedAway, None, None) });
-    }
-    if let Proof::Spoilt(what) = proof {
-        return Err(SendError::Foreign(link.peer, what));
-    }
+        Verdict::Foreign(what) => return Err(SendError::Foreign(link.peer, what)),
+        Verdict::Deliver(outcome) => (outcome, true, false),
+        Verdict::Elsewhere { in_reserve } => (Outcome::Error, false, in_reserve),
+    };
     let long = matches!(head.framing, Framing::Length(length) if length > MOST_WHOLE);
     let begin = if long { Bytes::new() } else { incoming.body(&mut link, &mut reader).await? };
-    // What repeats can go elsewhere; what can't is told what the server told.
-    let elsewhere = proof == Proof::Unclear || (proof == Proof::Failure && load.repeat != Repeat::Once);
-    let outcome = if proof == Proof::Answer { Outcome::Served } else { Outcome::Error };
     if reader.is_complete() {
         give_back(pool, id, link, &incoming, true);
         let served = Served { status: head.status, headers: head.headers, body: ServedBody::Whole(begin) };
-        if elsewhere {
-            if proof == Proof::Failure {
-                *load.failure.borrow_mut() = Some(served);
-            }
+        if in_reserve {
+            *load.failure.borrow_mut() = Some(served);
             return Ok(Ended::with(outcome, None, None));
         }
-        return Ok(Ended::with(outcome, Some(served), None));
+        return Ok(Ended::with(outcome, deliver.then_some(served), None));
     }
-    if elsewhere {
+    if !deliver {
         return Ok(Ended::with(outcome, None, None));
     }
     let (to, parts) = mpsc::channel(PARTS_AHEAD);
@@ -547,9 +465,9 @@
     Ok(Ended::with(outcome, Some(served), Some(rest)))
 }
 
-/// Bytes past an answer belong to no request: such a connection is closed.
+/// Keeps a connection that may carry another request; any other is closed.
 fn give_back(pool: &Pool, id: &str, link: Link, incoming: &Incoming, read: bool) {
-    if read && incoming.clean && incoming.from.is_empty() {
+    if incoming.came.reusable(read) {
         pool.keep(id, link);
     }
 }
@@ -576,7 +494,7 @@
             }
         }
         loop {
-            match self.reader.next(&mut self.incoming.from) {
+            match self.reader.next(&mut self.incoming.came.from) {
                 Ok(Chunk::Part(part)) => {
                     if self.to.send(Part::Data(part)).await.is_err() {
                         return;
--- /dev/null
+++ b/crates/edge/src/exchange_state.rs
@@ -0,0 +1,232 @@
+//! What happens to a request on its way to servers, without I/O: whose an answer is, what it proves, whether the request
+//! may be sent again, and whether the connection may carry another one.
+//!
+//! Until the first byte is written the request has not run; from then on it may have, unless the server says otherwise.
+//! An answer counts when it names the request's own id: bytes of an earlier one may come in its place.
+
+use bytes::BytesMut;
+use nickeljunction_core::facade::{Outcome, Repeat};
+use nickeljunction_http::stream::{read_answer_head, AnswerHead, BodyReader};
+use nickeljunction_http::{Chunk, HttpError, MOST_HEAD};
+
+/// A surplus answer up to this length is read past, bytes; one longer ends the connection.
+const MOST_SURPLUS: u64 = 1024 * 1024;
+
+/// Why a request is not sent once more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Withheld {
+    /// As many servers have it as its route allows.
+    MostSends,
+    /// A server may have run it, and it must not run twice.
+    MayHaveRun,
+}
+
+/// The sends of one request, over all servers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Sends {
+    begun: u32,
+    exposed: u32,
+}
+
+impl Sends {
+    /// Servers that have it, or are being sent it.
+    pub fn begun(&self) -> u32 {
+        self.begun
+    }
+
+    /// May it be sent to one more server, where its route allows `most`?
+    ///
+    /// # Errors
+    /// Why not.
+    pub fn allow(&self, repeat: Repeat, most: u32) -> Result<(), Withheld> {
+        if self.begun >= most {
+            return Err(Withheld::MostSends);
+        }
+        if repeat == Repeat::Once && self.exposed > 0 {
+            return Err(Withheld::MayHaveRun);
+        }
+        Ok(())
+    }
+
+    /// A send begins; nothing of it has gone out yet.
+    pub fn begin(&mut self) {
+        self.begun += 1;
+    }
+
+    /// A send ended before its first byte.
+    pub fn unsent(&mut self) {
+        self.begun = self.begun.saturating_sub(1);
+    }
+
+    /// The first byte of a send has gone out.
+    pub fn expose(&mut self) {
+        self.exposed += 1;
+    }
+
+    /// A server vouches for not having run it.
+    pub fn vouched(&mut self) {
+        self.exposed = self.exposed.saturating_sub(1);
+    }
+
+    /// Its client may be told that it has not run. What may run twice may run after a refusal, too.
+    pub fn may_refuse(&self, repeat: Repeat) -> bool {
+        repeat != Repeat::Once || self.exposed == 0
+    }
+}
+
+/// The sorts of requests that a connection has carried: answers to `HEAD` have no body whatever they state.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Carried {
+    heads: bool,
+    others: bool,
+}
+
+impl Carried {
+    /// One more request goes out on it.
+    pub fn add(&mut self, to_head: bool) {
+        self.heads |= to_head;
+        self.others |= !to_head;
+    }
+
+    /// The end of an answer can be told although nobody knows which of the requests it belongs to.
+    fn one_sort(&self) -> bool {
+        !(self.heads && self.others)
+    }
+}
+
+/// Why what came is no answer to the request.
+#[derive(Debug)]
+pub enum Flaw {
+    /// It is no HTTP.
+    Garbled(HttpError),
+    /// It is the answer to another request, or not the server's own.
+    Foreign(&'static str),
+}
+
+impl From<HttpError> for Flaw {
+    fn from(error: HttpError) -> Flaw {
+        Flaw::Garbled(error)
+    }
+}
+
+/// What comes on a connection in answer to one request.
+#[derive(Debug)]
+pub struct Receiver {
+    /// What has been read and not dealt with.
+    pub from: BytesMut,
+    id: String,
+    to_head: bool,
+    carried: Carried,
+    /// The body of a surplus answer that is being read past.
+    surplus: Option<BodyReader>,
+    /// There has been one.
+    passed: bool,
+    /// The connection may carry another request as far as is known.
+    keep: bool,
+}
+
+impl Receiver {
+    /// For the request of this id on a connection that has carried these sorts of requests, this one among them.
+    pub fn new(id: &str, to_head: bool, carried: Carried) -> Receiver {
+        let from = BytesMut::new();
+        Receiver { from, id: id.to_string(), to_head, carried, surplus: None, passed: false, keep: true }
+    }
+
+    /// The request did not go out whole: whatever the answer, the connection carries no other.
+    pub fn cut_short(&mut self) {
+        self.keep = false;
+    }
+
+    /// What has come while the request is still being written is the answer to it, or nothing that could be followed by
+    /// it.
+    pub fn answered(&self) -> bool {
+        match read_answer_head(&mut self.from.clone(), MOST_HEAD, self.to_head) {
+            Ok(Some(head)) => head.headers.get("x-attempt-id") == Some(&self.id),
+            Ok(None) => false,
+            Err(_) => true,
+        }
+    }
+
+    /// The head of the answer to this request; `None`: more must be read first. One surplus answer to an earlier request
+    /// may come before it; two would be no accident.
+    ///
+    /// # Errors
+    /// No answer to this request will come on this connection.
+    pub fn head(&mut self) -> Result<Option<AnswerHead>, Flaw> {
+        loop {
+            if !self.read_past()? {
+                return Ok(None);
+            }
+            let head = read_answer_head(&mut self.from, MOST_HEAD, self.to_head)?;
+            let Some(head) = head else { return Ok(None) };
+            match head.headers.single("x-attempt-id")? {
+                Some(id) if id == self.id => {
+                    self.keep &= head.keep_alive;
+                    return Ok(Some(head));
+                }
+                Some(_) if !self.passed && self.carried.one_sort() => {
+                    (self.passed, self.keep) = (true, false);
+                    self.surplus = Some(BodyReader::new(head.framing, MOST_SURPLUS)?);
+                }
+                Some(_) => return Err(Flaw::Foreign("another id")),
+                None => return Err(Flaw::Foreign("no id")),
+            }
+        }
+    }
+
+    /// Reads past the body of a surplus answer; `false`: more of it must come first.
+    fn read_past(&mut self) -> Result<bool, Flaw> {
+        let Some(body) = &mut self.surplus else { return Ok(true) };
+        while !body.is_complete() {
+            if body.next(&mut self.from)? == Chunk::Incomplete {
+                return Ok(false);
+            }
+        }
+        self.surplus = None;
+        Ok(true)
+    }
+
+    /// The connection may carry another request, once the answer was read as far as `whole` says. Bytes past an answer
+    /// belong to no request.
+    pub fn reusable(&self, whole: bool) -> bool {
+        whole && self.keep && self.from.is_empty()
+    }
+}
+
+/// What an answer to the request means for it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Verdict {
+    /// It has not run: another server may have it.
+    TurnedAway {
+        /// The server is another one than was meant.
+        misdirected: bool,
+    },
+    /// The client's answer.
+    Deliver(Outcome),
+    /// Another server may do better where that does no harm.
+    Elsewhere {
+        /// The answer is the client's should no other server do better.
+        in_reserve: bool,
+    },
+    /// Not the server's own answer.
+    Foreign(&'static str),
+}
+
+/// What status and lines of an answer mean for a request that may be repeated like this.
+pub fn verdict(head: &AnswerHead, repeat: Repeat) -> Verdict {
+    if head.status == 421 || head.headers.get("x-not-executed").is_some() {
+        return Verdict::TurnedAway { misdirected: head.status == 421 };
+    }
+    if head.headers.all("content-encoding").any(|coding| !coding.eq_ignore_ascii_case("identity")) {
+        return Verdict::Foreign("encoded");
+    }
+    match head.status {
+        200..=299 if head.headers.get("x-response-seal").is_none() => Verdict::Foreign("no seal"),
+        // It may have run, and the status would promise the client that it has not.
+        408 | 429 | 503 => Verdict::Elsewhere { in_reserve: false },
+        ..=499 => Verdict::Deliver(Outcome::Served),
+        // What repeats can go elsewhere; what can't is told what the server told.
+        _ if repeat == Repeat::Once => Verdict::Deliver(Outcome::Error),
+        _ => Verdict::Elsewhere { in_reserve: true },
+    }
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cli;
 pub mod ebb;
 pub mod exchange;
+pub mod exchange_state;
 pub mod figures;
 pub mod front;
 pub mod lease;
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -1,6 +1,7 @@
 //! Kept connections to servers, by instance id: connections are dear to servers, and a request that crosses the close of one
 //! may have run for all this side can tell.
 
+use crate::exchange_state::{Carried, Flaw};
 use nickeljunction_core::facade::Outcome;
 use nickeljunction_http::HttpError;
 use nickeljunction_net::budget::{Budget, Slot};
@@ -83,6 +84,14 @@
 }
 
 impl SendError {
+    /// What came was no answer to the request.
+    pub(crate) fn flaw(peer: SocketAddr, flaw: Flaw) -> SendError {
+        match flaw {
+            Flaw::Garbled(error) => SendError::Garbled(peer, error),
+            Flaw::Foreign(what) => SendError::Foreign(peer, what),
+        }
+    }
+
     /// What it means for the request. Everything from the first written byte on may have run.
     pub fn outcome(&self) -> Outcome {
         match self {
@@ -117,6 +126,8 @@
 pub(crate) struct Link {
     pub(crate) stream: TcpStream,
     pub(crate) peer: SocketAddr,
+    /// What has gone out on it.
+    pub(crate) carried: Carried,
     keep_ms: f64,
     since: f64,
     _share: Share,
@@ -280,6 +291,14 @@
             SockRef::from(&stream).set_tcp_user_timeout(Some(Duration::from_millis(SILENT_PEER_MS)))
         });
         tuned.map_err(|error| SendError::Connect(peer, error))?;
-        Ok(Link { stream, peer, keep_ms: KEEP_MS, since: self.wheel.now(), _share: share, _slot: slot })
+        Ok(Link {
+            stream,
+            peer,
+            carried: Carried::default(),
+            keep_ms: KEEP_MS,
+            since: self.wheel.now(),
+            _share: share,
+            _slot: slot,
+        })
     }
 }
--- a/crates/edge/src/proxy.rs
+++ b/crates/edge/src/proxy.rs
@@ -8,6 +8,7 @@
 use crate::attempt::{attempt, Load};
 use crate::budget::{slack_share, Permits, RepeatBudget, GATEWAYS_ASSUMED};
 use crate::exchange::{Admission, Dispatch, Exchange, Served};
+use crate::exchange_state::{Sends, Withheld};
 use crate::pool::Pool;
 use crate::upstream::{near, own_slots, spills, usable, weight, Place, Upstream};
 use nickeljunction_core::facade::{
@@ -89,10 +90,11 @@
     /// further one.
     fn permit(&self, load: &Load, server: &str) -> Result<Option<u64>, &'static str> {
         let now = self.now_ms();
-        let sends = load.sends.get();
-        if sends >= load.max_attempts {
-            return Err("most sends");
-        }
+        let sends = load.sends().begun();
+        load.sends().allow(load.repeat, load.max_attempts).map_err(|withheld| match withheld {
+            Withheld::MostSends => "most sends",
+            Withheld::MayHaveRun => "may have run",
+        })?;
         if !load.has_body() {
             return Err("body is gone");
         }
@@ -165,13 +167,15 @@
                 return self.late.push((task.request, task.attempt, left));
             }
         };
-        let first = load.sends.replace(load.sends.get() + 1) == 0;
+        let first = load.sends().begun() == 0;
+        load.note(Sends::begin);
         self.shared.count(|counts| *(if first { &mut counts.sends } else { &mut counts.repeats }) += 1);
         let (Some(proxy), Some(lane)) = (self.proxy.upgrade(), self.lane.upgrade()) else { return };
         let send = proxy.send(lane, task.clone(), load.clone(), further);
         let handle = tokio::task::spawn_local(send).abort_handle();
-        // After the order to leave all go on: what the client gets in the end may be an answer of one's own.
-        if !self.shared.leaving.get() {
+        // After the order to leave all go on: what the client gets in the end may be an answer of one's own. What must not
+        // run twice has no other send that may have reached a server.
+        if !self.shared.leaving.get() || load.repeat == Repeat::Once {
             load.cut_kept();
         }
         self.out.insert((task.request, task.attempt), (handle, load.clone()));
@@ -661,7 +665,7 @@
         };
         if matches!(ended.outcome, Outcome::CouldNotConnect | Outcome::NotSent) {
             // Nothing of it has arrived anywhere.
-            load.sends.set(load.sends.get().saturating_sub(1));
+            load.note(Sends::unsent);
             if let Some(at) = further {
                 let mut book = self.shared.book.borrow_mut();
                 book.budgets.get_mut(&load.backend).into_iter().for_each(|budget| budget.unsent(at));
