Acknowledge both copies of one order on the core's members

Two copies of an order on the core's members that were under way at once at one leader both built on the same order before them: the second one's entry found the first in its place and was answered 409 'another order came first', though that was its other copy. Where an order finds another one in its place it is looked at again: what is ordered already is taken.

--- a/crates/replica/src/calls.rs
+++ b/crates/replica/src/calls.rs
@@ -231,12 +231,16 @@
                 (ticket, answer)
             }
             Settled::Entry(Proposed::Core { ticket, wish }, outcome) => {
-                self.out.events.push(Event::CoreOrder { wish, outcome });
                 let answer = match outcome {
                     Some(Outcome::Taken) => Answer::Taken,
-                    Some(Outcome::Conflict) => Answer::Conflict(None),
+                    // What came first may have been another copy of this very order.
+                    Some(Outcome::Conflict) => match self.core_entry(now, &wish) {
+                        Ok(None) => Answer::Taken,
+                        _ => Answer::Conflict(None),
+                    },
                     None => Answer::Unknown,
                 };
+                self.out.events.push(Event::CoreOrder { wish, outcome });
                 (ticket, answer)
             }
             Settled::Entry(Proposed::Stage { tenant, base }, _) => {
--- /dev/null
+++ b/crates/replica/tests/alone/mod.rs
@@ -0,0 +1,93 @@
+//! A core of one member.
+
+// Not every test needs all of it.
+#![allow(dead_code)]
+
+use nickeljunction_consensus::{first_id, Body, Entry as Logged, Hard, Restored, Snapshot, Tuning};
+use nickeljunction_messages::Member;
+use nickeljunction_replica::{Answer, Change, Place, Replica};
+use nickeljunction_schema::Bounds;
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// A core of one member, which leads; its disk writes at once.
+pub struct Alone {
+    pub replica: Replica,
+    pub now: u64,
+    /// Writes of which nothing was said yet.
+    pub writing: Vec<u64>,
+}
+
+impl Alone {
+    /// From a snapshot of its state, and entries after it.
+    pub fn new(state: &str, entries: &[String]) -> Alone {
+        let me = Member { id: first_id("10.0.0.1"), host: "10.0.0.1".into() };
+        let snapshot = Snapshot { index: 1, term: 1, members: vec![me.clone()], state: state.into() };
+        let logged = |(at, data): (usize, &String)| Logged {
+            index: at as u64 + 2,
+            term: 1,
+            body: Body::Data(data.clone()),
+        };
+        let entries = entries.iter().enumerate().map(logged).collect();
+        let hard = Hard { term: 1, ..Hard::default() };
+        let restored = Restored { me, new: false, hard, snapshot: Some(snapshot), entries };
+        let place = Place {
+            name: "core-1".into(),
+            host: "10.0.0.1".into(),
+            zones: BTreeMap::new(),
+            bounds: Bounds::usual(),
+            heartbeat_ms: 1_000,
+        };
+        let replica = Replica::new(Rc::new(place), restored, Tuning::default(), 1, 0);
+        let mut alone = Alone { replica, now: 0, writing: Vec::new() };
+        while alone.replica.leads().is_none() {
+            alone.now += 1;
+            alone.replica.tick(alone.now);
+            alone.write();
+        }
+        alone
+    }
+
+    /// Carries out what the machine wants; its answers. What it wants to be written is said to be written by `write`.
+    pub fn carry_out(&mut self) -> Vec<Answer> {
+        let effects = self.replica.take();
+        self.writing.extend(effects.writes.iter().map(|write| write.ticket));
+        effects.answers.into_iter().map(|(_, answer)| answer).collect()
+    }
+
+    /// The disk has written all that was wanted, and what follows from it; the answers.
+    pub fn write(&mut self) -> Vec<Answer> {
+        let mut answers = self.carry_out();
+        while !self.writing.is_empty() {
+            for ticket in std::mem::take(&mut self.writing) {
+                self.replica.written(self.now, ticket, true);
+                answers.extend(self.carry_out());
+            }
+        }
+        answers
+    }
+
+    /// An operator's change, not waited for.
+    pub fn begin(&mut self, patch: bool, base: u64, body: &Value) {
+        let body = body.to_string().into();
+        self.replica.change(self.now, Change { patch, base: Some(base), body });
+    }
+
+    /// An operator's change, and its answer.
+    pub fn send(&mut self, patch: bool, base: u64, body: &Value) -> Answer {
+        self.begin(patch, base, body);
+        self.write().pop().expect("an answer at once")
+    }
+}
+
+/// A document of this version.
+pub fn document(version: u64) -> Value {
+    json!({"config_version": version, "backends": {"b": {}},
+        "routes": {"r": {"hostname": "h", "path_prefix": "/", "backend": "b"}}})
+}
+
+/// A change of this version that changes nothing else.
+pub fn patch(version: u64) -> Value {
+    json!({"config_version": version, "remove": {"routes": ["none"]}})
+}
--- a/crates/replica/tests/order_memory.rs
+++ b/crates/replica/tests/order_memory.rs
@@ -1,84 +1,19 @@
 //! What is remembered of operators' changes: repeats long after, its end, and snapshots of former programs.
 
-use nickeljunction_consensus::{first_id, Body, Entry as Logged, Hard, Restored, Snapshot, Tuning};
-use nickeljunction_messages::Member;
+mod alone;
+
+use alone::{document, patch, Alone};
 use nickeljunction_replica::order_memory::{Recall, REMEMBERED};
 use nickeljunction_replica::state::{Entry, Outcome, ReplicatedState};
-use nickeljunction_replica::{Answer, Change, Place, Replica};
-use nickeljunction_schema::{call_digest, Bounds};
+use nickeljunction_replica::{Answer, Change};
+use nickeljunction_schema::call_digest;
 use serde_json::{json, Value};
-use std::collections::BTreeMap;
-use std::rc::Rc;
 
 /// Changes of a day that is planned for.
 const DAY: u64 = 4_300;
 /// Versions climb by so much in these tests.
 const STEP: u64 = 3;
 
-/// A core of one member, which leads; its disk writes at once.
-struct Alone {
-    replica: Replica,
-    now: u64,
-}
-
-impl Alone {
-    /// From a snapshot of its state, and entries after it.
-    fn new(state: &str, entries: &[String]) -> Alone {
-        let me = Member { id: first_id("10.0.0.1"), host: "10.0.0.1".into() };
-        let snapshot = Snapshot { index: 1, term: 1, members: vec![me.clone()], state: state.into() };
-        let logged = |(at, data): (usize, &String)| Logged {
-            index: at as u64 + 2,
-            term: 1,
-            body: Body::Data(data.clone()),
-        };
-        let entries = entries.iter().enumerate().map(logged).collect();
-        let hard = Hard { term: 1, ..Hard::default() };
-        let restored = Restored { me, new: false, hard, snapshot: Some(snapshot), entries };
-        let place = Place {
-            name: "core-1".into(),
-            host: "10.0.0.1".into(),
-            zones: BTreeMap::new(),
-            bounds: Bounds::usual(),
-            heartbeat_ms: 1_000,
-        };
-        let replica = Replica::new(Rc::new(place), restored, Tuning::default(), 1, 0);
-        let mut alone = Alone { replica, now: 0 };
-        while alone.replica.leads().is_none() {
-            alone.now += 1;
-            alone.replica.tick(alone.now);
-            alone.write();
-        }
-        alone
-    }
-
-    fn write(&mut self) -> Vec<Answer> {
-        let mut answers = Vec::new();
-        loop {
-            let effects = self.replica.take();
-            answers.extend(effects.answers.into_iter().map(|(_, answer)| answer));
-            if effects.writes.is_empty() {
-                return answers;
-            }
-            effects.writes.iter().for_each(|write| self.replica.written(self.now, write.ticket, true));
-        }
-    }
-
-    fn send(&mut self, patch: bool, base: u64, body: &Value) -> Answer {
-        let body = body.to_string().into();
-        self.replica.change(self.now, Change { patch, base: Some(base), body });
-        self.write().pop().expect("an answer at once")
-    }
-}
-
-fn document(version: u64) -> Value {
-    json!({"config_version": version, "backends": {"b": {}},
-        "routes": {"r": {"hostname": "h", "path_prefix": "/", "backend": "b"}}})
-}
-
-fn patch(version: u64) -> Value {
-    json!({"config_version": version, "remove": {"routes": ["none"]}})
-}
-
 /// Log entry of a change whose digest is its version's.
 fn entry(base: u64, version: u64) -> Entry {
     let digest = call_digest("PATCH", Some(base), patch(version).to_string().as_bytes());
