Give the quota's tuning and bookkeeping named types in place of tuples

Tuning::depth and Tuning::boost are Depth and Boost; ended and earlier lives, the call under way, the slots of a ring and what registering a call comes to have types of their own. Names and doc comments say lease, leader, replicated log and quorum. No rule and no figure is changed.

--- a/crates/quota/src/allowance.rs
+++ b/crates/quota/src/allowance.rs
@@ -1,4 +1,4 @@
-//! The gateway's side: loans held, spent, fetched ahead and given back.
+//! The gateway's side: loans that are held, spent, fetched ahead of need and returned.
 
 use crate::peak::Peak;
 use crate::ring::Ring;
@@ -6,15 +6,16 @@
 use nickeljunction_messages::{TenantGrant, TenantUnits, UnitsAnswer, UnitsCall};
 use std::collections::BTreeMap;
 
-/// First pause after a failed call and the longest, ms.
-const PAUSE_MS: (u64, u64) = (50, 500);
+/// First pause after a failed call, and the longest, ms.
+const FIRST_PAUSE_MS: u64 = 50;
+const LONGEST_PAUSE_MS: u64 = 500;
 /// Longest time told to a refused client, ms.
 const RETRY_MOST_MS: u64 = 5_000;
 
 /// What becomes of a request that asks for a unit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Spend {
-    /// A unit is spent: the request is to be sent at `from`, and its first byte no later than `until` (the allowance's steady
+    /// A unit is spent: the request is to be sent at `from`, and its first byte no later than `until` (the allowance's monotonic
     /// clock, ms; 0 and `u64::MAX` for a tenant without a limit).
     Done {
         /// First moment at which the request may be sent: now, or in a short while, where the pace demands it.
@@ -33,9 +34,26 @@
 }
 
 /// So long after its start a gateway lets requests wait for a tenant's first units, whatever is known of the counter, ms.
-const YOUNG_MS: u64 = 2_000;
+const STARTUP_MS: u64 = 2_000;
 /// When a client is to come back that has waited for a tenant's first units in vain, ms.
-const FIRST_MS: u64 = 300;
+const FIRST_RETRY_MS: u64 = 300;
+
+/// A call that waits for its answer.
+#[derive(Debug, Clone, Copy)]
+struct OpenCall {
+    seq: u64,
+    sent: u64,
+}
+
+/// An answer as one batch takes it in.
+#[derive(Debug, Clone, Copy)]
+struct Receipt {
+    now: u64,
+    /// When the call was sent.
+    sent: u64,
+    /// What was granted may be spent.
+    valid: bool,
+}
 
 /// One tenant's batch.
 #[derive(Debug, Clone)]
@@ -59,7 +77,7 @@
     /// The loan as the counter knows it, after the newest answered call; `None`: not known.
     told: Option<u64>,
     /// As told in the call under way.
-    flying: Option<u64>,
+    reported: Option<u64>,
     /// The limit was lowered since it was sent.
     cut: bool,
     /// The first allowance has come.
@@ -92,7 +110,7 @@
             last_spend: None,
             fetched: 0,
             told: Some(0),
-            flying: None,
+            reported: None,
             cut: false,
             first_came: false,
             asked: 0,
@@ -159,8 +177,7 @@
         }
     }
 
-    /// Units to hold beside those that are spent: less where little remains, so that what lies idle here isn't missed
-    /// there.
+    /// Unspent units to aim for: fewer where little remains, so that idle units here are not missing at other gateways.
     fn target(&self) -> u64 {
         let (cap, used) = (self.cap(), self.spent.sum());
         match self.remaining {
@@ -184,7 +201,7 @@
         (self.asked as f64 - self.tokens).ceil().max(0.0) as u64
     }
 
-    /// Holds more than it needs while somebody may lack it.
+    /// Holds more than it needs while another gateway may need it.
     fn idle(&self, now: u64, tuning: &Tuning) -> bool {
         let held = self.held();
         let quarter = tuning.window_ms / 4;
@@ -213,11 +230,11 @@
     name: String,
     life: u64,
     tuning: Tuning,
-    born: u64,
+    started: u64,
     batches: BTreeMap<String, Batch>,
     seq: u64,
-    /// Number and time of the call under way.
-    flight: Option<(u64, u64)>,
+    /// The call under way.
+    open_call: Option<OpenCall>,
     last_sent: Option<u64>,
     /// Loans may be spent before then.
     valid_until: u64,
@@ -237,15 +254,15 @@
             name: name.into(),
             life,
             tuning,
-            born: now,
+            started: now,
             batches: BTreeMap::new(),
             seq: 0,
-            flight: None,
+            open_call: None,
             last_sent: None,
             valid_until: 0,
             term: 0,
             tell: true,
-            pause: PAUSE_MS.0,
+            pause: FIRST_PAUSE_MS,
             silent_until: None,
         }
     }
@@ -263,8 +280,8 @@
                     batch.lend(now, tuning, old.part(new, batch.loan));
                     batch.remaining = batch.remaining.min(new.cap);
                     // What a call under way brings was lent under the old limit.
-                    if self.flight.is_some() {
-                        (batch.told, batch.flying, batch.cut) = (None, None, true);
+                    if self.open_call.is_some() {
+                        (batch.told, batch.reported, batch.cut) = (None, None, true);
                     }
                 }
                 // Higher: what was known of its end is out of date.
@@ -272,7 +289,7 @@
                 (Some(_), None) => {
                     (batch.loan, batch.lift_until, batch.asked, batch.refused) = (0, 0, 0, 0);
                     (batch.first_came, batch.empty_until) = (false, 0);
-                    (batch.told, batch.flying) = (None, None);
+                    (batch.told, batch.reported) = (None, None);
                 }
                 _ => {}
             }
@@ -287,16 +304,16 @@
         }
     }
 
-    /// Another core member leads, or may, in `term`: the next call goes out at once and tells all. A call under way counts
-    /// as failed.
+    /// Another core member is the leader, or may be, in `term`: the next call is due at once and reports every loan. A
+    /// call under way counts as failed.
     pub fn moved(&mut self, now: u64, term: u64) {
-        if self.flight.is_some() {
+        if self.open_call.is_some() {
             self.failed(now);
         }
         self.heard(term);
         self.tell = true;
         self.silent_until = None;
-        self.pause = PAUSE_MS.0;
+        self.pause = FIRST_PAUSE_MS;
     }
 
     /// A counter of this term is there; whether that is news.
@@ -310,7 +327,7 @@
         news
     }
 
-    /// Drops what is out of date: a gateway that was frozen spends nothing that the counter has written off.
+    /// Drops loans whose lease has ended: a gateway that was suspended spends nothing that the counter has given up.
     fn lapse(&mut self, now: u64) {
         if now < self.valid_until {
             return;
@@ -347,8 +364,8 @@
         let hopeless = empty && (batch.held() <= batch.asked || now < batch.paced_until);
         // After a start the first allowance is on its way, or the counter is about to lend again: clients come back once or
         // twice, and would be refused each time.
-        let young = !batch.first_came && now < self.born + YOUNG_MS;
-        if !young && (self.silent_until.is_some() || hopeless) {
+        let starting = !batch.first_came && now < self.started + STARTUP_MS;
+        if !starting && (self.silent_until.is_some() || hopeless) {
             return self.refuse(now, tenant);
         }
         batch.asked += 1;
@@ -392,7 +409,7 @@
             0 => batch.spent.next_free().unwrap_or(u64::MAX),
             _ => now.saturating_add(batch.held_up(now, &self.tuning)),
         };
-        let soon = if batch.first_came { self.tuning.fetch_ms } else { FIRST_MS };
+        let soon = if batch.first_came { self.tuning.fetch_ms } else { FIRST_RETRY_MS };
         let others = batch.empty_until.max(silent).max(now + soon);
         let free = others.min(own.max(now + 1));
         Spend::Refused { retry_after_ms: (free - now).clamp(1, RETRY_MOST_MS) }
@@ -401,7 +418,7 @@
     /// When the next call is due, ms; `u64::MAX` without a tenant that has a limit or something to tell.
     fn due(&self) -> u64 {
         let Some(last) = self.last_sent else {
-            return if self.batches.is_empty() { u64::MAX } else { self.born };
+            return if self.batches.is_empty() { u64::MAX } else { self.started };
         };
         let tuning = &self.tuning;
         let mut due = u64::MAX;
@@ -440,9 +457,9 @@
         due.max(self.silent_until.unwrap_or(0))
     }
 
-    /// When to `poll` again, ms by the steady clock; `None` while a call is under way, or without tenants.
+    /// When to `poll` again, ms by the monotonic clock; `None` while a call is under way, or without tenants.
     pub fn next_wake(&self) -> Option<u64> {
-        match self.flight {
+        match self.open_call {
             Some(_) => None,
             None => Some(self.due()).filter(|due| *due != u64::MAX),
         }
@@ -450,14 +467,14 @@
 
     /// The call that is due, if any: send it to the core member that leads. One is under way at a time.
     pub fn poll(&mut self, now: u64) -> Option<UnitsCall> {
-        if self.flight.is_some() || now < self.due() {
+        if self.open_call.is_some() || now < self.due() {
             return None;
         }
         self.lapse(now);
         Some(self.call(now, false))
     }
 
-    /// Gives all units back, at a stop: a last call, whose answer doesn't matter. Nothing is spent after it.
+    /// Returns all units at shutdown, in a last call whose answer is not needed. Nothing is spent after it.
     pub fn give_back(&mut self, now: u64) -> UnitsCall {
         self.valid_until = 0;
         self.lapse(now);
@@ -472,7 +489,7 @@
         let all = self.tell;
         let mut call = UnitsCall { life: self.life, seq: self.seq, all, end, ..UnitsCall::default() };
         if all {
-            (call.name, call.born_ms, call.to) = (self.name.clone(), now - self.born, self.term);
+            (call.name, call.born_ms, call.to) = (self.name.clone(), now - self.started, self.term);
         }
         let tuning = &self.tuning;
         for (tenant, batch) in &mut self.batches {
@@ -493,10 +510,10 @@
                 units.least = batch.least.get(now, tuning.window_ms, pace, u64::min);
                 units.over = loan - batch.loan;
             }
-            batch.flying = Some(loan);
+            batch.reported = Some(loan);
             call.tenants.insert(tenant.clone(), units);
         }
-        self.flight = Some((self.seq, now));
+        self.open_call = Some(OpenCall { seq: self.seq, sent: now });
         self.last_sent = Some(now);
         call
     }
@@ -532,21 +549,21 @@
 
     /// The counter's answer. Only that to the newest call counts, and only while no newer counter has been heard of.
     pub fn answered(&mut self, now: u64, answer: &UnitsAnswer) {
-        let Some((seq, sent)) = self.flight else { return };
+        let Some(OpenCall { seq, sent }) = self.open_call else { return };
         if answer.seq != seq && self.tuning.keeps(Guard::Newest) {
             return;
         }
         if answer.term < self.term {
             return self.failed(now);
         }
-        self.flight = None;
+        self.open_call = None;
         let news = self.heard(answer.term);
-        (self.pause, self.silent_until) = (PAUSE_MS.0, None);
+        (self.pause, self.silent_until) = (FIRST_PAUSE_MS, None);
         if answer.tell {
-            self.batches.values_mut().for_each(|batch| batch.flying = None);
+            self.batches.values_mut().for_each(|batch| batch.reported = None);
             // Told to tell though it told all, and to this counter: not at once again.
             if self.tell && !news {
-                self.silent_until = Some(now + PAUSE_MS.0);
+                self.silent_until = Some(now + FIRST_PAUSE_MS);
             }
             self.tell = true;
             return;
@@ -556,16 +573,19 @@
         self.valid_until = self.valid_until.max(sent + self.tuning.life_ms);
         let valid = now < self.valid_until;
         for (tenant, batch) in &mut self.batches {
-            if let Some(loan) = batch.flying.take() {
+            if let Some(loan) = batch.reported.take() {
                 batch.told = Some(loan);
             }
             if let Some(grant) = answer.tenants.get(tenant) {
-                Self::take(&self.tuning, (now, sent), valid && !batch.cut, batch, grant);
+                let receipt = Receipt { now, sent, valid: valid && !batch.cut };
+                Self::take(&self.tuning, receipt, batch, grant);
             }
         }
     }
 
-    fn take(tuning: &Tuning, (now, sent): (u64, u64), valid: bool, batch: &mut Batch, grant: &TenantGrant) {
+    /// Takes in what was granted of one tenant.
+    fn take(tuning: &Tuning, receipt: Receipt, batch: &mut Batch, grant: &TenantGrant) {
+        let Receipt { now, sent, valid } = receipt;
         batch.remaining = grant.remaining;
         let waited = batch.asked + batch.refused > 0;
         (batch.asked, batch.refused) = (0, 0);
@@ -599,19 +619,19 @@
         }
     }
 
-    /// The call under way got no answer in time, or no member leads. What it may have lent is never used.
+    /// The call under way got no answer in time, or there is no leader. What it may have been granted is never used.
     pub fn failed(&mut self, now: u64) {
-        if self.flight.take().is_none() {
+        if self.open_call.take().is_none() {
             return;
         }
         for batch in self.batches.values_mut() {
-            if batch.flying.take().is_some() {
+            if batch.reported.take().is_some() {
                 // It may have arrived, and its grant be lent: the next call tells otherwise.
                 batch.told = None;
             }
         }
         self.silent_until = Some(now + self.pause);
-        self.pause = (self.pause * 2).min(PAUSE_MS.1);
+        self.pause = (self.pause * 2).min(LONGEST_PAUSE_MS);
     }
 
     /// What is held and spent here, of each tenant with a limit, by name, of the first `most`.
--- a/crates/quota/src/counter.rs
+++ b/crates/quota/src/counter.rs
@@ -1,4 +1,4 @@
-//! The counter's side: books of what is lent.
+//! The leader's side: what is lent to each gateway of each tenant.
 
 use crate::peak::Peak;
 use crate::ring::Ring;
@@ -10,12 +10,12 @@
 /// The first allowances are for so many gateways at least.
 const FEW_GATEWAYS: usize = 4;
 
-/// A change of the list of lives on the agreed log: those that a counter may lend to.
+/// A change of the list of gateway processes (lives) in the replicated log: those that a counter may lend to.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Roll {
-    /// Lives that come, with the names of their machines.
+    /// Lives to be added, with the names of their machines.
     pub come: BTreeMap<u64, String>,
-    /// Lives that have nothing in force any more.
+    /// Lives to be removed: nothing of theirs is in force any more.
     pub gone: Vec<u64>,
 }
 
@@ -81,9 +81,9 @@
     lent: BTreeMap<String, Lent>,
 }
 
-/// Units of a life that has ended, or is taken to have.
+/// Units held back for a life that has ended, or is taken to have.
 #[derive(Debug, Clone)]
-struct Lock {
+struct HeldBack {
     life: u64,
     units: u64,
     pace: u64,
@@ -91,16 +91,45 @@
     ended: u64,
 }
 
+/// What is lent and held back of one tenant.
 #[derive(Debug, Clone)]
 struct Book {
     limit: Limit,
     /// Sum of the loans of lives.
     out: u64,
-    locks: Vec<Lock>,
+    held_back: Vec<HeldBack>,
     /// Units allowed beyond the pace, of all lives.
     boosts: Ring,
 }
 
+/// A life that has ended.
+#[derive(Debug, Clone, Copy)]
+struct EndedLife {
+    /// When.
+    at: u64,
+    /// Number of its last call.
+    seq: u64,
+}
+
+/// An earlier life of a machine whose next one calls.
+#[derive(Debug, Clone, Copy)]
+struct EarlierLife {
+    number: u64,
+    born: u64,
+    heard: u64,
+}
+
+/// Whether a call is of a process that may be lent to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Registered {
+    /// It tells what an older counter lent to it.
+    FromOlderCounter,
+    /// What it has is in these books, or it has nothing.
+    Known,
+    /// Its machine runs a newer process.
+    Superseded,
+}
+
 /// The counter of all tenants' units.
 #[derive(Debug, Clone)]
 pub struct Counter {
@@ -108,21 +137,21 @@
     tuning: Tuning,
     books: BTreeMap<String, Book>,
     lives: BTreeMap<u64, Life>,
-    /// Lives that have ended, when, and the number of their last call; kept until nothing of theirs is in force.
-    ended: BTreeMap<u64, (u64, u64)>,
+    /// Lives that have ended; kept until nothing of theirs is in force.
+    ended: BTreeMap<u64, EndedLife>,
     logged: BTreeMap<u64, String>,
-    /// Lives that are to leave the log: as if they were not on it.
+    /// Lives that are to be removed from the log: treated as if they were not in it.
     leaving: BTreeSet<u64>,
-    /// Lives that are to come onto the log, and since when: they don't leave it at the same time.
+    /// Lives that are to be added to the log, and since when: they are not removed at the same time.
     coming: BTreeMap<u64, u64>,
     takeover: Option<Takeover>,
-    /// None is allowed beyond its pace before: an older counter may have done that.
+    /// Before then nothing is allowed beyond the pace: an older counter may have allowed some.
     boosts_from: u64,
 }
 
 impl Counter {
-    /// A counter that leads from `now` on, in `term`. `logged`: the lives on the agreed log, which is up to date; others
-    /// have no unit. It lends nothing before [`Counter::limits`].
+    /// The counter of a leader from `now` on, in `term`. `logged`: the lives in the replicated log, which is up to date;
+    /// others have no unit. It lends nothing before [`Counter::limits`].
     pub fn new(now: u64, term: u64, tuning: Tuning, logged: BTreeMap<u64, String>) -> Counter {
         let takeover = Takeover::new(now, &tuning, logged.clone());
         let boosts_from = if logged.is_empty() { now } else { now + tuning.boost_ms() };
@@ -167,14 +196,16 @@
                 }
                 None => {
                     let boosts = Ring::new(self.tuning.slot_ms, self.tuning.boost_ms());
-                    self.books
-                        .insert(tenant.clone(), Book { limit: *limit, out: 0, locks: Vec::new(), boosts });
+                    self.books.insert(
+                        tenant.clone(),
+                        Book { limit: *limit, out: 0, held_back: Vec::new(), boosts },
+                    );
                 }
             }
         }
     }
 
-    /// The lives on the agreed log, whenever it changed.
+    /// The lives in the replicated log, whenever they changed.
     pub fn logged(&mut self, lives: &BTreeMap<u64, String>) {
         self.logged.clone_from(lives);
         self.leaving.retain(|life| lives.contains_key(life));
@@ -191,9 +222,9 @@
             self.end(number, ended);
         }
         let span_ms = self.tuning.span_ms();
-        self.ended.retain(|_, (ended, _)| *ended + span_ms > now);
+        self.ended.retain(|_, ended| ended.at + span_ms > now);
         for book in self.books.values_mut() {
-            book.locks.retain(|lock| lock.ended + span_ms > now);
+            book.held_back.retain(|held| held.ended + span_ms > now);
         }
         if self.takeover.as_ref().is_some_and(|takeover| takeover.over(now, &self.tuning)) {
             self.takeover = None;
@@ -210,16 +241,16 @@
             let pace = lent.peak.get(ended, self.tuning.span_ms(), pace, u64::max);
             lent.boosts.age(ended);
             let boosts = lent.boosts.sum();
-            book.locks.push(Lock { life: number, units: lent.loan, pace, boosts, ended });
+            book.held_back.push(HeldBack { life: number, units: lent.loan, pace, boosts, ended });
         }
-        self.ended.insert(number, (ended, life.seq));
+        self.ended.insert(number, EndedLife { at: ended, seq: life.seq });
     }
 
     fn is_logged(&self, life: u64) -> bool {
         self.logged.contains_key(&life) && !self.leaving.contains(&life)
     }
 
-    /// What must be on the agreed log before [`Counter::call`] lends to this life. Once it is committed:
+    /// What must be committed to the replicated log before [`Counter::call`] lends to this life. Once it is:
     /// [`Counter::logged`], and then [`Counter::came`].
     pub fn before(&mut self, now: u64, call: &UnitsCall) -> Option<Roll> {
         if !call.all || call.end || call.to != self.term || self.is_logged(call.life) {
@@ -229,12 +260,12 @@
         Some(Roll { come: BTreeMap::from([(call.life, call.name.clone())]), gone: Vec::new() })
     }
 
-    /// A life that [`Counter::before`] named is on the log, after all that was proposed before.
+    /// A life that [`Counter::before`] named is committed, after all that was proposed before.
     pub fn came(&mut self, life: u64) {
         self.leaving.remove(&life);
     }
 
-    /// Lives that may leave the log: call once in a while, and put it there.
+    /// Lives that may be removed from the log: call once in a while, and append the result.
     pub fn after(&mut self, now: u64) -> Option<Roll> {
         self.tick(now);
         let rest: BTreeSet<u64> = self.takeover.iter().flat_map(Takeover::rest).collect();
@@ -268,15 +299,15 @@
 
     fn standing(&self, now: u64, tenant: &str, book: &Book) -> TenantStanding {
         let (cap, tuning) = (book.limit.cap, &self.tuning);
-        let lock = |lock: &Lock| {
-            let paced = tuning.in_force(cap, 1, lock.pace, now.saturating_sub(lock.ended));
-            lock.units.min(paced + lock.boosts)
+        let units_of = |held: &HeldBack| {
+            let paced = tuning.in_force(cap, 1, held.pace, now.saturating_sub(held.ended));
+            held.units.min(paced + held.boosts)
         };
-        let locks = book.locks.iter().filter(|_| tuning.keeps(Guard::Lock));
-        let ended = locks.map(lock).sum();
+        let held_back = book.held_back.iter().filter(|_| tuning.keeps(Guard::Lock));
+        let ended = held_back.map(units_of).sum();
         let rest = self.takeover.as_ref().filter(|_| tuning.keeps(Guard::Rest));
         let unheard = rest.map_or(0, |takeover| takeover.units(now, tenant, book.limit, tuning));
-        let since = book.locks.iter().filter(|held| lock(held) > 0).map(|lock| lock.ended);
+        let since = book.held_back.iter().filter(|held| units_of(held) > 0).map(|held| held.ended);
         let takeover = self.takeover.as_ref().filter(|_| unheard > 0).map(Takeover::started);
         let held_ms = since.chain(takeover).min().map(|since| now.saturating_sub(since));
         TenantStanding { cap, lent: book.out, ended, unheard, held_ms }
@@ -294,14 +325,14 @@
     pub fn call(&mut self, now: u64, call: &UnitsCall, gateways: usize) -> UnitsAnswer {
         self.tick(now);
         let mut answer = UnitsAnswer { seq: call.seq, term: self.term, ..UnitsAnswer::default() };
-        // Overtaken by a newer one, or a second copy: that one's figures stand, and nothing is lent twice.
+        // Overtaken by a newer call, or duplicated: the newer call's figures stand, and nothing is lent twice.
         if self.lives.get(&call.life).is_some_and(|life| life.seq >= call.seq)
             && self.tuning.keeps(Guard::Order)
         {
             return answer;
         }
         // The same after its end: an old figure must not stand in place of what its spent units hold back.
-        if self.ended.get(&call.life).is_some_and(|(_, seq)| *seq >= call.seq) {
+        if self.ended.get(&call.life).is_some_and(|ended| ended.seq >= call.seq) {
             return answer;
         }
         // Told to another counter: more may have been lent since.
@@ -313,11 +344,12 @@
             answer.tell = true;
             return answer;
         }
-        let Some(first) = self.register(now, call) else {
+        let registered = self.register(now, call);
+        if registered == Registered::Superseded {
             answer.tell = true;
             return answer;
-        };
-        self.book(now, call, first);
+        }
+        self.book(now, call, registered == Registered::FromOlderCounter);
         if call.end {
             self.end(call.life, now);
             return answer;
@@ -333,38 +365,42 @@
         answer
     }
 
-    /// Notes that the life lives, and that earlier ones of its machine ended before its birth; whether it tells what an
-    /// older counter lent. `None`: it lives no more.
-    fn register(&mut self, now: u64, call: &UnitsCall) -> Option<bool> {
+    /// Notes that the process runs, and that earlier ones of its machine ended before its start.
+    fn register(&mut self, now: u64, call: &UnitsCall) -> Registered {
         if let Some(life) = self.lives.get_mut(&call.life) {
             (life.seq, life.heard) = (call.seq, now);
-            return Some(false);
+            return Registered::Known;
         }
         let born = now.saturating_sub(call.born_ms);
-        let same: Vec<(u64, u64, u64)> = self
-            .lives
-            .iter()
-            .filter(|(_, old)| old.name == call.name)
-            .map(|(number, old)| (*number, old.born, old.heard))
-            .collect();
-        // A late word of one that has a successor.
-        if same.iter().any(|(_, since, _)| *since > born) {
-            return None;
+        let earlier = self.lives_of(&call.name);
+        // A late call of a process that has a successor.
+        if earlier.iter().any(|life| life.born > born) {
+            return Registered::Superseded;
         }
-        for (number, _, heard) in same {
-            self.end(number, born.max(heard));
+        for life in earlier {
+            self.end(life.number, born.max(life.heard));
         }
         // One that was taken to have ended has not: what it tells stands in place of that.
         if self.ended.remove(&call.life).is_some() {
-            self.books.values_mut().for_each(|book| book.locks.retain(|lock| lock.life != call.life));
+            self.books.values_mut().for_each(|book| book.held_back.retain(|held| held.life != call.life));
         }
         let life = Life { name: call.name.clone(), born, seq: call.seq, heard: now, lent: BTreeMap::new() };
         self.lives.insert(call.life, life);
-        let takeover = self.takeover.as_mut();
-        Some(takeover.is_some_and(|takeover| takeover.heard(call.life, &call.name, born, &self.tuning)))
+        let heard = |takeover: &mut Takeover| takeover.heard(call.life, &call.name, born, &self.tuning);
+        match self.takeover.as_mut().is_some_and(heard) {
+            true => Registered::FromOlderCounter,
+            false => Registered::Known,
+        }
+    }
+
+    /// The processes of a machine.
+    fn lives_of(&self, name: &str) -> Vec<EarlierLife> {
+        let same = self.lives.iter().filter(|(_, life)| life.name == name);
+        same.map(|(number, life)| EarlierLife { number: *number, born: life.born, heard: life.heard })
+            .collect()
     }
 
-    /// Books what the life tells.
+    /// Takes over what the process reports.
     fn book(&mut self, now: u64, call: &UnitsCall, first: bool) {
         let Some(life) = self.lives.get_mut(&call.life) else { return };
         let span_ms = self.tuning.span_ms();
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -1,26 +1,29 @@
-//! The counter of units: what a tenant may send in any window, lent to gateways in batches. No I/O.
+//! Quota units: what a tenant may send in any sliding window, leased to gateways in batches. No I/O.
 //!
-//! Two sides. [`Counter`] runs on the core member that leads: it keeps a book of loans for each tenant and answers
-//! gateways' calls. [`Allowance`] runs in every gateway: it spends from its loans, fetches ahead and gives back; a unit
-//! that was spent comes back to the loan that it was spent from when it leaves the window. They say
-//! [`UnitsCall`](nickeljunction_messages::UnitsCall) and [`UnitsAnswer`](nickeljunction_messages::UnitsAnswer) to each other.
+//! [`Counter`] runs on the leader of the core members: it keeps the loans of each tenant and answers gateways' calls.
+//! [`Allowance`] runs in every gateway: it spends from its loans, fetches units ahead of need and returns idle ones. A
+//! unit that was spent becomes available again, in the loan that it was spent from, when it leaves the window. The
+//! two exchange [`UnitsCall`](nickeljunction_messages::UnitsCall) and
+//! [`UnitsAnswer`](nickeljunction_messages::UnitsAnswer).
 //!
-//! The rule that both keep together: over any span of a window's length, units spent over all gateways are at most the
-//! tenant's cap. `docs/design/units.md` argues why. What the driver owes it:
-//! - `now` is the steady clock of the own machine, ms; it never goes back.
-//! - [`Counter::call`] is called only while the member surely leads (a majority has confirmed it since the call came, or
-//!   its lease runs), and a successor is made only after that has ended.
-//! - What [`Counter::before`] names is committed on the agreed log before [`Counter::call`] is called, and told with
-//!   [`Counter::logged`]; what [`Counter::after`] names is put there, too. A new counter gets the list as its log has it.
-//! - A machine has one process of a gateway at a time, and the calls of a killed one have come, or are lost, when the next
-//!   one's first call comes.
+//! Invariant: over any span of a window's length, units spent over all gateways are at most the tenant's cap.
+//! `docs/design/units.md` has the proof. It depends on the driver:
+//! - `now` is the monotonic clock of the own machine, ms.
+//! - [`Counter::call`] is called only while the member is certain to be the leader (a quorum has confirmed it since the
+//!   call arrived, or its lease is valid); a new leader's counter starts only after that has ended.
+//! - What [`Counter::before`] returns is committed to the replicated log before [`Counter::call`] is called, and
+//!   reported with [`Counter::logged`]; what [`Counter::after`] returns is appended there, too. A new counter starts
+//!   from the list in its log.
+//! - A machine runs one gateway process at a time, and the calls of a killed one have arrived, or are lost, when the
+//!   first call of the next one arrives.
 //! - A request's first byte is written at `from` at the earliest, and not after `until`.
 //! - Every attempt that is written spends its own unit.
 //!
-//! The gateway's driver, in short: [`Allowance::known`] on each configuration; [`Allowance::moved`] when another member leads, the first time included;
-//! [`Allowance::poll`] after each of its calls and at [`Allowance::next_wake`]; what it returns is sent, and then either
-//! [`Allowance::answered`] or [`Allowance::failed`] is called. A request that got [`Spend::Wait`] spends again after the next
-//! `answered` or `failed`; after the counter time-out it calls [`Allowance::give_up`].
+//! The gateway's driver calls [`Allowance::known`] on each configuration, [`Allowance::moved`] when another member
+//! becomes leader (the first one included), and [`Allowance::poll`] after each of its calls and at
+//! [`Allowance::next_wake`]. It sends what `poll` returns, and then calls either [`Allowance::answered`] or
+//! [`Allowance::failed`]. A request that got [`Spend::Wait`] spends again after the next `answered` or `failed`; after
+//! the counter's time-out the driver calls [`Allowance::give_up`] for it.
 
 mod allowance;
 mod counter;
@@ -33,4 +36,4 @@
 pub use counter::{Counter, Roll, TenantStanding};
 #[cfg(feature = "mutants")]
 pub use tuning::Guard;
-pub use tuning::{Limit, Tuning};
+pub use tuning::{Boost, Depth, Limit, Tuning};
--- a/crates/quota/src/ring.rs
+++ b/crates/quota/src/ring.rs
@@ -2,14 +2,21 @@
 
 use std::collections::VecDeque;
 
+/// Units spent in one slot.
+#[derive(Debug, Clone, Copy)]
+struct Slot {
+    number: u64,
+    units: u64,
+}
+
 /// Units by slot of their spend; a slot is in force until its end plus a window, so never shorter than a window after
 /// any spend in it.
 #[derive(Debug, Clone)]
 pub(crate) struct Ring {
     slot_ms: u64,
     window_ms: u64,
-    /// Number of the slot and its units, oldest first, none empty.
-    slots: VecDeque<(u64, u64)>,
+    /// Oldest first, none empty.
+    slots: VecDeque<Slot>,
     sum: u64,
 }
 
@@ -23,26 +30,26 @@
         if units == 0 {
             return;
         }
-        let slot = at / self.slot_ms;
-        let place = self.slots.partition_point(|(number, _)| *number < slot);
+        let number = at / self.slot_ms;
+        let place = self.slots.partition_point(|slot| slot.number < number);
         match self.slots.get_mut(place) {
-            Some((number, sum)) if *number == slot => *sum += units,
-            _ => self.slots.insert(place, (slot, units)),
+            Some(slot) if slot.number == number => slot.units += units,
+            _ => self.slots.insert(place, Slot { number, units }),
         }
         self.sum += units;
     }
 
-    fn ends(&self, slot: u64) -> u64 {
-        (slot + 1) * self.slot_ms + self.window_ms
+    fn ends(&self, slot: Slot) -> u64 {
+        (slot.number + 1) * self.slot_ms + self.window_ms
     }
 
     /// Forgets slots that are out of force at `now`.
     pub(crate) fn age(&mut self, now: u64) {
-        while let Some(&(slot, units)) = self.slots.front() {
+        while let Some(&slot) = self.slots.front() {
             if self.ends(slot) > now {
                 break;
             }
-            self.sum -= units;
+            self.sum -= slot.units;
             self.slots.pop_front();
         }
     }
@@ -54,6 +61,6 @@
 
     /// When the next units go out of force.
     pub(crate) fn next_free(&self) -> Option<u64> {
-        self.slots.front().map(|(slot, _)| self.ends(*slot))
+        self.slots.front().map(|slot| self.ends(*slot))
     }
 }
--- a/crates/quota/src/takeover.rs
+++ b/crates/quota/src/takeover.rs
@@ -1,9 +1,9 @@
-//! What a new counter must reckon with that no gateway tells it: lives that older counters lent to.
+//! What a new counter must account for that no gateway reports: processes that older counters lent to.
 
 use crate::tuning::{Limit, Tuning};
 use std::collections::BTreeMap;
 
-/// Of one tenant, over all lives that have told what they have.
+/// One tenant's sums over all processes that have reported their loans.
 #[derive(Debug, Clone, Default)]
 struct Told {
     loans: u64,
@@ -14,7 +14,8 @@
     before: u64,
 }
 
-/// The rest: logged lives that have not told. Together they have what the old counter may have lent beyond what is told.
+/// The rest: logged processes that have not reported. Together they hold at most what the older counter may have lent
+/// beyond what was reported.
 #[derive(Debug, Clone)]
 pub(crate) struct Takeover {
     started: u64,
--- a/crates/quota/src/tuning.rs
+++ b/crates/quota/src/tuning.rs
@@ -36,6 +36,26 @@
     Rest,
 }
 
+/// Size of a gateway's token bucket, as a part of a tenant's cap within bounds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Depth {
+    /// The cap is divided by this.
+    pub divisor: u64,
+    /// Least units; 1 at least.
+    pub least: u64,
+    /// Most units.
+    pub most: u64,
+}
+
+/// Units beyond the pace that all gateways of a tenant may be allowed in a window.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Boost {
+    /// The cap is divided by this.
+    pub divisor: u64,
+    /// Units beside that part.
+    pub extra: u64,
+}
+
 /// Figures of the counter and of every gateway's allowance. All times in ms; both sides must run with the same `window_ms`,
 /// `write_ms`, `life_ms`, `lift_ms` and `depth`.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -50,10 +70,10 @@
     pub life_ms: u64,
     /// A new life's lifted pace holds so long after its first fetch was sent.
     pub lift_ms: u64,
-    /// Units that a gateway may spend of a tenant at once, beyond its pace: a part of the cap, within bounds. 1 at least.
-    pub depth: (u64, u64, u64),
-    /// Units that all gateways together may be allowed beyond their paces in a window: a part of the cap, and some more.
-    pub boost: (u64, u64),
+    /// Units that a gateway may spend of a tenant at once, beyond its pace.
+    pub depth: Depth,
+    /// Units that all gateways together may be allowed beyond their paces in a window.
+    pub boost: Boost,
     /// An answer that took longer allows nothing beyond the pace.
     pub answer_ms: u64,
     /// A request waits so long at most for the pace.
@@ -83,8 +103,8 @@
             write_ms: 100,
             life_ms: 8_000,
             lift_ms: window_ms,
-            depth: (128, 2, 4),
-            boost: (32, 3),
+            depth: Depth { divisor: 128, least: 2, most: 4 },
+            boost: Boost { divisor: 32, extra: 3 },
             answer_ms: 500,
             hold_ms: 150,
             report_ms: 1_000,
@@ -114,13 +134,13 @@
 
     /// Units that a gateway may spend at once of a tenant with this cap.
     pub(crate) fn depth_of(&self, cap: u64) -> u64 {
-        let (part, least, most) = self.depth;
-        (cap / part.max(1)).clamp(least, most.max(least))
+        let Depth { divisor, least, most } = self.depth;
+        (cap / divisor.max(1)).clamp(least, most.max(least))
     }
 
     /// Units that all gateways together may be allowed beyond their paces of a tenant with this cap.
     pub(crate) fn boost_of(&self, cap: u64) -> u64 {
-        cap / self.boost.0.max(1) + self.boost.1
+        cap / self.boost.divisor.max(1) + self.boost.extra
     }
 
     /// So long does a unit beyond the pace count, from the counter's side.
--- a/crates/quota/tests/calls.rs
+++ b/crates/quota/tests/calls.rs
@@ -1,7 +1,7 @@
 //! Single calls, by hand.
 
 use nickeljunction_messages::{TenantUnits, UnitsAnswer, UnitsCall};
-use nickeljunction_quota::{Allowance, Counter, Limit, Spend, TenantStanding, Tuning};
+use nickeljunction_quota::{Allowance, Boost, Counter, Depth, Limit, Spend, TenantStanding, Tuning};
 use std::collections::BTreeMap;
 
 fn limits(cap: u64) -> BTreeMap<String, Limit> {
@@ -9,7 +9,11 @@
 }
 
 fn tuning() -> Tuning {
-    Tuning { depth: (1, 4, 4), boost: (1_000, 2), ..Tuning::new(5_000) }
+    Tuning {
+        depth: Depth { divisor: 1, least: 4, most: 4 },
+        boost: Boost { divisor: 1_000, extra: 2 },
+        ..Tuning::new(5_000)
+    }
 }
 
 type Log = BTreeMap<u64, String>;
--- a/crates/quota/tests/units_model.rs
+++ b/crates/quota/tests/units_model.rs
@@ -6,7 +6,7 @@
 //! comes in time comes at once.
 
 use nickeljunction_messages::{UnitsAnswer, UnitsCall};
-use nickeljunction_quota::{Allowance, Counter, Guard, Limit, Spend, Tuning};
+use nickeljunction_quota::{Allowance, Boost, Counter, Depth, Guard, Limit, Spend, Tuning};
 use stateright::{Checker, Expectation, Model, Property};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
@@ -27,8 +27,8 @@
         write_ms: 0,
         life_ms: 2 * STEP_MS,
         lift_ms: WINDOW_MS,
-        depth: (1, 1, 1),
-        boost: (1_000, 1),
+        depth: Depth { divisor: 1, least: 1, most: 1 },
+        boost: Boost { divisor: 1_000, extra: 1 },
         answer_ms: STEP_MS,
         hold_ms: 0,
         report_ms: STEP_MS,
@@ -428,7 +428,8 @@
 
 #[test]
 fn without_the_pace_it_is_broken() {
-    let hasty = Rule { gateways: Tuning { depth: (1, 9, 9), ..tuning() }, ..lost() };
+    let hasty =
+        Rule { gateways: Tuning { depth: Depth { divisor: 1, least: 9, most: 9 }, ..tuning() }, ..lost() };
     needed("the pace", 4_000, &lost(), &hasty);
 }
 
--- a/crates/quota/tests/worlds.rs
+++ b/crates/quota/tests/worlds.rs
@@ -91,7 +91,10 @@
     fn apply(self, world: &mut World) {
         match self {
             Without::Nothing => {}
-            Without::Pace => world.gateway_tuning.depth = (1, 1_000, 1_000),
+            Without::Pace => {
+                world.gateway_tuning.depth =
+                    nickeljunction_quota::Depth { divisor: 1, least: 1_000, most: 1_000 }
+            }
             Without::Names => world.forgetful = true,
             Without::Expiry => world.gateway_tuning.life_ms *= 10,
             Without::Window => world.gateway_tuning.window_ms -= 500,
