Say gradual throttling plainly in pacing, and cut its long functions

Constants in place of tuples, ComingStage in place of a triple, Pacer::call and Throttle::arrive in short functions with the same steps in the same order; doc comments in ordinary terms.

cargo test -p nickeljunction-pacing: 10 passed, 0 failed (2 unit, 8 of the throttle in 0.3 s).

--- a/crates/pacing/src/curve.rs
+++ b/crates/pacing/src/curve.rs
@@ -1,4 +1,4 @@
-//! What a stage does, out of the configuration.
+//! What a stage does, from the configuration.
 
 use nickeljunction_schema::{Config, Stage, Trial};
 
@@ -57,28 +57,27 @@
     steps: Box<[Step]>,
 }
 
-/// The usual stages: seconds, wait in s, wait of reads in s, part of the rate.
-const USUAL: [(f64, f64, f64, f64); 6] = [
-    (600.0, 0.10, 0.0, 1.0),
-    (600.0, 0.20, 0.025, 0.9),
-    (600.0, 0.40, 0.05, 0.8),
-    (600.0, 0.60, 0.10, 0.7),
-    (600.0, 0.80, 0.15, 0.6),
-    (600.0, 1.00, 0.20, 0.5),
+/// Length of each of the default stages, s.
+const DEFAULT_STAGE_S: f64 = 600.0;
+
+/// The stages of a tenant without any in the configuration.
+const DEFAULT_STAGES: [Stage; 6] = [
+    default_stage(0.10, 0.0, 1.0),
+    default_stage(0.20, 0.025, 0.9),
+    default_stage(0.40, 0.05, 0.8),
+    default_stage(0.60, 0.10, 0.7),
+    default_stage(0.80, 0.15, 0.6),
+    default_stage(1.00, 0.20, 0.5),
 ];
 
+/// A stage with these delays, s, and this part of the tenant's rate.
+const fn default_stage(wait_s: f64, read_wait_s: f64, pace: f64) -> Stage {
+    Stage { for_s: DEFAULT_STAGE_S, wait_s, read_wait_s: Some(read_wait_s), pace: Some(pace) }
+}
+
 impl Curve {
-    /// Of a tenant; the usual one where the configuration has none for it.
+    /// The curve of a tenant: the default one where the configuration has none for it.
     pub fn of(config: &Config, tenant: &str) -> Curve {
-        let usual = || {
-            let stage = |(for_s, wait_s, reads_s, pace)| Stage {
-                for_s,
-                wait_s,
-                read_wait_s: Some(reads_s),
-                pace: Some(pace),
-            };
-            USUAL.map(stage).to_vec()
-        };
         let trial = config.trials.get(tenant);
         let stages = trial.map(|trial| trial.stages.clone()).filter(|stages| !stages.is_empty());
         let floor = trial.map_or(Trial::default().floor_per_s(), Trial::floor_per_s);
@@ -90,7 +89,7 @@
             // A tenant without a limit is slowed by waits alone.
             pace: quota.map_or(f64::INFINITY, |(rate, _)| (rate * stage.pace()).max(floor)),
         };
-        Curve { steps: stages.unwrap_or_else(usual).iter().map(step).collect() }
+        Curve { steps: stages.unwrap_or_else(|| DEFAULT_STAGES.to_vec()).iter().map(step).collect() }
     }
 
     /// How many stages there are, 1 at least.
--- a/crates/pacing/src/lib.rs
+++ b/crates/pacing/src/lib.rs
@@ -1,11 +1,13 @@
-//! The ebb (gradual throttling): how a tenant whose trial lapsed is slowed, at a gateway and over all of them. No I/O: times
-//! (`now`, ms of a steady clock) and messages are arguments.
+//! Gradual throttling of tenants whose trial has lapsed, at one gateway and over all of them. No I/O: times (`now`, ms of
+//! a monotonic clock) and messages are arguments.
 //!
-//! - [`Curve`]: what each stage does to each [`Rank`] of requests, out of the configuration.
-//! - [`Pacer`] runs at the leader: it divides a tenant's pace among gateways by what each is asked.
-//! - [`Throttle`] runs in every gateway: it says for each request whether it passes, waits, or is told when to come back.
+//! - [`Curve`]: what each stage does to each [`Rank`] of requests, from the configuration.
+//! - [`Pacer`] runs at the leader: it divides a tenant's rate among gateways by demand.
+//! - [`Throttle`] runs in every gateway: it decides for each request whether it passes, is delayed, or is to be retried
+//!   later.
 //!
-//! `docs/design/ebb.md` argues why it is so. Nothing here is needed for the rules of quotas: a share of pace slows, a unit admits.
+//! `docs/design/ebb.md` has the reasons. The quota rules don't depend on this crate: quota units admit requests, and a share
+//! of the rate only slows them.
 
 mod curve;
 mod pacer;
--- a/crates/pacing/src/pacer.rs
+++ b/crates/pacing/src/pacer.rs
@@ -1,15 +1,16 @@
-//! The leader's side: one pace divided among gateways by what each is asked.
+//! The leader's side: one tenant's rate divided among gateways by demand.
 
 use std::collections::BTreeMap;
 
 /// A share is counted for so long after the call that got it, ms. Gateways ask each half second.
 pub const LEASE_MS: u64 = 6_000;
-/// For so long after its first call a tenant's pace is not divided anew: gateways go by what they hold, as not all have been
-/// heard of, ms.
-const YOUNG_MS: u64 = 1_500;
-/// Each gateway is reckoned with this part of an even share beside its demand, so that a first request finds some.
+/// For so long after a tenant's first call its rate is not divided anew, ms: until all gateways have called, each keeps the
+/// share that it has.
+const STARTUP_MS: u64 = 1_500;
+/// Each gateway's demand counts for this part of an even share more, so that an idle gateway's first request finds some.
 const IDLE_PART: f64 = 0.1;
 
+/// What one gateway process was given of a tenant's rate.
 #[derive(Debug, Clone)]
 struct Share {
     name: String,
@@ -26,11 +27,67 @@
     shares: BTreeMap<u64, Share>,
 }
 
-/// Divides paces among gateways. Soft state: a new leader's begins empty.
+impl Book {
+    /// Notes a gateway's call, and drops the shares that have ended.
+    fn note(&mut self, now: u64, name: &str, life: u64, seq: u64, demand: f64) {
+        if self.shares.is_empty() {
+            self.since = now;
+        }
+        // A machine has one process: an older life's share ended with it.
+        self.shares
+            .retain(|other, share| (*other == life || share.name != name) && share.heard + LEASE_MS > now);
+        let known = self.shares.get(&life).is_some_and(|share| share.seq >= seq);
+        if !known {
+            let per_s = self.shares.get(&life).map_or(0.0, |share| share.per_s);
+            let share = Share { name: name.to_owned(), seq, demand, per_s, heard: now };
+            self.shares.insert(life, share);
+        }
+    }
+
+    /// The gateway's new share, requests a second; `None`: it has none yet, and delays alone slow its requests.
+    fn divide(
+        &mut self,
+        now: u64,
+        life: u64,
+        demand: f64,
+        held: Option<f64>,
+        pace: f64,
+        gateways: usize,
+    ) -> Option<f64> {
+        let fair = self.fair_share(demand, pace, gateways);
+        let starting = now < self.since + STARTUP_MS;
+        let aim = match held {
+            // Given by an older leader, as the others' were.
+            Some(held) if starting => held,
+            None if starting => return None,
+            _ => fair,
+        };
+        let others = self.shares.iter().filter(|(other, _)| **other != life);
+        let others: f64 = others.map(|(_, share)| share.per_s).sum();
+        // Half of its fair share at once, the rest when the others have returned it: a gateway that just joined is served.
+        let share = aim.min((pace - others).max(fair / 2.0));
+        if let Some(own) = self.shares.get_mut(&life) {
+            own.per_s = share;
+        }
+        Some(share)
+    }
+
+    /// The share of a gateway with this demand in proportion to the demand of all.
+    fn fair_share(&self, demand: f64, pace: f64, gateways: usize) -> f64 {
+        let count = gateways.max(self.shares.len()).max(1) as f64;
+        let idle = IDLE_PART * pace / count;
+        let all: f64 = self.shares.values().map(|share| share.demand + idle).sum();
+        // Those that exist and haven't called lately are idle.
+        let all = all + idle * (count - self.shares.len() as f64);
+        pace * (demand + idle) / all.max(f64::MIN_POSITIVE)
+    }
+}
+
+/// Divides rates among gateways. Soft state: a new leader begins without any.
 ///
-/// Each share is as large a part of the pace as its gateway's demand is of all, so that all are equally loaded. They add up to
-/// the pace over the gateways heard of, and to half as much more at most while demand moves between them. No rule hangs on it:
-/// quotas are kept by units.
+/// Each share is proportional to its gateway's demand. The shares of the gateways that have called add up to the tenant's
+/// rate, and to one and a half times as much at most while demand moves between them. Quotas don't depend on it: they are
+/// enforced by units.
 #[derive(Debug, Clone, Default)]
 pub struct Pacer {
     books: BTreeMap<String, Book>,
@@ -53,43 +110,12 @@
         for (tenant, demand) in demand {
             let Some(pace) = pace(tenant).filter(|pace| pace.is_finite()) else { continue };
             let book = self.books.entry(tenant.clone()).or_default();
-            if book.shares.is_empty() {
-                book.since = now;
-            }
-            // A machine has one process: an older life's share ended with it.
-            book.shares.retain(|other, share| {
-                (*other == life || share.name != name) && share.heard + LEASE_MS > now
-            });
-            let known = book.shares.get(&life).is_some_and(|share| share.seq >= seq);
             let demand = if demand.is_finite() { demand.max(0.0) } else { 0.0 };
-            if !known {
-                let per_s = book.shares.get(&life).map_or(0.0, |share| share.per_s);
-                let share = Share { name: name.to_owned(), seq, demand, per_s, heard: now };
-                book.shares.insert(life, share);
-            }
-            let count = gateways.max(book.shares.len()).max(1) as f64;
-            let idle = IDLE_PART * pace / count;
-            let all: f64 = book.shares.values().map(|share| share.demand + idle).sum();
-            // Those that are there and haven't asked lately are idle.
-            let all = all + idle * (count - book.shares.len() as f64);
-            let fair = pace * (demand + idle) / all.max(f64::MIN_POSITIVE);
-            let others: f64 =
-                book.shares.iter().filter(|(other, _)| **other != life).map(|(_, share)| share.per_s).sum();
-            let young = now < book.since + YOUNG_MS;
-            let held = held.get(tenant).filter(|held| **held > 0.0);
-            let aim = match held {
-                // Told by an older leader, as the others' were.
-                Some(held) if young => *held,
-                // It goes by waits alone for as long.
-                None if young => continue,
-                _ => fair,
-            };
-            // Half of its due at once, the rest when the others have given it up: a gateway that came anew is not shut out.
-            let share = aim.min((pace - others).max(fair / 2.0));
-            if let Some(own) = book.shares.get_mut(&life) {
-                own.per_s = share;
+            book.note(now, name, life, seq, demand);
+            let held = held.get(tenant).copied().filter(|held| *held > 0.0);
+            if let Some(share) = book.divide(now, life, demand, held, pace, gateways) {
+                answer.insert(tenant.clone(), share);
             }
-            answer.insert(tenant.clone(), share);
         }
         answer
     }
--- a/crates/pacing/src/throttle.rs
+++ b/crates/pacing/src/throttle.rs
@@ -1,12 +1,13 @@
-//! The gateway's side: whether a request of a tenant whose trial lapses passes, waits, or is told when to come back.
+//! The gateway's side: whether a request of a tenant whose trial has lapsed passes, is delayed, or is to be retried later.
 
 use crate::curve::{Curve, Rank, Step};
 use std::collections::{BTreeMap, VecDeque};
 
-/// A stage's waits are reached over so long, ms: a moment's difference between two gateways is no step.
+/// A stage's delays are reached over so long, ms, so that two gateways which enter it at slightly different times behave
+/// alike.
 const RAMP_MS: f64 = 1_000.0;
-/// Most of what a client has left beyond its expected time of service that a stage's wait takes.
-const PART: [f64; 3] = [0.5, 0.25, 0.0];
+/// Most of a client's time beyond the expected service time that a stage's delay takes, by rank.
+const WAIT_PART: [f64; 3] = [0.5, 0.25, 0.0];
 /// Time kept free for the ways beside the expected time of service, ms.
 const MARGIN_MS: f64 = 20.0;
 /// So many requests may pass at once at a pace that wasn't used before.
@@ -15,25 +16,25 @@
 const FLOOR_PART: f64 = 0.1;
 /// Least share, requests a second: a place comes at some time.
 const LEAST_PER_S: f64 = 0.01;
-/// Places are given out for so long ahead, ms: what bookings and reads take beyond the pace is not held against the others for
-/// longer.
+/// Places are given out for so long ahead, ms: what bookings and reads take beyond the pace delays the others by no more.
 const FARTHEST_MS: f64 = 3_000.0;
-/// Least and most time told to a client, ms.
-const RETRY_MS: (f64, f64) = (20.0, 30_000.0);
-/// Clients come back after a third of the time that they have left at most.
+/// Least and most time after which a client is to retry, ms.
+const RETRY_LEAST_MS: f64 = 20.0;
+const RETRY_MOST_MS: f64 = 30_000.0;
+/// Clients retry after a third of the time that they have left at most.
 const RETURN_PART: f64 = 1.0 / 3.0;
-/// A kept place is given up so long after its moment, ms.
+/// A reserved place is released so long after its time, ms.
 const KEPT_MS: f64 = 1_000.0;
-/// A client may be back so much before its time, ms.
+/// A client may retry so much before its time, ms.
 const EARLY_MS: f64 = 50.0;
-/// Clients of a tenant and rank that are known to be away.
+/// Most pending retries that are kept of a tenant and rank.
 const MOST_AWAY: usize = 256;
-/// Requests that wait here: of one tenant, and of all.
-const MOST_WAITING: (usize, usize) = (64, 256);
+/// Most requests that are delayed here at once, of one tenant and of all.
+const MOST_WAITING_OF_TENANT: usize = 64;
+const MOST_WAITING: usize = 256;
 /// A gateway that begins to slow a tenant goes by waits alone for so long, ms: its demand must be known for a share.
 const SETTLE_MS: f64 = 2_000.0;
-/// Part of what a client has left for which it is held at most because of the pace; it is told to come back rather than be
-/// held for longer than it would wait elsewhere.
+/// Part of a client's remaining time for which the pace delays it at most; beyond that it is told to retry.
 const PACE_PART: f64 = 0.3;
 /// Time over which demand is averaged, ms.
 const DEMAND_MS: f64 = 4_000.0;
@@ -194,15 +195,25 @@
     }
 }
 
-/// A client that was told to come back.
+/// A client that was told to retry.
 #[derive(Debug, Clone, Copy)]
 struct Away {
-    /// When it does.
+    /// When it is expected, ms.
     comes: f64,
-    /// A place is kept for it.
+    /// A place is reserved for it.
     kept: bool,
 }
 
+/// A stage that is to come.
+#[derive(Debug, Clone, Copy)]
+struct ComingStage {
+    step: u64,
+    stage: u32,
+    /// When it begins, ms.
+    at: f64,
+}
+
+/// A tenant that is slowed, or was.
 #[derive(Debug, Clone)]
 struct Tenant {
     curve: Option<Curve>,
@@ -213,13 +224,12 @@
     entered: f64,
     /// Since when it is slowed.
     since: f64,
-    /// A stage that is to come.
-    coming: Option<(u64, u32, f64)>,
+    coming: Option<ComingStage>,
     share: f64,
     lanes: Lanes,
     /// By rank.
     demand: [Demand; 3],
-    /// Clients that were told to come back and haven't, by rank.
+    /// Clients that were told to retry and haven't, by rank.
     away: [VecDeque<Away>; 3],
     waiting: usize,
     held: (u64, f64),
@@ -246,8 +256,9 @@
         }
     }
 
-    fn turn(&mut self, now: f64) {
-        if let Some((step, stage, at)) = self.coming.filter(|(_, _, at)| *at <= now) {
+    /// Enters the stage whose time has come, and releases places that nobody came for.
+    fn advance(&mut self, now: f64) {
+        if let Some(ComingStage { step, stage, at }) = self.coming.filter(|coming| coming.at <= now) {
             if self.stage == 0 && now >= self.entered + RAMP_MS {
                 self.since = at;
             }
@@ -258,7 +269,6 @@
         for rank in [Rank::First, Rank::Later, Rank::Never] {
             let away = &mut self.away[rank as usize];
             while away.front().is_some_and(|client| client.comes + KEPT_MS < now) {
-                // Nobody came for its place: the next one may have it.
                 if away.pop_front().is_some_and(|client| client.kept) {
                     self.lanes.give_back(rank, paces);
                 }
@@ -266,13 +276,30 @@
         }
     }
 
-    /// One that was told to come back about now, or its like whose client came to another gateway.
-    fn back(&mut self, now: f64, rank: Rank) -> Option<Away> {
+    /// A client that was told to retry about now, or another in its place where that one went to another gateway.
+    fn take_returning(&mut self, now: f64, rank: Rank) -> Option<Away> {
         let away = &mut self.away[rank as usize];
         away.front().filter(|client| client.comes <= now + EARLY_MS)?;
         away.pop_front()
     }
 
+    /// Tells a client to retry when there is a place, and reserves it where the client can be back for it.
+    fn turn_away(&mut self, now: f64, rank: Rank, place_in_ms: f64, left_ms: f64, full: bool) -> Verdict {
+        self.told += 1;
+        let retry_after_ms = place_in_ms.clamp(RETRY_LEAST_MS, RETRY_MOST_MS);
+        let returns_ms = left_ms * RETURN_PART;
+        let kept = !full && retry_after_ms <= returns_ms;
+        if kept {
+            let paces = self.paces(now);
+            self.lanes.take(now, rank, paces);
+        }
+        let away = &mut self.away[rank as usize];
+        if away.len() < MOST_AWAY {
+            away.push_back(Away { comes: now + retry_after_ms.min(returns_ms), kept });
+        }
+        Verdict::ComeBack { retry_after_ms }
+    }
+
     fn step_of(&self, stage: u32) -> Step {
         self.curve.as_ref().map_or(Step::NONE, |curve| curve.step(stage))
     }
@@ -315,12 +342,12 @@
     /// known is dropped: a gateway never goes back. Whether it was news.
     pub fn told(&mut self, now: f64, tenant: &str, step: u64, stage: u32, in_ms: f64) -> bool {
         let entry = self.tenants.entry(tenant.to_owned()).or_insert_with(Tenant::new);
-        entry.turn(now);
-        if step <= entry.coming.map_or(entry.step, |(step, _, _)| step) {
+        entry.advance(now);
+        if step <= entry.coming.map_or(entry.step, |coming| coming.step) {
             return false;
         }
-        entry.coming = Some((step, stage, now + in_ms));
-        entry.turn(now);
+        entry.coming = Some(ComingStage { step, stage, at: now + in_ms });
+        entry.advance(now);
         true
     }
 
@@ -361,41 +388,37 @@
     /// What becomes of a request of this tenant.
     pub fn arrive(&mut self, now: f64, tenant: &str, arrival: &Arrival) -> Verdict {
         let Some(tenant) = self.tenants.get_mut(tenant) else { return Verdict::Pass };
-        tenant.turn(now);
+        tenant.advance(now);
         if !tenant.slowed(now) {
             return Verdict::Pass;
         }
         let Arrival { rank, left_ms, expected_ms, again } = *arrival;
-        let at = rank as usize;
         let free_ms = (left_ms - expected_ms - MARGIN_MS).max(0.0);
-        // Whose deadline is short may be new all the same: only as many as were told come back.
-        let back = if again { tenant.back(now, rank) } else { None };
+        // A short deadline may be a first try all the same: no more count as retries than were told to.
+        let back = if again { tenant.take_returning(now, rank) } else { None };
         if back.is_none() {
-            tenant.demand[at].note(now);
+            tenant.demand[rank as usize].note(now);
         }
         if back.is_some_and(|client| client.kept) {
             return Verdict::Pass;
         }
+        let full = tenant.waiting >= MOST_WAITING_OF_TENANT || self.waiting >= MOST_WAITING;
         let paces = tenant.paces(now);
         let place = tenant.lanes.place(now, rank, paces);
-        // Who comes back has waited. It passes before those that wait, at their cost, as long as there is a place in its time.
+        // A client that retries has waited: it passes before the delayed ones as long as there is a place in its time.
         if back.is_some() && place <= now + free_ms {
             tenant.lanes.take(now, rank, paces);
             return Verdict::Pass;
         }
-        let wait = tenant.wait(now, rank).min(PART[at] * free_ms);
+        let wait = tenant.wait(now, rank).min(WAIT_PART[rank as usize] * free_ms);
         let until = place.max(now + wait);
-        // A booking waits for nothing; a little ahead of the pace it may be.
+        // A booking is not delayed; it may be a little ahead of the pace.
         let latest = match rank {
             Rank::Never => now + BURST * 1_000.0 / paces.all,
             _ => now + free_ms.min(wait.max(PACE_PART * left_ms)),
         };
-        let full = tenant.waiting >= MOST_WAITING.0 || self.waiting >= MOST_WAITING.1;
-        if until <= latest && rank == Rank::Never {
-            tenant.lanes.take(now, rank, paces);
-            return Verdict::Pass;
-        }
-        if until <= now + 1.0 && until <= latest {
+        let at_once = rank == Rank::Never || until <= now + 1.0;
+        if until <= latest && at_once {
             tenant.lanes.take(now, rank, paces);
             return Verdict::Pass;
         }
@@ -406,18 +429,7 @@
             tenant.held = (tenant.held.0 + 1, tenant.held.1 + (until - now));
             return Verdict::Hold { until };
         }
-        tenant.told += 1;
-        let retry_after_ms = (place - now).clamp(RETRY_MS.0, RETRY_MS.1);
-        // A place is kept for who can be there: else it would be lost to the others.
-        let returns_ms = left_ms * RETURN_PART;
-        let kept = !full && retry_after_ms <= returns_ms;
-        if kept {
-            tenant.lanes.take(now, rank, paces);
-        }
-        if tenant.away[at].len() < MOST_AWAY {
-            tenant.away[at].push_back(Away { comes: now + retry_after_ms.min(returns_ms), kept });
-        }
-        Verdict::ComeBack { retry_after_ms }
+        tenant.turn_away(now, rank, place - now, left_ms, full)
     }
 
     /// A request that was held goes on, or its client has gone.
@@ -431,7 +443,7 @@
     /// How each tenant that ever was slowed stands here.
     pub fn standings(&mut self, now: f64) -> Vec<Standing> {
         let tenants = self.tenants.iter_mut().map(|(name, tenant)| {
-            tenant.turn(now);
+            tenant.advance(now);
             Standing {
                 tenant: name.clone(),
                 stage: tenant.stage,
--- a/crates/pacing/tests/throttle.rs
+++ b/crates/pacing/tests/throttle.rs
@@ -1,4 +1,4 @@
-//! The ebb over nine gateways in virtual time: clients that send steadily, come back as they are told, and leave; gateways that ask
+//! Gradual throttling over nine gateways in virtual time: clients that send steadily, come back as they are told, and leave; gateways that ask
 //! the leader for shares each half second, are cut off, die and come anew.
 
 use nickeljunction_pacing::{Arrival, Curve, Pacer, Rank, Throttle, Verdict};
@@ -51,7 +51,7 @@
     rng: fastrand::Rng,
     now: f64,
     curve: Curve,
-    sluices: Vec<Throttle>,
+    throttles: Vec<Throttle>,
     lives: Vec<u64>,
     cut: Vec<bool>,
     pacer: Pacer,
@@ -75,7 +75,7 @@
             rng: fastrand::Rng::with_seed(seed),
             now: 0.0,
             curve,
-            sluices: Vec::new(),
+            throttles: Vec::new(),
             lives: (0..size as u64).collect(),
             cut: vec![false; size],
             pacer: Pacer::default(),
@@ -88,14 +88,14 @@
             ends: Vec::new(),
             told: 0,
         };
-        world.sluices = vec![Throttle::default(); size];
+        world.throttles = vec![Throttle::default(); size];
         world
     }
 
     /// The next stage is on the log: everyone in touch hears of it.
     fn enter(&mut self, stage: u32) {
         self.stage = (self.stage.0 + 1, stage);
-        (0..self.sluices.len()).for_each(|at| self.tell(at, 300.0));
+        (0..self.throttles.len()).for_each(|at| self.tell(at, 300.0));
     }
 
     fn tell(&mut self, at: usize, in_ms: f64) {
@@ -103,14 +103,14 @@
         if !self.cut[at] && step > 0 {
             // On its way for up to 20 ms.
             let late = self.rng.f64() * 20.0;
-            self.sluices[at].told(self.now + late, TENANT, step, stage, (in_ms - late).max(0.0));
+            self.throttles[at].told(self.now + late, TENANT, step, stage, (in_ms - late).max(0.0));
             let curve = &self.curve;
-            self.sluices[at].curves(|_| Some(curve.clone()));
+            self.throttles[at].curves(|_| Some(curve.clone()));
         }
     }
 
     fn restart(&mut self, at: usize) {
-        self.sluices[at] = Throttle::default();
+        self.throttles[at] = Throttle::default();
         self.lives[at] += 100;
         self.tell(at, 0.0);
     }
@@ -120,12 +120,12 @@
             return;
         }
         self.seq += 1;
-        let (demand, held) = (self.sluices[at].demand(self.now), self.sluices[at].shares_held(self.now));
+        let (demand, held) = (self.throttles[at].demand(self.now), self.throttles[at].shares_held(self.now));
         let (name, pace) = (format!("edge-{at}"), self.curve.step(self.stage.1).pace);
         let who = (name.as_str(), self.lives[at], self.seq);
-        let size = self.sluices.len();
+        let size = self.throttles.len();
         let answer = self.pacer.call(self.now as u64, who, &demand, &held, |_| Some(pace), size);
-        self.sluices[at].shares(&answer);
+        self.throttles[at].shares(&answer);
     }
 
     fn push(&mut self, try_: Try) {
@@ -148,7 +148,7 @@
                 }
             }
         }
-        let mut asks: Vec<f64> = (0..self.sluices.len()).map(|at| self.now + 50.0 * at as f64).collect();
+        let mut asks: Vec<f64> = (0..self.throttles.len()).map(|at| self.now + 50.0 * at as f64).collect();
         while let Some(Reverse((at_us, number))) = self.tries.pop() {
             let now = at_us as f64 / 1_000.0;
             if now >= end {
@@ -178,12 +178,12 @@
             let wait_ms = until.map(|until| until - first.1);
             End { at: first.0, rank, came: first.1, wait_ms, again }
         };
-        match self.sluices[at].arrive(came, TENANT, &arrival) {
+        match self.throttles[at].arrive(came, TENANT, &arrival) {
             Verdict::Pass => self.ends.push(end(Some(came))),
             Verdict::Hold { until } => {
                 assert!(until + SERVICE_MS <= came + left_ms, "seed {}: held beyond its time", self.seed);
                 assert!(rank != Rank::Never, "seed {}: a booking was held", self.seed);
-                self.sluices[at].done(TENANT);
+                self.throttles[at].done(TENANT);
                 self.ends.push(end(Some(until)));
             }
             Verdict::ComeBack { retry_after_ms } => {
@@ -215,7 +215,7 @@
 
     /// Mean wait by gateway of a rank's requests that came in a span, of gateways with some.
     fn waits(&self, rank: Rank, from: f64, to: f64) -> Vec<f64> {
-        let mut sums = vec![(0.0, 0); self.sluices.len()];
+        let mut sums = vec![(0.0, 0); self.throttles.len()];
         for end in self.ends.iter().filter(|end| end.rank == rank && (from..to).contains(&end.came)) {
             if let Some(wait) = end.wait_ms {
                 sums[end.at] = (sums[end.at].0 + wait, sums[end.at].1 + 1);
@@ -250,7 +250,7 @@
         world.enter(2);
         world.run(13_000.0);
         assert!(
-            world.sluices[4].standings(world.now)[0].stage == 1,
+            world.throttles[4].standings(world.now)[0].stage == 1,
             "who is cut off keeps the stage it knows"
         );
         (world.cut[4], world.cut[8]) = (false, false);
