Open the circles of files in core, decide, gateway and fleet

Files that imported one another: classes and facade (core); decide, tune and state (decide); serve, live and change (gateway); the fleet's machine and three of its modules. Types and constants that both sides use have files of their own now (decide::figures, gateway::paths, fleet::machine::{pending, parameters}).

--- a/crates/core/src/classes.rs
+++ b/crates/core/src/classes.rs
@@ -5,7 +5,7 @@
 //! dropped, keeps its place under a name that no request can carry, for the requests still open under it;
 //! new classes and the new rules of changed ones come last. Bookkeeping only: nothing is decided here.
 
-use crate::facade::Class;
+use nickeljunction_decide::api::Class;
 
 /// Stands between a class's name and the number of its retirement. A request's class comes from a header,
 /// where a line feed can't stand, so no request names a retired class.
@@ -32,7 +32,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::facade::{Group, Repeat};
+    use nickeljunction_decide::api::{Group, Repeat};
 
     fn class(name: &str, repeat: Repeat, aim_ms: f64) -> Class {
         let group = Group::All;
--- a/crates/decide/src/decide/mod.rs
+++ b/crates/decide/src/decide/mod.rs
@@ -31,8 +31,6 @@
 const ACCOUNT_STEPS: f64 = 16.0;
 /// Weight of one sample in a class's average.
 const CLASS_GAIN: f64 = 0.03;
-/// Mean latency assumed for a class before the first answer, as a part of its aim.
-pub(crate) const FIRST_GUESS: f64 = 0.2;
 /// Further attempts allowed for each first one, and how many may be saved up: bounds a retry storm.
 const RETRY_RATE: f64 = 0.15;
 const RETRY_SAVED: f64 = 20.0;
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod api;
 mod book;
 pub mod decide;
+mod figures;
 mod late;
 mod state;
 mod tune;
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -3,6 +3,9 @@
 use crate::api::*;
 use std::collections::{BTreeMap, VecDeque};
 
+/// Mean latency assumed for a class before the first answer, as a part of its aim.
+pub(crate) const FIRST_GUESS: f64 = 0.2;
+
 /// An average that follows its first samples quickly: each counts for as much as the guess it began with.
 #[derive(Debug, Default, Clone, Copy)]
 pub(crate) struct Average {
@@ -26,7 +29,7 @@
 #[derive(Debug, Default)]
 pub struct Limiter {
     pub(crate) settings: Settings,
-    pub(crate) figures: crate::tune::Figures,
+    pub(crate) figures: crate::figures::Figures,
     pub(crate) rng: fastrand::Rng,
     pub(crate) now: f64,
     pub(crate) out: Vec<Action>,
--- a/crates/decide/src/tune.rs
+++ b/crates/decide/src/tune.rs
@@ -1,24 +1,9 @@
 //! New figures while a limiter runs: which of them a window is judged by. No decision is made here; a pool is
 //! only rebuilt by the module's own rule out of the figures that hold for its window.
 
-use crate::api::{Plan, Settings};
-use crate::decide::{Limiter, FIRST_GUESS};
-use crate::state::{Average, Pool};
-
-/// The plans' former figures, and from which windows on the present ones hold.
-#[derive(Debug)]
-pub(crate) struct Figures {
-    former: Vec<Plan>,
-    /// Windows that begin earlier, ms, are judged by the former figures at every gateway alike.
-    from: f64,
-    changes: u64,
-}
-
-impl Default for Figures {
-    fn default() -> Figures {
-        Figures { former: Vec::new(), from: f64::NEG_INFINITY, changes: 0 }
-    }
-}
+use crate::api::Settings;
+use crate::figures::Figures;
+use crate::state::{Average, Limiter, Pool, FIRST_GUESS};
 
 impl Limiter {
     /// Takes new figures: those of plans for windows that begin at `from` (ms) or later, negative infinity for all
--- a/crates/fleet/src/machine/claims.rs
+++ b/crates/fleet/src/machine/claims.rs
@@ -1,6 +1,7 @@
 //! What other gateways claim of a member, and of this gateway itself.
 
-use super::{Cause, Change, Fleet, HEALTH_MOST, MARK_BITS};
+use super::parameters::{HEALTH_MOST, MARK_BITS};
+use super::{Cause, Change, Fleet};
 use crate::view::State;
 use crate::wire::{Claim, Entry};
 
--- a/crates/fleet/src/machine/gossip.rs
+++ b/crates/fleet/src/machine/gossip.rs
@@ -1,11 +1,10 @@
 //! News of members, spread to members drawn at random until each item was told often enough.
 
+use super::parameters::GOSSIP_MS;
 use super::Fleet;
 use crate::view::{State, View};
 use crate::wire::{Body, Entry};
 
-/// News go out this often at most, ms.
-pub(super) const GOSSIP_MS: f64 = 100.0;
 /// Receivers of one round of news.
 const FANOUT: usize = 2;
 
--- a/crates/fleet/src/machine/mod.rs
+++ b/crates/fleet/src/machine/mod.rs
@@ -14,6 +14,7 @@
 //! - `grants`: votes and grants of shares
 //! - `datagrams`: receiving, answering, sending
 //! - `change`, `counts`, `config`: the types of the machine's interface
+//! - `pending`, `parameters`: what it waits for, and figures of the protocol
 
 mod change;
 mod claims;
@@ -23,6 +24,8 @@
 mod digest;
 mod gossip;
 mod grants;
+mod parameters;
+mod pending;
 mod probe;
 mod suspicion;
 
@@ -33,11 +36,10 @@
 use crate::share::{Shares, PERIOD_MS};
 use crate::view::{Doubt, Member, Place, State, View};
 use crate::wire::Body;
-use gossip::GOSSIP_MS;
-use probe::{Probe, Relay};
+use parameters::{mix, GOSSIP_MS, HEALTH_MOST, HELPERS, MARK_BITS, SINCE_MS};
+use pending::{Probe, Relay, Suspicion};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
-use suspicion::Suspicion;
 
 /// Length of a slot, ms, where enough datagrams may be sent; fewer make it longer.
 const SLOT_MS: f64 = 500.0;
@@ -46,18 +48,10 @@
 const MAIL_PART: f64 = 0.18;
 const MAIL_LEAST: f64 = 4.0;
 const MAIL_MOST: f64 = 16.0;
-/// Helpers that ping in a gateway's place.
-const HELPERS: usize = 3;
-/// Local health: the more a gateway's own probes fail, or it is suspected itself, the longer it waits. Lifeguard's bound.
-const HEALTH_MOST: u32 = 8;
 /// News are told this many times the logarithm (base ten) of the roster.
 const RETELL: f64 = 4.0;
 /// No tick for so many slots: this process hung, and what it waited for says nothing.
 const HANG_SLOTS: f64 = 1.5;
-/// Incarnations count tenths of a second since 2020 (Unix ms) in their upper bits, and a life's mark below: two
-/// processes that claim one number differ in it.
-const SINCE_MS: f64 = 1_577_836_800_000.0;
-const MARK_BITS: u32 = 12;
 
 /// The membership machine of one gateway.
 #[derive(Debug)]
@@ -107,10 +101,6 @@
     counts: Counts,
 }
 
-fn mix(value: u64) -> u64 {
-    fastrand::Rng::with_seed(value).u64(..)
-}
-
 fn period(now: f64) -> u32 {
     (now / PERIOD_MS).clamp(0.0, f64::from(u32::MAX - 2)) as u32
 }
--- a/crates/fleet/src/machine/probe.rs
+++ b/crates/fleet/src/machine/probe.rs
@@ -1,6 +1,8 @@
 //! Direct and indirect probes: one ping a slot by the common clock, and helpers for those that do not answer.
 
-use super::{mix, Cause, Fleet, HEALTH_MOST, HELPERS};
+use super::parameters::{mix, HEALTH_MOST, HELPERS};
+use super::pending::{Probe, Relay};
+use super::{Cause, Fleet};
 use crate::view::{Member, State};
 use crate::wire::Body;
 
@@ -17,26 +19,6 @@
 /// Pings in other gateways' place that are open at once at most.
 const RELAYS_MOST: usize = 32;
 
-/// A ping that waits for its answer.
-#[derive(Debug)]
-pub(super) struct Probe {
-    at: usize,
-    seq: u16,
-    pub(super) sent: f64,
-    pub(super) asked_helpers: bool,
-    /// A helper said that it heard nothing either: this gateway's own links are fine.
-    nacked: bool,
-}
-
-/// A ping in another's place.
-#[derive(Debug)]
-pub(super) struct Relay {
-    asker: u16,
-    asked: u16,
-    seq: u16,
-    pub(super) until: f64,
-}
-
 impl Fleet {
     pub(super) fn slot_of(&self, now: f64) -> i64 {
         ((now + self.phase_ms) / self.slot_ms).floor() as i64
--- a/crates/fleet/src/machine/suspicion.rs
+++ b/crates/fleet/src/machine/suspicion.rs
@@ -1,5 +1,6 @@
 //! Suspicions of members that do not answer, and how long each lasts (Lifeguard).
 
+use super::pending::Suspicion;
 use super::{Cause, Fleet};
 use crate::view::State;
 use crate::wire::Body;
@@ -8,16 +9,9 @@
 /// Shortest and longest suspicion, in slots; independent accusers make it shorter.
 const SUSPECT_LEAST: f64 = 2.4;
 const SUSPECT_MOST: f64 = 8.0;
-/// Voices beside the first after which a suspicion is as short as can be.
+/// Accusers beside the first after which a suspicion is as short as can be.
 const CONFIRMATIONS: usize = 2;
 
-/// A member that is suspected, since when, and by whom.
-#[derive(Debug)]
-pub(super) struct Suspicion {
-    pub(super) since: f64,
-    accusers: BTreeSet<u16>,
-}
-
 impl Fleet {
     pub(super) fn suspect(&mut self, at: usize, by: u16, cause: Cause) {
         match self.view.member(at).state {
--- a/crates/gateway/src/cli/change.rs
+++ b/crates/gateway/src/cli/change.rs
@@ -157,7 +157,7 @@
         let (_, daemon) = read_document(&path, None)?;
         let control =
             daemon.control.ok_or_else(|| bad(format!("{}: daemon.control is not set", path.display())))?;
-        Ok(crate::serve::beside(&path, &control))
+        Ok(crate::paths::beside(&path, &control))
     }
 
     pub(super) fn ask(&self, what: &Ask) -> Result<Told, Failure> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod front;
 pub mod live;
 pub mod net;
+pub mod paths;
 pub mod peers;
 pub mod plugin;
 pub mod reception;
--- a/crates/gateway/src/live.rs
+++ b/crates/gateway/src/live.rs
@@ -101,7 +101,7 @@
 fn place(document: &Path, files: &TraceFiles) -> Place {
     const MIB: f64 = 1024.0 * 1024.0;
     Place {
-        folder: crate::serve::beside(document, &files.folder),
+        folder: crate::paths::beside(document, &files.folder),
         file_bytes: (files.file_mb * MIB) as u64,
         file_age: Duration::from_secs_f64(files.file_minutes * 60.0),
         total_bytes: (files.total_mb * MIB) as u64,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -14,6 +14,7 @@
 use crate::net::region::Regions;
 use crate::net::roster::{self, Source};
 use crate::net::terminal::{self, Phase, Terminals};
+use crate::paths::beside;
 use crate::peers::Peers;
 use crate::record::Recorder;
 use crate::tally::Tally;
@@ -117,11 +118,6 @@
     }
 }
 
-/// A path that a document names, which is taken from the document's folder.
-pub fn beside(document: &Path, named: &str) -> PathBuf {
-    document.parent().unwrap_or(Path::new("")).join(named)
-}
-
 /// A document out of its file, with the files that it names beside it.
 ///
 /// # Errors
