--- a/crates/gateway/src/net/hub.rs
+++ b/crates/gateway/src/net/hub.rs
@@ -1,7 +1,7 @@
 //! The core loop: the one owner of the core, fed by a queue that every socket task writes to.
 
 use crate::net::counter::Counter;
-use crate::net::inbox::{Inbox, Input, Parcel, Swap};
+use crate::net::inbox::{Exchange, Inbox, Input, Swap};
 use crate::net::region::Regions;
 use crate::tally::Tally;
 use bytes::{Bytes, BytesMut};
@@ -56,13 +56,13 @@
 }
 
 impl Ports for World {
-    type Content = Parcel;
+    type Content = Exchange;
     type Served = RegionReply;
 
-    fn route(&mut self, task: &RoutedTask, parcel: &Parcel, limit_ms: f64) {
-        let bytes = region_request(&parcel.request, &self.host, limit_ms);
+    fn route(&mut self, task: &RoutedTask, exchange: &Exchange, limit_ms: f64) {
+        let bytes = region_request(&exchange.request, &self.host, limit_ms);
         let (regions, inbox, task) = (self.regions.clone(), self.inbox.clone(), task.clone());
-        let (request, number, id) = (task.request, task.attempt, parcel.id.clone());
+        let (request, number, id) = (task.request, task.attempt, exchange.id.clone());
         let task_region = task.region.clone();
         let attempt = tokio::task::spawn_local(async move {
             let _id = id;
@@ -70,7 +70,7 @@
             inbox.tell(Input::Ended(task.request, task.attempt, outcome, reply));
         });
         let region = self.tally.as_ref().map_or(0, |_| crate::tally::region_number(&task_region));
-        if let Some(mark) = &parcel.mark {
+        if let Some(mark) = &exchange.mark {
             mark.sent_to(region);
         }
         self.out.insert((request, number), (attempt.abort_handle(), region));
@@ -88,12 +88,12 @@
         }
     }
 
-    fn answer(&mut self, parcel: Parcel, answer: Answer<RegionReply>) {
-        if let (Some(tally), Some(mark)) = (&self.tally, &parcel.mark) {
+    fn answer(&mut self, exchange: Exchange, answer: Answer<RegionReply>) {
+        if let (Some(tally), Some(mark)) = (&self.tally, &exchange.mark) {
             tally.answered(self.wheel.now(), mark, &answer);
         }
         // A client that has gone awaits nothing.
-        let _ = parcel.reply.send(answer);
+        let _ = exchange.reply.send(answer);
     }
 
     fn count(&mut self, name: String, amount: f64, life_ms: f64) {
@@ -104,8 +104,8 @@
         self.regions.close_idle(region);
     }
 
-    fn names(parcel: &Parcel) -> (&str, &str) {
-        let head = &parcel.request.headers;
+    fn names(exchange: &Exchange) -> (&str, &str) {
+        let head = &exchange.request.headers;
         (head.get("request-id").unwrap_or_default(), head.get("idempotency-key").unwrap_or_default())
     }
 
@@ -192,7 +192,7 @@
         tally.sheds(core.sheds());
     }
     match input {
-        Input::Arrive(key, at, intake, parcel) => core.arrive(now, key, now - at, intake, parcel),
+        Input::Arrive(key, at, intake, exchange) => core.arrive(now, key, now - at, intake, exchange),
         Input::Left(key) => core.left(now, key),
         Input::Ended(key, attempt, outcome, reply) => {
             let settled = reply.as_ref().and_then(|reply| reply.settled).unwrap_or(0.0);
--- a/crates/gateway/src/net/inbox.rs
+++ b/crates/gateway/src/net/inbox.rs
@@ -12,7 +12,7 @@
 use tokio::sync::oneshot;
 
 /// A request as it travels: what goes on to a region, and where its answer is awaited.
-pub struct Parcel {
+pub struct Exchange {
     /// As the client sent it.
     pub request: TerminalRequest,
     /// Holds its id for as long as the request or an attempt is open.
@@ -26,7 +26,7 @@
 /// What socket tasks tell the core loop.
 pub enum Input {
     /// A request is whole.
-    Arrive(RequestKey, f64, Intake, Parcel),
+    Arrive(RequestKey, f64, Intake, Exchange),
     /// Its client has gone.
     Left(RequestKey),
     /// A routed task ended.
--- a/crates/gateway/src/net/terminal.rs
+++ b/crates/gateway/src/net/terminal.rs
@@ -1,7 +1,7 @@
 //! Terminals: the clients' side. One task a connection, one request at a time.
 
 use crate::figures::{Ending, Figures};
-use crate::net::inbox::{Inbox, Input, OpenId, OpenIds, Parcel};
+use crate::net::inbox::{Exchange, Inbox, Input, OpenId, OpenIds};
 use crate::reception::{request_id, Front};
 use crate::tally::Tally;
 use bytes::BytesMut;
@@ -358,7 +358,7 @@
     let mark = terminals.tally.as_ref().map(|tally| tally.mark(at, &intake));
     let class = intake.class.clone();
     terminals.figures.began();
-    terminals.inbox.tell(Input::Arrive(key, at, intake, Parcel { request, id, reply, mark }));
+    terminals.inbox.tell(Input::Arrive(key, at, intake, Exchange { request, id, reply, mark }));
     loop {
         tokio::select! {
             biased;
