--- a/crates/quota/src/allowance.rs
+++ b/crates/quota/src/allowance.rs
@@ -73,23 +73,23 @@
     least: Peak,
     last_spend: Option<u64>,
     /// When units last came in.
-    fetched: u64,
+    last_grant: u64,
     /// The loan as the counter knows it, after the newest answered call; `None`: not known.
-    told: Option<u64>,
-    /// As told in the call under way.
-    reported: Option<u64>,
+    counter_loan: Option<u64>,
+    /// The same as reported in the call under way.
+    call_loan: Option<u64>,
     /// The limit was lowered since it was sent.
-    cut: bool,
-    /// The first allowance has come.
-    first_came: bool,
+    limit_lowered: bool,
+    /// Units were granted since the tenant is known.
+    has_first_units: bool,
     /// Requests that wait, since the last answer.
-    asked: u64,
+    waiting: u64,
     /// Requests that were refused since the last answer.
     refused: u64,
     /// Nothing was free at the counter: not asked again before then.
     empty_until: u64,
     /// More than the pace was asked for in the call under way.
-    boosting: bool,
+    boost_asked: bool,
     /// Nothing beyond the pace was allowed: not asked again before then.
     paced_until: u64,
     /// As the counter told.
@@ -108,15 +108,15 @@
             tokens_at: now,
             least: Peak::default(),
             last_spend: None,
-            fetched: 0,
-            told: Some(0),
-            reported: None,
-            cut: false,
-            first_came: false,
-            asked: 0,
+            last_grant: 0,
+            counter_loan: Some(0),
+            call_loan: None,
+            limit_lowered: false,
+            has_first_units: false,
+            waiting: 0,
             refused: 0,
             empty_until: 0,
-            boosting: false,
+            boost_asked: false,
             paced_until: 0,
             remaining: 0,
         }
@@ -159,7 +159,7 @@
     }
 
     /// Changes the loan; the pace with it.
-    fn lend(&mut self, now: u64, tuning: &Tuning, loan: u64) {
+    fn set_loan(&mut self, now: u64, tuning: &Tuning, loan: u64) {
         self.age(now, tuning);
         self.loan = loan;
         let pace = self.pace(now);
@@ -167,7 +167,7 @@
     }
 
     /// How long until the pace allows a unit, ms.
-    fn held_up(&self, now: u64, tuning: &Tuning) -> u64 {
+    fn pace_wait_ms(&self, now: u64, tuning: &Tuning) -> u64 {
         if self.tokens >= 1.0 {
             return 0;
         }
@@ -190,22 +190,22 @@
     }
 
     fn low(&self) -> bool {
-        self.held() * 4 < self.target() || self.asked > 0 || (self.refused > 0 && self.held() == 0)
+        self.held() * 4 < self.target() || self.waiting > 0 || (self.refused > 0 && self.held() == 0)
     }
 
     /// Units to ask for beyond the pace: for those who wait.
     fn boost(&self, now: u64) -> u64 {
-        if self.asked == 0 || now < self.paced_until || self.limit.is_none() {
+        if self.waiting == 0 || now < self.paced_until || self.limit.is_none() {
             return 0;
         }
-        (self.asked as f64 - self.tokens).ceil().max(0.0) as u64
+        (self.waiting as f64 - self.tokens).ceil().max(0.0) as u64
     }
 
     /// Holds more than it needs while another gateway may need it.
     fn idle(&self, now: u64, tuning: &Tuning) -> bool {
         let held = self.held();
         let quarter = tuning.window_ms / 4;
-        if !self.first_came || self.remaining * 8 >= self.cap() || now < self.fetched + quarter {
+        if !self.has_first_units || self.remaining * 8 >= self.cap() || now < self.last_grant + quarter {
             return false;
         }
         let still = self.last_spend.is_none_or(|last| now >= last + quarter);
@@ -240,11 +240,11 @@
     valid_until: u64,
     /// Highest term heard of.
     term: u64,
-    /// The next call tells all.
-    tell: bool,
+    /// The next call reports every loan.
+    report_all: bool,
     pause: u64,
     /// After a failed call: no call before then.
-    silent_until: Option<u64>,
+    no_call_until: Option<u64>,
 }
 
 impl Allowance {
@@ -261,35 +261,35 @@
             last_sent: None,
             valid_until: 0,
             term: 0,
-            tell: true,
+            report_all: true,
             pause: FIRST_PAUSE_MS,
-            silent_until: None,
+            no_call_until: None,
         }
     }
 
     /// Tenants with a limit, by the newest configuration. Loans beyond a lowered limit are cut here, in proportion, so that
     /// all loans together are within the new one; of a tenant whose limit is gone, all.
     pub fn known(&mut self, now: u64, limits: &BTreeMap<String, Limit>) {
-        self.lapse(now);
+        self.expire_loans(now);
         let tuning = &self.tuning;
         for (tenant, batch) in &mut self.batches {
             batch.age(now, tuning);
             match (batch.limit, limits.get(tenant)) {
                 (Some(old), Some(new)) if new.pace < old.pace || new.cap < old.cap => {
                     batch.lift = old.part(new, batch.lift);
-                    batch.lend(now, tuning, old.part(new, batch.loan));
+                    batch.set_loan(now, tuning, old.part(new, batch.loan));
                     batch.remaining = batch.remaining.min(new.cap);
                     // What a call under way brings was lent under the old limit.
                     if self.open_call.is_some() {
-                        (batch.told, batch.reported, batch.cut) = (None, None, true);
+                        (batch.counter_loan, batch.call_loan, batch.limit_lowered) = (None, None, true);
                     }
                 }
                 // Higher: what was known of its end is out of date.
                 (Some(old), Some(new)) if new.cap > old.cap => batch.empty_until = 0,
                 (Some(_), None) => {
-                    (batch.loan, batch.lift_until, batch.asked, batch.refused) = (0, 0, 0, 0);
-                    (batch.first_came, batch.empty_until) = (false, 0);
-                    (batch.told, batch.reported) = (None, None);
+                    (batch.loan, batch.lift_until, batch.waiting, batch.refused) = (0, 0, 0, 0);
+                    (batch.has_first_units, batch.empty_until) = (false, 0);
+                    (batch.counter_loan, batch.call_loan) = (None, None);
                 }
                 _ => {}
             }
@@ -310,25 +310,25 @@
         if self.open_call.is_some() {
             self.failed(now);
         }
-        self.heard(term);
-        self.tell = true;
-        self.silent_until = None;
+        self.note_term(term);
+        self.report_all = true;
+        self.no_call_until = None;
         self.pause = FIRST_PAUSE_MS;
     }
 
-    /// A counter of this term is there; whether that is news.
-    fn heard(&mut self, term: u64) -> bool {
+    /// A counter of this term exists; true if its term is new.
+    fn note_term(&mut self, term: u64) -> bool {
         let news = term > self.term;
         if news {
             self.term = term;
-            // What the old counter said of its end says nothing of the new one's.
+            // That the old counter had no units left says nothing about the new one.
             self.batches.values_mut().for_each(|batch| batch.empty_until = 0);
         }
         news
     }
 
     /// Drops loans whose lease has ended: a gateway that was suspended spends nothing that the counter has given up.
-    fn lapse(&mut self, now: u64) {
+    fn expire_loans(&mut self, now: u64) {
         if now < self.valid_until {
             return;
         }
@@ -336,7 +336,7 @@
             batch.age(now, &self.tuning);
             let spent = batch.spent.sum();
             if batch.loan > spent {
-                batch.lend(now, &self.tuning, spent);
+                batch.set_loan(now, &self.tuning, spent);
             }
             batch.lift_until = batch.lift_until.min(now);
         }
@@ -344,13 +344,13 @@
 
     /// Spends a unit for a request that is about to be sent.
     pub fn spend(&mut self, now: u64, tenant: &str) -> Spend {
-        self.lapse(now);
+        self.expire_loans(now);
         let valid = self.valid_until;
         let Some(batch) = self.batches.get_mut(tenant).filter(|batch| batch.limit.is_some()) else {
             return Spend::Done { from: 0, until: u64::MAX };
         };
         batch.age(now, &self.tuning);
-        let wait = batch.held_up(now, &self.tuning);
+        let wait = batch.pace_wait_ms(now, &self.tuning);
         if batch.held() > 0 && wait <= self.tuning.hold_ms && now + wait < valid {
             let from = now + wait;
             batch.tokens -= 1.0;
@@ -361,14 +361,14 @@
         }
         // Where units are held, only the pace is in the way.
         let empty = batch.remaining == 0 && now < batch.empty_until;
-        let hopeless = empty && (batch.held() <= batch.asked || now < batch.paced_until);
+        let hopeless = empty && (batch.held() <= batch.waiting || now < batch.paced_until);
         // After a start the first allowance is on its way, or the counter is about to lend again: clients come back once or
         // twice, and would be refused each time.
-        let starting = !batch.first_came && now < self.started + STARTUP_MS;
-        if !starting && (self.silent_until.is_some() || hopeless) {
+        let starting = !batch.has_first_units && now < self.started + STARTUP_MS;
+        if !starting && (self.no_call_until.is_some() || hopeless) {
             return self.refuse(now, tenant);
         }
-        batch.asked += 1;
+        batch.waiting += 1;
         Spend::Wait
     }
 
@@ -383,7 +383,7 @@
     /// Spends a unit for a further try of a request, right now. False: there is none, and it must not be sent; nothing is
     /// fetched for it either.
     pub fn also(&mut self, now: u64, tenant: &str) -> bool {
-        self.lapse(now);
+        self.expire_loans(now);
         let valid = now < self.valid_until;
         let Some(batch) = self.batches.get_mut(tenant).filter(|batch| batch.limit.is_some()) else {
             return true;
@@ -399,7 +399,7 @@
     }
 
     fn refuse(&mut self, now: u64, tenant: &str) -> Spend {
-        let silent = self.silent_until.unwrap_or(0);
+        let silent = self.no_call_until.unwrap_or(0);
         let Some(batch) = self.batches.get_mut(tenant) else {
             return Spend::Done { from: 0, until: u64::MAX };
         };
@@ -407,9 +407,9 @@
         // Own units come back by themselves, others at the counter.
         let own = match batch.held() {
             0 => batch.spent.next_free().unwrap_or(u64::MAX),
-            _ => now.saturating_add(batch.held_up(now, &self.tuning)),
+            _ => now.saturating_add(batch.pace_wait_ms(now, &self.tuning)),
         };
-        let soon = if batch.first_came { self.tuning.fetch_ms } else { FIRST_RETRY_MS };
+        let soon = if batch.has_first_units { self.tuning.fetch_ms } else { FIRST_RETRY_MS };
         let others = batch.empty_until.max(silent).max(now + soon);
         let free = others.min(own.max(now + 1));
         Spend::Refused { retry_after_ms: (free - now).clamp(1, RETRY_MOST_MS) }
@@ -425,36 +425,36 @@
         for batch in self.batches.values() {
             if batch.limit.is_none() {
                 // Units dropped with a limit: the counter may still count them.
-                if batch.told.is_none_or(|told| told > 0) {
+                if batch.counter_loan.is_none_or(|told| told > 0) {
                     due = due.min(last + tuning.report_ms);
                 }
                 continue;
             }
             due = due.min(last + tuning.refresh_ms);
-            if batch.told.is_none_or(|told| told > batch.in_force())
+            if batch.counter_loan.is_none_or(|told| told > batch.in_force())
                 || batch.idle(last + tuning.report_ms, tuning)
             {
                 due = due.min(last + tuning.report_ms);
             }
-            if batch.asked > 0 && batch.held() >= batch.asked {
+            if batch.waiting > 0 && batch.held() >= batch.waiting {
                 due = due.min(last + tuning.urgent_ms);
             } else if batch.remaining == 0 && batch.empty_until > 0 {
                 if batch.low() {
                     due = due.min(batch.empty_until.max(last + tuning.urgent_ms));
                 }
-            } else if batch.asked > 0 {
+            } else if batch.waiting > 0 {
                 due = due.min(last + tuning.urgent_ms);
-            } else if !batch.first_came {
+            } else if !batch.has_first_units {
                 due = due.min(last + tuning.fetch_ms);
             } else if batch.low() {
                 let calm = batch.held() > 0 && batch.remaining * 8 >= batch.cap();
                 due = due.min(last + if calm { tuning.report_ms / 2 } else { tuning.fetch_ms });
             }
         }
-        if self.tell && due != u64::MAX {
+        if self.report_all && due != u64::MAX {
             due = due.min(last + tuning.urgent_ms);
         }
-        due.max(self.silent_until.unwrap_or(0))
+        due.max(self.no_call_until.unwrap_or(0))
     }
 
     /// When to `poll` again, ms by the monotonic clock; `None` while a call is under way, or without tenants.
@@ -470,23 +470,23 @@
         if self.open_call.is_some() || now < self.due() {
             return None;
         }
-        self.lapse(now);
+        self.expire_loans(now);
         Some(self.call(now, false))
     }
 
     /// Returns all units at shutdown, in a last call whose answer is not needed. Nothing is spent after it.
     pub fn give_back(&mut self, now: u64) -> UnitsCall {
         self.valid_until = 0;
-        self.lapse(now);
+        self.expire_loans(now);
         for batch in self.batches.values_mut() {
-            (batch.asked, batch.refused) = (0, 0);
+            (batch.waiting, batch.refused) = (0, 0);
         }
         self.call(now, true)
     }
 
     fn call(&mut self, now: u64, end: bool) -> UnitsCall {
         self.seq += 1;
-        let all = self.tell;
+        let all = self.report_all;
         let mut call = UnitsCall { life: self.life, seq: self.seq, all, end, ..UnitsCall::default() };
         if all {
             (call.name, call.born_ms, call.to) = (self.name.clone(), now - self.started, self.term);
@@ -496,21 +496,21 @@
             batch.age(now, tuning);
             let want = if end { 0 } else { Self::ask(tuning, now, batch) };
             let loan = batch.in_force();
-            let known = batch.told == Some(loan);
+            let known = batch.counter_loan == Some(loan);
             let boost = if end { 0 } else { batch.boost(now) };
-            (batch.boosting, batch.cut) = (boost > 0, false);
+            (batch.boost_asked, batch.limit_lowered) = (boost > 0, false);
             if (!all && want + boost == 0 && known) || (batch.limit.is_none() && known && loan == 0) {
                 continue;
             }
             let mut units = TenantUnits { loan, want, boost, ..TenantUnits::default() };
-            units.first = want > 0 && !batch.first_came;
+            units.first = want > 0 && !batch.has_first_units;
             if all {
                 let pace = batch.pace(now);
                 units.pace = if pace > loan { pace } else { 0 };
                 units.least = batch.least.get(now, tuning.window_ms, pace, u64::min);
                 units.over = loan - batch.loan;
             }
-            batch.reported = Some(loan);
+            batch.call_loan = Some(loan);
             call.tenants.insert(tenant.clone(), units);
         }
         self.open_call = Some(OpenCall { seq: self.seq, sent: now });
@@ -526,19 +526,19 @@
         let target = batch.target();
         if batch.idle(now, tuning) {
             let loan = batch.spent.sum() + target.min(batch.held());
-            batch.lend(now, tuning, loan);
+            batch.set_loan(now, tuning, loan);
             return 0;
         }
         if now < batch.empty_until && batch.remaining == 0 {
             return 0;
         }
-        if !batch.first_came {
-            return target + batch.asked;
+        if !batch.has_first_units {
+            return target + batch.waiting;
         }
         let missing = target.saturating_sub(batch.held());
-        if batch.asked + batch.refused > 0 {
+        if batch.waiting + batch.refused > 0 {
             // They are the first of a rise, or are held up by the pace.
-            return missing.max(batch.spent.sum() / 4 + 1) + batch.asked + batch.refused;
+            return missing.max(batch.spent.sum() / 4 + 1) + batch.waiting + batch.refused;
         }
         // A call goes out anyway: a batch that is partly spent is filled up on the way.
         if batch.low() || batch.held() * 2 < target {
@@ -557,27 +557,27 @@
             return self.failed(now);
         }
         self.open_call = None;
-        let news = self.heard(answer.term);
-        (self.pause, self.silent_until) = (FIRST_PAUSE_MS, None);
+        let news = self.note_term(answer.term);
+        (self.pause, self.no_call_until) = (FIRST_PAUSE_MS, None);
         if answer.tell {
-            self.batches.values_mut().for_each(|batch| batch.reported = None);
-            // Told to tell though it told all, and to this counter: not at once again.
-            if self.tell && !news {
-                self.silent_until = Some(now + FIRST_PAUSE_MS);
+            self.batches.values_mut().for_each(|batch| batch.call_loan = None);
+            // Asked for a full report though the call was one, and for this counter: not again at once.
+            if self.report_all && !news {
+                self.no_call_until = Some(now + FIRST_PAUSE_MS);
             }
-            self.tell = true;
+            self.report_all = true;
             return;
         }
-        self.tell = false;
-        self.lapse(now);
+        self.report_all = false;
+        self.expire_loans(now);
         self.valid_until = self.valid_until.max(sent + self.tuning.life_ms);
         let valid = now < self.valid_until;
         for (tenant, batch) in &mut self.batches {
-            if let Some(loan) = batch.reported.take() {
-                batch.told = Some(loan);
+            if let Some(loan) = batch.call_loan.take() {
+                batch.counter_loan = Some(loan);
             }
             if let Some(grant) = answer.tenants.get(tenant) {
-                let receipt = Receipt { now, sent, valid: valid && !batch.cut };
+                let receipt = Receipt { now, sent, valid: valid && !batch.limit_lowered };
                 Self::take(&self.tuning, receipt, batch, grant);
             }
         }
@@ -587,17 +587,17 @@
     fn take(tuning: &Tuning, receipt: Receipt, batch: &mut Batch, grant: &TenantGrant) {
         let Receipt { now, sent, valid } = receipt;
         batch.remaining = grant.remaining;
-        let waited = batch.asked + batch.refused > 0;
-        (batch.asked, batch.refused) = (0, 0);
+        let waited = batch.waiting + batch.refused > 0;
+        (batch.waiting, batch.refused) = (0, 0);
         batch.age(now, tuning);
         if grant.granted > 0 {
-            batch.first_came = true;
-            batch.fetched = now;
-            // The counter's books have them as lent: a give-back is told by comparison with this.
-            batch.told = batch.told.map(|told| told + grant.granted);
+            batch.has_first_units = true;
+            batch.last_grant = now;
+            // The counter has recorded them as lent: what is returned is found by comparison with this.
+            batch.counter_loan = batch.counter_loan.map(|told| told + grant.granted);
             if valid && batch.limit.is_some() {
                 let loan = batch.loan + grant.granted;
-                batch.lend(now, tuning, loan);
+                batch.set_loan(now, tuning, loan);
             }
         }
         if grant.lift > 0 && valid {
@@ -607,14 +607,14 @@
             let depth = tuning.depth_of(batch.cap()) as f64;
             batch.tokens = (batch.tokens + grant.boost as f64).min(depth);
         }
-        if batch.boosting {
+        if batch.boost_asked {
             batch.paced_until = if grant.boost > 0 { 0 } else { now + tuning.hungry_ms };
         }
         batch.empty_until = 0;
         if grant.remaining == 0 {
             // The first units of a new life come as those of its predecessors go.
-            batch.empty_until = now + if batch.first_came { tuning.hungry_ms } else { tuning.fetch_ms };
-            // One that is refused keeps asking for those who come next.
+            batch.empty_until = now + if batch.has_first_units { tuning.hungry_ms } else { tuning.fetch_ms };
+            // A request that is refused keeps the demand known for those that follow.
             batch.refused = u64::from(grant.granted == 0 && waited && batch.held() == 0);
         }
     }
@@ -625,12 +625,12 @@
             return;
         }
         for batch in self.batches.values_mut() {
-            if batch.reported.take().is_some() {
-                // It may have arrived, and its grant be lent: the next call tells otherwise.
-                batch.told = None;
+            if batch.call_loan.take().is_some() {
+                // It may have arrived, and its grant be lent: the next call reports otherwise.
+                batch.counter_loan = None;
             }
         }
-        self.silent_until = Some(now + self.pause);
+        self.no_call_until = Some(now + self.pause);
         self.pause = (self.pause * 2).min(LONGEST_PAUSE_MS);
     }
 
--- a/crates/quota/src/counter.rs
+++ b/crates/quota/src/counter.rs
@@ -52,14 +52,14 @@
     peak: Peak,
     /// Units allowed beyond the pace.
     boosts: Ring,
-    /// Part of the cap that remained, as last told.
-    told: Option<u64>,
+    /// What remained of the cap, as it was last answered.
+    class_told: Option<u64>,
 }
 
 impl Lent {
     fn new(tuning: &Tuning) -> Lent {
         let boosts = Ring::new(tuning.slot_ms, tuning.boost_ms());
-        Lent { loan: 0, lift: 0, lift_until: 0, peak: Peak::default(), boosts, told: None }
+        Lent { loan: 0, lift: 0, lift_until: 0, peak: Peak::default(), boosts, class_told: None }
     }
 
     fn pace(&self, now: u64) -> u64 {
@@ -268,7 +268,7 @@
     /// Lives that may be removed from the log: call once in a while, and append the result.
     pub fn after(&mut self, now: u64) -> Option<Roll> {
         self.tick(now);
-        let rest: BTreeSet<u64> = self.takeover.iter().flat_map(Takeover::rest).collect();
+        let rest: BTreeSet<u64> = self.takeover.iter().flat_map(Takeover::unreported).collect();
         self.coming.retain(|_, since| *since + self.tuning.life_ms > now);
         let known = |life: &u64| {
             self.lives.contains_key(life)
@@ -349,7 +349,7 @@
             answer.tell = true;
             return answer;
         }
-        self.book(now, call, registered == Registered::FromOlderCounter);
+        self.record_report(now, call, registered == Registered::FromOlderCounter);
         if call.end {
             self.end(call.life, now);
             return answer;
@@ -386,8 +386,9 @@
         }
         let life = Life { name: call.name.clone(), born, seq: call.seq, heard: now, lent: BTreeMap::new() };
         self.lives.insert(call.life, life);
-        let heard = |takeover: &mut Takeover| takeover.heard(call.life, &call.name, born, &self.tuning);
-        match self.takeover.as_mut().is_some_and(heard) {
+        let unreported =
+            |takeover: &mut Takeover| takeover.reported(call.life, &call.name, born, &self.tuning);
+        match self.takeover.as_mut().is_some_and(unreported) {
             true => Registered::FromOlderCounter,
             false => Registered::Known,
         }
@@ -401,7 +402,7 @@
     }
 
     /// Takes over what the process reports.
-    fn book(&mut self, now: u64, call: &UnitsCall, first: bool) {
+    fn record_report(&mut self, now: u64, call: &UnitsCall, first: bool) {
         let Some(life) = self.lives.get_mut(&call.life) else { return };
         let span_ms = self.tuning.span_ms();
         for (tenant, told) in &call.tenants {
@@ -416,7 +417,7 @@
                     if let Some(takeover) = self.takeover.as_mut().filter(|_| first) {
                         // What it spent before a limit was lowered is no part of what all may have under the new one.
                         let loan = told.loan.saturating_sub(told.over);
-                        takeover.told(tenant, loan, told.pace.max(loan), told.least);
+                        takeover.add_report(tenant, loan, told.pace.max(loan), told.least);
                     }
                     lent
                 }
@@ -461,9 +462,9 @@
             lift = share.min(before + pace_left);
             (lent.lift, lent.lift_until) = (lift.max(before), now + tuning.lift_ms);
         }
-        let part = Self::part(remaining, cap);
+        let class = Self::remaining_class(remaining, cap);
         // Not asked, and it knows of about as much: no word of it.
-        if told.is_none() && lift == 0 && lent.told == Some(part) {
+        if told.is_none() && lift == 0 && lent.class_told == Some(class) {
             return None;
         }
         let room = (before + pace_left).saturating_sub(lent.loan);
@@ -483,12 +484,12 @@
             lent.boosts.book(now, allowed);
         }
         let remaining = remaining - granted;
-        lent.told = Some(Self::part(remaining, cap));
+        lent.class_told = Some(Self::remaining_class(remaining, cap));
         Some(TenantGrant { granted, remaining, boost: allowed, lift })
     }
 
     /// What remains, in coarse parts of the cap: as gateways size their batches by it.
-    fn part(remaining: u64, cap: u64) -> u64 {
+    fn remaining_class(remaining: u64, cap: u64) -> u64 {
         match remaining {
             0 => 0,
             _ => 1 + [32, 16, 8, 4].iter().filter(|part| remaining * **part >= cap).count() as u64,
