--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -393,7 +393,7 @@
         let mut settings = base.clone();
         for (name, figures) in &self.plans {
             let at = settings.plans.iter().position(|plan| plan.name == *name).unwrap_or_else(|| {
-                settings.plans.push(Plan { name: name.clone(), ..plain_plan() });
+                settings.plans.push(Plan { name: name.clone(), ..Plan::default() });
                 settings.plans.len() - 1
             });
             let plan = &mut settings.plans[at];
@@ -427,21 +427,6 @@
     }
 }
 
-fn plain_plan() -> Plan {
-    Plan {
-        name: String::new(),
-        rate: 0.0,
-        burst: 0.0,
-        at_once: 0.0,
-        price: 1.0,
-        excess_worth: 0.0,
-        over_cost: 1.0,
-        ceiling_rate: 0.0,
-        ceiling_burst: 0.0,
-        ceiling_slack: 0.0,
-    }
-}
-
 /// The smaller of both figures, plan by plan: what a gateway spends by that can't know which of the two the
 /// others spend by. A quota of nothing (0: none) is larger than any. A plan that only one knows has the one's.
 pub fn smaller(one: &[Plan], other: &[Plan]) -> Vec<Plan> {
--- a/crates/core/src/life.rs
+++ b/crates/core/src/life.rs
@@ -443,18 +443,7 @@
             stream: false,
             worth: 1.0,
         };
-        let plan = Plan {
-            name: "p".into(),
-            rate: 0.0,
-            burst: 0.0,
-            at_once: 0.0,
-            price: 1.0,
-            excess_worth: 0.0,
-            over_cost: 0.0,
-            ceiling_rate: 0.0,
-            ceiling_burst: 0.0,
-            ceiling_slack: 0.0,
-        };
+        let plan = Plan { name: "p".into(), over_cost: 0.0, ..Plan::default() };
         let settings = Settings {
             siblings: 1,
             step_ms: 2.0,
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -93,12 +93,7 @@
         rate: if name == "quota" { 20.0 } else { 0.0 },
         burst: if name == "quota" { 30.0 } else { 0.0 },
         at_once: if name == "few" { 3.0 } else { 0.0 },
-        price: 1.0,
-        excess_worth: 0.0,
-        over_cost: 1.0,
-        ceiling_rate: 0.0,
-        ceiling_burst: 0.0,
-        ceiling_slack: 0.0,
+        ..Plan::default()
     };
     Settings {
         siblings: 2,
--- a/crates/decide/src/api.rs
+++ b/crates/decide/src/api.rs
@@ -79,6 +79,24 @@
     pub ceiling_slack: f64,
 }
 
+impl Default for Plan {
+    /// A plan without a name and without a quota, whose requests are worth what their class says.
+    fn default() -> Plan {
+        Plan {
+            name: String::new(),
+            rate: 0.0,
+            burst: 0.0,
+            at_once: 0.0,
+            price: 1.0,
+            excess_worth: 0.0,
+            over_cost: 1.0,
+            ceiling_rate: 0.0,
+            ceiling_burst: 0.0,
+            ceiling_slack: 0.0,
+        }
+    }
+}
+
 /// Everything told once, at start.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Settings {
--- a/crates/decide/tests/module/common.rs
+++ b/crates/decide/tests/module/common.rs
@@ -16,12 +16,10 @@
         rate,
         burst,
         at_once,
-        price: 1.0,
-        excess_worth: 0.0,
-        over_cost: 1.0,
         ceiling_rate: ceiling * rate,
         ceiling_burst: ceiling * burst,
         ceiling_slack: 1.0,
+        ..Plan::default()
     }
 }
 
@@ -170,3 +168,9 @@
 pub(crate) fn among_many(servers: usize) -> Rig {
     Rig::new(Settings { siblings: 100, settles: true, units_top: 6.0, ..settings() }, servers)
 }
+
+/// The first request of customer 1000 + `at` on `soft`, through so many doors.
+pub(crate) fn first_request(rig: &mut Rig, at: u64, doors: usize) -> Vec<Action> {
+    let request = arrival(&format!("r{at}"), "safe", "soft");
+    rig.tell(Event::Request(Arrival { customer: 1_000 + at, doors, ..request }))
+}
--- a/crates/decide/tests/module/counter.rs
+++ b/crates/decide/tests/module/counter.rs
@@ -113,11 +113,7 @@
     let (mut calls, mut sent) = (0, 0);
     for at in 0..400u64 {
         rig.now += 50.0;
-        let mut out = rig.tell(Event::Request(Arrival {
-            customer: 1_000 + at,
-            doors: 200,
-            ..arrival(&format!("r{at}"), "safe", "soft")
-        }));
+        let mut out = first_request(&mut rig, at, 200);
         // Two calls in three come back late: in time, but after more than half of the time-out.
         for (name, add) in counts(&out.clone()) {
             calls += usize::from(at >= 100);
@@ -194,11 +190,7 @@
     let (mut rig, mut asked) = (Rig::new(settings(), 30), 0);
     for at in 0..200u64 {
         rig.now += 300.0;
-        let mut out = rig.tell(Event::Request(Arrival {
-            customer: 1_000 + at,
-            doors: 2,
-            ..arrival(&format!("r{at}"), "safe", "soft")
-        }));
+        let mut out = first_request(&mut rig, at, 2);
         for (name, add) in counts(&out.clone()) {
             asked += 1;
             rig.now += 30.0;
--- a/crates/decide/tests/module/shedding.rs
+++ b/crates/decide/tests/module/shedding.rs
@@ -77,11 +77,7 @@
     let mut sent = 0;
     for at in 0..400u64 {
         rig.now += 300.0;
-        let mut out = rig.tell(Event::Request(Arrival {
-            customer: 1_000 + at,
-            doors: 200,
-            ..arrival(&format!("r{at}"), "safe", "soft")
-        }));
+        let mut out = first_request(&mut rig, at, 200);
         // A crowded counter: late answers but for the first, so that few fetches are made.
         for (name, add) in counts(&out.clone()) {
             rig.now += if at < 3 { 1.0 } else { 40.0 };
--- a/crates/gateway/src/front/caller.rs
+++ b/crates/gateway/src/front/caller.rs
@@ -98,18 +98,7 @@
     use tokio_util::codec::Decoder;
 
     fn read(lines: &str) -> Result<Caller, TerminalReply> {
-        let plan = Plan {
-            name: "p".into(),
-            rate: 1.0,
-            burst: 1.0,
-            at_once: 0.0,
-            price: 1.0,
-            excess_worth: 0.0,
-            over_cost: 0.0,
-            ceiling_rate: 0.0,
-            ceiling_burst: 0.0,
-            ceiling_slack: 0.0,
-        };
+        let plan = Plan { name: "p".into(), rate: 1.0, burst: 1.0, over_cost: 0.0, ..Plan::default() };
         let settings = Settings { plans: vec![plan], units_top: 6.0, siblings: 4, ..Settings::default() };
         let text = format!("GET /c/1 HTTP/1.1\r\n{lines}\r\n\r\n");
         let request = TerminalCodec::default().decode(&mut BytesMut::from(&text[..]));
--- a/crates/gateway/tests/fleet/mod.rs
+++ b/crates/gateway/tests/fleet/mod.rs
@@ -6,7 +6,7 @@
 use nickeljunction_testkit::counter::Counter;
 use nickeljunction_testkit::discovery::Discovery;
 use nickeljunction_testkit::gateway::Gateway;
-use nickeljunction_testkit::load::{Answer, Load, Shape};
+use nickeljunction_testkit::load::{mixed_shapes, Answer, Load};
 use nickeljunction_testkit::region::{doubles, Region};
 use std::time::Duration;
 
@@ -76,19 +76,7 @@
 
     /// Three kinds of requests in two plans, 190 a second in all unless told otherwise.
     pub fn load(&self, rate: f64) -> Load {
-        let shape = |line: &str, plan: &str, keyed: bool, from: u64| Shape {
-            line: line.into(),
-            plan: plan.into(),
-            keyed,
-            franchisees: from..from + 20,
-        };
-        let shapes = vec![
-            shape("GET /slot-lookup/1", "standard", false, 100),
-            shape("POST /donor-checkin/1", "starter", false, 200),
-            shape("POST /slot-hold/1", "standard", true, 100),
-            shape("GET /slot-lookup/2", "growth", false, 300),
-            shape("POST /donor-checkin/2", "standard", false, 100),
-        ];
+        let shapes = mixed_shapes(20);
         Load::start(self.gateways.iter().map(|gateway| gateway.address.clone()).collect(), rate, shapes)
     }
 
--- a/crates/testkit/src/load.rs
+++ b/crates/testkit/src/load.rs
@@ -22,6 +22,23 @@
     pub franchisees: std::ops::Range<u64>,
 }
 
+/// Lookups, check-ins and holds on three plans, each kind from so many franchisees.
+pub fn mixed_shapes(franchisees: u64) -> Vec<Shape> {
+    let shape = |line: &str, plan: &str, keyed: bool, from: u64| Shape {
+        line: line.into(),
+        plan: plan.into(),
+        keyed,
+        franchisees: from..from + franchisees,
+    };
+    vec![
+        shape("GET /slot-lookup/1", "standard", false, 100),
+        shape("POST /donor-checkin/1", "starter", false, 200),
+        shape("POST /slot-hold/1", "standard", true, 100),
+        shape("GET /slot-lookup/2", "growth", false, 300),
+        shape("POST /donor-checkin/2", "standard", false, 100),
+    ]
+}
+
 /// What became of a request.
 #[derive(Debug, Clone)]
 pub struct Answer {
--- a/crates/testkit/src/rig/cluster.rs
+++ b/crates/testkit/src/rig/cluster.rs
@@ -6,7 +6,7 @@
 use crate::counter::Counter;
 use crate::discovery::Discovery;
 use crate::gateway::Gateway;
-use crate::load::{Addresses, Load, Shape};
+use crate::load::{mixed_shapes, Addresses, Load};
 use crate::network::{Network, Party};
 use crate::region::Region;
 use std::collections::BTreeMap;
@@ -156,19 +156,7 @@
     }
 
     pub(super) fn load(&self) -> Load {
-        let shape = |line: &str, plan: &str, keyed: bool, from: u64| Shape {
-            line: line.into(),
-            plan: plan.into(),
-            keyed,
-            franchisees: from..from + self.line.franchisees.clamp(1, 20),
-        };
-        let shapes = vec![
-            shape("GET /slot-lookup/1", "standard", false, 100),
-            shape("POST /donor-checkin/1", "starter", false, 200),
-            shape("POST /slot-hold/1", "standard", true, 100),
-            shape("GET /slot-lookup/2", "growth", false, 300),
-            shape("POST /donor-checkin/2", "standard", false, 100),
-        ];
+        let shapes = mixed_shapes(self.line.franchisees.clamp(1, 20));
         let most = Duration::from_millis(self.line.length_ms + 60_000);
         let rate = self.line.rate_each.clamp(0.1, 500.0) * self.line.gateways as f64;
         Load::over(self.addresses.clone(), rate, shapes, self.line.gateways, most)
--- a/crates/trace/src/event.rs
+++ b/crates/trace/src/event.rs
@@ -460,7 +460,8 @@
     (byte < 2).then_some(byte == 1)
 }
 
-fn outcome_code(outcome: Outcome) -> u8 {
+/// Number of an outcome, in files and in summaries.
+pub(crate) fn outcome_code(outcome: Outcome) -> u8 {
     match outcome {
         Outcome::Served => 0,
         Outcome::Error => 1,
--- a/crates/trace/src/summary.rs
+++ b/crates/trace/src/summary.rs
@@ -1,9 +1,9 @@
 //! What a trace comes to: service by class and plan, attempts and regions, the counter, latencies. Adding the same
 //! events in any cut and order of files gives the same figures, since all of them are counts.
 
-use crate::event::{Ending, Event, TICKS_PER_MS};
+use crate::event::{outcome_code, Ending, Event, TICKS_PER_MS};
 use hdrhistogram::Histogram;
-use nickeljunction_core::facade::{CounterReply, Outcome, RequestKey};
+use nickeljunction_core::facade::{CounterReply, RequestKey};
 use std::collections::BTreeMap;
 
 /// Longest latency that is told apart, in hundredths of a millisecond: ten minutes.
@@ -132,17 +132,7 @@
                 }
             }
             Event::Ended { region, outcome, .. } => {
-                let at = match outcome {
-                    Outcome::Served => 0,
-                    Outcome::Error => 1,
-                    Outcome::TurnedAway => 2,
-                    Outcome::CouldNotConnect => 3,
-                    Outcome::Reset => 4,
-                    Outcome::Spoilt => 5,
-                    Outcome::TimedOut => 6,
-                    Outcome::CalledOff => 7,
-                    Outcome::NotSent => 8,
-                };
+                let at = usize::from(outcome_code(*outcome));
                 self.regions.entry(region.clone()).or_default()[at] += 1;
             }
             Event::Count(..) => self.calls += 1,
