Let hollow gateways start at a stated pace and without the directory

Cause: the list of all gateways, told to each that serves the directory, is a part of what a start costs, and could not be told from the rest.

--- a/crates/hollow/src/flags.rs
+++ b/crates/hollow/src/flags.rs
@@ -34,6 +34,10 @@
             optional --settle seconds: f64
             /// Real `edge` processes beside the hollow ones: 0 or 1 (default: 1).
             optional --edges count: u8
+            /// Hollow gateways don't serve the directory: they are not told the list of all gateways.
+            optional --without-directory
+            /// Gateways that start within a second (default: 200).
+            optional --starts per_second: f64
             /// Prints JSON.
             optional --json
         }
--- a/crates/hollow/src/gateway.rs
+++ b/crates/hollow/src/gateway.rs
@@ -37,6 +37,8 @@
     pub limits: BTreeMap<String, Limit>,
     /// Window of the quotas, ms.
     pub window_ms: u64,
+    /// Gateways serve the directory, too: they are told the list of all gateways.
+    pub directory: bool,
     /// How changes spread.
     pub spread: RefCell<Spread>,
     /// Counted adds so far.
@@ -178,7 +180,7 @@
         let line = GatewayLine { ready: self.version() > 0, ..self.line.clone() };
         let mut call =
             self.copy.borrow().ask(Caller::Gateway, &self.line.name, self.life, Some(line), hold_ms);
-        call.directory = true;
+        call.directory = self.fleet.directory;
         let body = serde_json::to_vec(&call).map_err(|_| None)?;
         let timeout_ms = hold_ms as f64 + ANSWER_MS;
         let ask = Ask { method: "POST", path: path::WATCH, headers: &[], body: &body, timeout_ms };
--- a/crates/hollow/src/run.rs
+++ b/crates/hollow/src/run.rs
@@ -21,8 +21,6 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 
-/// Gateways that start within a second.
-const STARTS_PER_S: f64 = 200.0;
 /// Gateways have so long to learn the first configuration, ms.
 const FIRST_MS: f64 = 45_000.0;
 /// Between two looks whether they have, ms.
@@ -79,6 +77,8 @@
     heartbeat_s: f64,
     seconds: f64,
     settle_s: f64,
+    starts_per_s: f64,
+    directory: bool,
 }
 
 impl Plan {
@@ -101,6 +101,8 @@
             heartbeat_s: flags.heartbeat.unwrap_or(1.0),
             seconds: flags.seconds.unwrap_or(10.0),
             settle_s: flags.settle.unwrap_or(5.0),
+            starts_per_s: flags.starts.unwrap_or(200.0),
+            directory: !flags.without_directory,
         };
         if ![1, 3, 5].contains(&plan.core) {
             return Err(Trouble::Use("--core wants 1, 3 or 5"));
@@ -115,8 +117,8 @@
         if !times.iter().all(|time| (0.0..=MOST_SECONDS).contains(time)) || plan.seconds < 1.0 {
             return Err(Trouble::Use("times want 0 to 600 s, --seconds 1 at least"));
         }
-        if !(plan.changes >= 0.0 && plan.adds >= 0.0 && plan.heartbeat_s >= 0.1) {
-            return Err(Trouble::Use("rates want 0 or more, --heartbeat 0.1 at least"));
+        if !(plan.changes >= 0.0 && plan.adds >= 0.0 && plan.heartbeat_s >= 0.1 && plan.starts_per_s >= 1.0) {
+            return Err(Trouble::Use("rates want 0 or more, --heartbeat 0.1 at least, --starts 1 at least"));
         }
         Ok(plan)
     }
@@ -125,8 +127,14 @@
         let Size { routes, tenants, limited, services } = self.size;
         format!(
             "core {} gateways {} servers {} services {services} routes {routes} tenants {tenants} limited {limited} \
-             changes/min {} adds/s {} heartbeat {} s",
-            self.core, self.gateways, self.servers, self.changes, self.adds, self.heartbeat_s
+             changes/min {} adds/s {} heartbeat {} s{}",
+            self.core,
+            self.gateways,
+            self.servers,
+            self.changes,
+            self.adds,
+            self.heartbeat_s,
+            if self.directory { "" } else { " without directory" }
         )
     }
 }
@@ -203,6 +211,7 @@
         wheel: wheel.clone(),
         core: processes.inner(),
         limits: document::limits(&plan.size, &bounds()),
+        directory: plan.directory,
         window_ms: (QUOTA_WINDOW_S * 1_000.0) as u64,
         spread: RefCell::new(Spread::default()),
         adds: RefCell::new(Adds::default()),
@@ -218,8 +227,9 @@
         .collect();
     for (number, gateway) in gateways.iter().enumerate() {
         let (gateway, wheel, adds) = (gateway.clone(), wheel.clone(), plan.adds);
+        let begin_ms = number as f64 / plan.starts_per_s * 1_000.0;
         tokio::task::spawn_local(async move {
-            wheel.sleep(number as f64 / STARTS_PER_S * 1_000.0).await;
+            wheel.sleep(begin_ms).await;
             tokio::task::spawn_local(gateway.clone().count());
             tokio::task::spawn_local(gateway.clone().spend(adds));
             gateway.watch().await;
