Number the inner calls of a kept connection, and take no answer to another one

Inner calls carried no id: a second answer to the call before that came after the look at the idle connection was given to the next call, and would have renewed a lease from the wrong moment or booked units of another call. A call now carries Call-Id, its number on its connection, and the desk names it back; an answer that names another, or none where the peer has named one, fails the call as one that may have run. A peer of an older version names none and is believed. A connection is kept only if the call went out whole.

--- a/crates/net/src/caller.rs
+++ b/crates/net/src/caller.rs
@@ -1,5 +1,6 @@
 //! Calls to the system's own processes and to other control services: HTTP/1.1 over kept connections.
 
+use crate::call_state::{Calls, CALL_ID};
 use crate::link;
 use crate::wheel::Wheel;
 use bytes::{BufMut, Bytes, BytesMut};
@@ -29,6 +30,8 @@
 const READ_BYTES: usize = 4 * 1024;
 /// A body up to so long goes out in one write with its head, bytes.
 const JOINED: usize = 16 * 1024;
+/// Room for the line of the call's number, bytes.
+const NUMBER_BYTES: usize = 36;
 
 quick_error! {
     /// Why a call has no answer: the step it failed at, and the peer.
@@ -106,6 +109,7 @@
 /// A connection that waits for the next call.
 struct Idle {
     framed: Framed<TcpStream, RegionCodec>,
+    calls: Calls,
     since: f64,
 }
 
@@ -163,17 +167,18 @@
         body: &[u8],
         step: &Cell<Step>,
     ) -> Result<Reply, CallError> {
-        let mut framed = match self.take_idle(to) {
-            Some(framed) => framed,
+        let (mut framed, mut calls) = match self.take_idle(to) {
+            Some(kept) => kept,
             None => {
                 let connected = self.wheel.timeout(self.connect_ms, link::connect(to)).await;
                 let stream = connected
                     .ok_or(CallError::TimedOut(to, Step::Connect, self.connect_ms))?
                     .map_err(|cause| CallError::Connect(to, cause))?;
-                Framed::with_capacity(stream, RegionCodec::new(MOST_ANSWER), READ_BYTES)
+                (Framed::with_capacity(stream, RegionCodec::new(MOST_ANSWER), READ_BYTES), Calls::default())
             }
         };
         step.set(Step::Write);
+        head.extend_from_slice(format!("{CALL_ID}: {}\r\n\r\n", calls.begin()).as_bytes());
         let rest = if body.len() <= JOINED {
             head.extend_from_slice(body);
             &[]
@@ -187,8 +192,8 @@
         // A peer that wants no such body answers before it has all of it, and closes: its answer tells why.
         let written = written.await;
         step.set(Step::Answer);
-        let reply = match (framed.next().await, written) {
-            (Some(Ok(reply)), _) => reply,
+        let (reply, sent_whole) = match (framed.next().await, written) {
+            (Some(Ok(reply)), written) => (reply, written.is_ok()),
             (_, Err(cause)) => return Err(CallError::Write(to, cause)),
             (Some(Err(cause)), Ok(())) => return Err(CallError::Answer(to, cause)),
             (None, Ok(())) => {
@@ -196,14 +201,19 @@
                 return Err(CallError::Answer(to, cause));
             }
         };
-        if reply.keep_alive {
-            self.keep(to, framed);
+        let refusal = reply.status >= 400 && !reply.keep_alive;
+        if !calls.belongs(reply.headers.get(CALL_ID), refusal) {
+            return Err(CallError::Answer(to, HttpError::Malformed("answer to another call")));
+        }
+        // Bytes past the answer would be taken for the answer to the next call.
+        if calls.reusable(reply.keep_alive, sent_whole, framed.read_buffer().is_empty()) {
+            self.keep(to, framed, calls);
         }
         Ok(Reply { status: reply.status, headers: reply.headers, body: reply.body })
     }
 
     /// A kept connection that is still good; closes those that are not, to whichever peer.
-    fn take_idle(&self, to: SocketAddr) -> Option<Framed<TcpStream, RegionCodec>> {
+    fn take_idle(&self, to: SocketAddr) -> Option<(Framed<TcpStream, RegionCodec>, Calls)> {
         let (mut idle, now) = (self.idle.borrow_mut(), self.wheel.now());
         idle.retain(|_, kept| {
             kept.retain(|one| now - one.since < KEEP_MS);
@@ -213,24 +223,23 @@
         while let Some(one) = kept.pop() {
             // A closed one would lose the call, and one on which something came would give a wrong answer.
             if link::quiet(one.framed.get_ref()) {
-                return Some(one.framed);
+                return Some((one.framed, one.calls));
             }
         }
         None
     }
 
-    fn keep(&self, to: SocketAddr, mut framed: Framed<TcpStream, RegionCodec>) {
+    fn keep(&self, to: SocketAddr, mut framed: Framed<TcpStream, RegionCodec>, calls: Calls) {
         let mut idle = self.idle.borrow_mut();
         let kept = idle.entry(to).or_default();
-        // Bytes past the answer would be taken for the answer to the next call.
-        if kept.len() < MOST_IDLE && framed.read_buffer().is_empty() {
+        if kept.len() < MOST_IDLE {
             link::shrink(framed.read_buffer_mut(), READ_BYTES);
-            kept.push(Idle { framed, since: self.wheel.now() });
+            kept.push(Idle { framed, calls, since: self.wheel.now() });
         }
     }
 }
 
-/// The head of a request. The error: a part of it would break its line and be read as something else.
+/// The head of a request, but for the call's number and the empty line. The error: a part of it would break its line and be read as something else.
 fn head(
     to: SocketAddr,
     method: &str,
@@ -253,8 +262,8 @@
     if !body.is_empty() || !matches!(method, "GET" | "HEAD") {
         text.push_str(&format!("Content-Length: {}\r\n", body.len()));
     }
-    text.push_str("\r\n");
-    let mut head = BytesMut::with_capacity(text.len() + if body.len() <= JOINED { body.len() } else { 0 });
+    let joined = if body.len() <= JOINED { body.len() } else { 0 };
+    let mut head = BytesMut::with_capacity(text.len() + NUMBER_BYTES + joined);
     head.put_slice(text.as_bytes());
     Ok(head)
 }
--- a/crates/net/src/desk.rs
+++ b/crates/net/src/desk.rs
@@ -1,5 +1,6 @@
 //! The server of inner and control calls: HTTP/1.1, whole requests, resources by the prefix of their path.
 
+use crate::call_state::{self, CALL_ID};
 use crate::link;
 use crate::wheel::Wheel;
 use bytes::{Bytes, BytesMut};
@@ -124,8 +125,8 @@
         self
     }
 
-    /// The bytes of the head.
-    fn head(&self, close: bool) -> BytesMut {
+    /// The bytes of the head; `named`: the number of the call that it answers.
+    fn head(&self, close: bool, named: Option<&str>) -> BytesMut {
         let mut text = format!("HTTP/1.1 {} {}\r\n", self.status, reason(self.status));
         for (name, value) in &self.headers {
             text.push_str(name);
@@ -138,6 +139,9 @@
         if !self.body.is_empty() && !typed {
             text.push_str("Content-Type: application/json\r\n");
         }
+        if let Some(number) = named {
+            text.extend([CALL_ID, ": ", number, "\r\n"]);
+        }
         if close {
             text.push_str("Connection: close\r\n");
         }
@@ -274,12 +278,13 @@
             // A large body must not stay with a connection that idles.
             link::shrink(framed.read_buffer_mut(), READ_BYTES);
             let (headless, keep) = (request.method == "HEAD", request.keep_alive);
+            let named = call_state::number(request.headers.get(CALL_ID)).map(str::to_string);
             let (method, target, headers, body) =
                 (request.method, request.target, request.headers, request.body);
             let call = Call { method, target, headers, body, peer };
             let Some(answer) = self.answer(framed.get_ref(), call).await else { return };
             let close = answer.close || !keep || self.leaving.get();
-            let written = self.write(framed.get_mut(), &answer, close, headless).await;
+            let written = self.write(framed.get_mut(), &answer, close, headless, named.as_deref()).await;
             if written.is_none() || close {
                 return;
             }
@@ -335,8 +340,15 @@
     }
 
     /// Writes an answer; `None`: it did not go out.
-    async fn write(&self, to: &mut TcpStream, answer: &Response, close: bool, headless: bool) -> Option<()> {
-        let mut head = answer.head(close);
+    async fn write(
+        &self,
+        to: &mut TcpStream,
+        answer: &Response,
+        close: bool,
+        headless: bool,
+        named: Option<&str>,
+    ) -> Option<()> {
+        let mut head = answer.head(close, named);
         let body = if headless || answer.bodiless() { &[] } else { &answer.body[..] };
         let rest = if body.len() <= JOINED {
             head.extend_from_slice(body);
@@ -368,7 +380,7 @@
             }
             HttpError::Io(_) => return,
         };
-        if self.write(stream, &Response::error(status, &text), true, false).await.is_none() {
+        if self.write(stream, &Response::error(status, &text), true, false, None).await.is_none() {
             return;
         }
         let drained = async {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod backoff;
 pub mod budget;
+pub mod call_state;
 pub mod caller;
 pub mod clock;
 pub mod desk;
