Replace members of the core rather than shrink it, and let a going leader stand

Cause: a core of 3 whose lost machine had a successor was a list of four, of which one was dead: a second loss (the new machine's own, or any once the first counts as repaired, 4 s) left 2 of 4 for good, as a silent member went only after 6 s. A core of 5 shrank to 3, on which an acknowledged entry was on 2 disks where 3 are to hold it. A leader that had its own removal alone on its disk when all power went stood for no election, and nobody else's log was as long: no majority for ever.

Change: the core aims at twice as many members as fault_tolerance.machine_failures, and one. Who comes beyond that stands by as a learner. A member that is silent for 2 s, or said that it ends, makes room for it: removed first from an odd list, so that the majority never takes more disks while somebody is missing. Where nobody stands by the silent one stays. A member whose removal is not known to be agreed may stand for election.

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -22,6 +22,7 @@
             }
             return;
         }
+        self.note_ending(from.id, &msg);
         match msg {
             // These carry no term that binds: a question, an answer to one, a stranger's wish and a hint.
             Msg::Ask { last, last_term } => return self.on_ask(&from, term, last, last_term),
@@ -166,7 +167,8 @@
             }
             None => self.put_off_election(),
         }
-        if !self.is_member() || self.disk.sick() {
+        let stands = self.is_member() || guard!(GoingStands, self.goes(), false);
+        if !stands || self.disk.sick() {
             return;
         }
         self.leader = None;
@@ -179,6 +181,12 @@
         self.count_asked();
     }
 
+    /// Its log says that it is no member any more, and it doesn't know that to be agreed. It may have the longest log of
+    /// all, of one that led its own removal and told nobody: then no other one is elected.
+    fn goes(&self) -> bool {
+        self.log.members_since() > self.commit && self.log.was_member(self.me.id)
+    }
+
     fn on_ask(&mut self, from: &Member, term: u64, last: u64, last_term: u64) {
         let yes = !self.disk.sick()
             && term >= self.hard.term
@@ -294,8 +302,12 @@
         }
     }
 
-    /// The leader said that it leads no longer.
+    /// The leader said that it leads no longer, or a member that it is about to end.
     fn on_resign(&mut self, from: MemberId) {
+        self.ending.retain(|(id, _)| *id != from);
+        if self.knows(from) {
+            self.ending.push((from, self.now));
+        }
         if self.leader.as_ref().is_some_and(|leader| leader.id == from) {
             self.leader = None;
             self.heard_at = None;
@@ -303,6 +315,7 @@
             // Soon, but not all at once.
             self.deadline = self.now + self.rng.u64(0..=self.tuning.heartbeat_ms);
         }
+        self.govern();
     }
 
     /// A leader tells the others not to wait for its silence.
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -1,7 +1,7 @@
 //! The log in memory: the entries since a base, the newest snapshot, and which members hold from which entry on.
 
 use crate::messages::{Body, Entry, Snapshot, HELD_BACK};
-use nickeljunction_messages::Member;
+use nickeljunction_messages::{Member, MemberId};
 use std::collections::VecDeque;
 
 /// Entries that a snapshot covers stay for laggards up to so many bytes.
@@ -104,6 +104,12 @@
         self.configs.back().map_or(&[], |(_, members)| members)
     }
 
+    /// It was a member by the list before the one that holds.
+    pub(crate) fn was_member(&self, id: MemberId) -> bool {
+        let before = self.configs.iter().rev().nth(1);
+        before.is_some_and(|(_, members)| members.iter().any(|member| member.id == id))
+    }
+
     /// From which entry on they hold.
     pub(crate) fn members_since(&self) -> u64 {
         self.configs.back().map_or(0, |(from, _)| *from)
--- a/crates/consensus/src/machine.rs
+++ b/crates/consensus/src/machine.rs
@@ -85,6 +85,10 @@
     pub(crate) join_at: u64,
     /// Who is not to be a member, by operators' word.
     pub(crate) away: Vec<Away>,
+    /// Who is to be one, by operators' word.
+    pub(crate) called: Option<String>,
+    /// Members that said that they are about to end, and when.
+    pub(crate) ending: Vec<(MemberId, u64)>,
     /// When a hint to a leader was last followed.
     pub(crate) pointed_at: Option<u64>,
     pub(crate) next_read: ReadTicket,
@@ -123,6 +127,8 @@
             hosts: VecDeque::new(),
             join_at: now,
             away: Vec::new(),
+            called: None,
+            ending: Vec::new(),
             pointed_at: None,
             next_read: 1,
             out: Outputs {
@@ -263,12 +269,14 @@
         self.join_at = self.now;
     }
 
-    /// Stops leading at once and tells the others not to wait: for a program that is about to end.
+    /// Stops leading at once and tells the others not to wait, or tells the leader: for a program that is about to end.
     pub fn resign(&mut self, now: u64) {
         self.pass(now);
         self.hand_over();
         if matches!(self.role, Role::Leading(_)) {
             self.follow(self.hard.term);
+        } else if let Some(leader) = self.leader.clone().filter(|leader| leader.id != self.me.id) {
+            self.say(&leader, Msg::Resign);
         }
     }
 
--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -4,7 +4,7 @@
 use crate::machine::{Consensus, Role};
 use crate::messages::{Away, Body, Envelope, Msg, Seen};
 use crate::replication::Peer;
-use nickeljunction_messages::Member;
+use nickeljunction_messages::{Member, MemberId};
 
 /// No more members than this.
 pub const MEMBERS_MAX: usize = 7;
@@ -21,8 +21,17 @@
 /// A member that has heard of no leader for so many longest election times asks to be taken in, as it may have been
 /// removed.
 const LONELY_TIMES: u64 = 3;
+/// A time after which a silent member is removed that is too long, for the tests: the guard [`crate::Tuning::gone_ms`] out.
+#[cfg(feature = "model")]
+const LATE_MS: u64 = 6_000;
 
 impl Consensus {
+    /// Operators' word on which host is to be a member, above [`crate::Tuning::most`] if need be. As with
+    /// [`Consensus::away`].
+    pub fn called(&mut self, host: Option<String>) {
+        self.called = host;
+    }
+
     /// Operators' word on who is not to be a member, in the place of what was told before: a member is removed once `after`
     /// is one and a majority of the rest answers, a machine that asks is not taken in. To be told from the log, the same at
     /// every member; it is carried out by the one that leads.
@@ -74,6 +83,13 @@
         }
     }
 
+    /// Who was about to end and asks for something, or still answers a while later, is there after all.
+    pub(crate) fn note_ending(&mut self, from: MemberId, msg: &Msg) {
+        let (now, gone_ms) = (self.now, self.tuning.gone_ms);
+        let answers = matches!(msg, Msg::Kept { .. } | Msg::Asked { .. } | Msg::Voted { .. });
+        self.ending.retain(|(id, at)| *id != from || (answers && now < at + gone_ms));
+    }
+
     /// Tells who leads, where that is known.
     pub(crate) fn point(&mut self, to: &Member) {
         if let Some(leader) = self.leader.clone().filter(|leader| self.has_leader() && leader.id != to.id) {
@@ -161,6 +177,7 @@
         // It led its own removal to the end, with the votes of the others alone: now one of them leads.
         if !self.is_member() {
             self.hand_over();
+            self.join_at = self.now + self.tuning.join_ms;
             return self.follow(self.hard.term);
         }
         if let Some(members) = self.next_members() {
@@ -177,59 +194,100 @@
         }
     }
 
-    /// The members after the next change, where one is due.
+    /// The members after the next change, where one is due: who comes, then who was told to go, then who is gone.
     fn next_members(&self) -> Option<Vec<Member>> {
-        let Role::Leading(lead) = &self.role else { return None };
-        let members = self.log.members();
-        let silent = |member: &Member, ms: u64| {
-            member.id != self.me.id
-                && lead.peer(member.id).is_some_and(|peer| self.now > peer.heard_at() + ms)
+        let comes = self.newcomers().find_map(|member| self.with(member));
+        comes.or_else(|| self.without_leaving()).or_else(|| self.without_gone())
+    }
+
+    /// Machines that are taught, have caught up and answer, and may come.
+    fn newcomers(&self) -> impl Iterator<Item = &Member> {
+        let peers = match &self.role {
+            Role::Leading(lead) => lead.peers.as_slice(),
+            _ => &[],
         };
-        let without = |id| members.iter().filter(|member| member.id != id).cloned().collect::<Vec<_>>();
-        let caught_up = |peer: &&Peer| {
+        let near = self.commit.max(self.log.last().saturating_sub(CAUGHT_UP));
+        let caught_up = move |peer: &&Peer| {
             peer.learner
-                && guard!(
-                    CaughtUp,
-                    peer.keeps(self.commit.max(self.log.last().saturating_sub(CAUGHT_UP))),
-                    true
-                )
+                && guard!(CaughtUp, peer.keeps(near), true)
                 && self.now <= peer.heard_at() + self.tuning.election_max_ms
         };
-        // Who comes is taken in before anybody goes.
-        for peer in lead.peers.iter().filter(caught_up).filter(|peer| !self.is_away(&peer.member.host)) {
-            let before = members.iter().find(|member| member.host == peer.member.host);
-            let next = match before {
-                // Its old self has to be silent: else two programs share a host, and the first one stays.
-                Some(old) if silent(old, self.tuning.election_max_ms) => without(old.id),
-                Some(_) => continue,
-                None if members.len() >= MEMBERS_MAX => continue,
-                None => members.iter().chain([&peer.member]).cloned().collect(),
-            };
-            if self.in_touch(&next) {
-                return Some(next);
-            }
-        }
-        if let Some(leaving) = members.iter().find(|member| self.is_to_go(member)) {
-            let next = without(leaving.id);
-            if next.len() >= MEMBERS_MIN && self.in_touch(&next) {
-                return Some(next);
-            }
-        }
-        // The longest silent one first.
-        let mut gone: Vec<&Member> =
-            members.iter().filter(|member| silent(member, self.tuning.gone_ms)).collect();
-        gone.sort_by_key(|member| lead.peer(member.id).map(Peer::heard_at));
-        let next = without(gone.first()?.id);
+        let members = peers.iter().filter(caught_up).map(|peer| &peer.member);
+        members.filter(|member| !self.is_away(&member.host))
+    }
+
+    /// The members with this one, in the place of its old self where there is one. Who comes doesn't raise the number that
+    /// a majority takes while a member is missing: its own loss, right after, would leave none.
+    fn with(&self, member: &Member) -> Option<Vec<Member>> {
+        let members = self.log.members();
+        let room = if self.is_called(&member.host) { MEMBERS_MAX } else { self.tuning.most };
+        let next = match members.iter().find(|old| old.host == member.host) {
+            // Its old self has to be silent: else two programs share a host, and the first one stays.
+            Some(old) if self.silent(old, self.tuning.election_max_ms) => self.without(old),
+            Some(_) => return None,
+            None if members.len() >= guard!(StandsBy, room.min(MEMBERS_MAX), MEMBERS_MAX) => return None,
+            None => members.iter().chain([member]).cloned().collect(),
+        };
+        let raises = next.len() / 2 > members.len() / 2;
+        let whole = || !members.iter().any(|member| self.silent(member, self.tuning.election_min_ms));
+        (guard!(RaisedWhole, !raises || whole(), true) && self.in_touch(&next)).then_some(next)
+    }
+
+    /// The members without one that operators take away.
+    fn without_leaving(&self) -> Option<Vec<Member>> {
+        let leaving = self.log.members().iter().find(|member| self.is_to_go(member))?;
+        let next = self.without(leaving);
         (next.len() >= MEMBERS_MIN && self.in_touch(&next)).then_some(next)
     }
 
-    /// More than half of these members answered within the longest election time.
-    fn in_touch(&self, members: &[Member]) -> bool {
+    /// The members without the one that was silent for longest, or said that it ends: where enough are left, or another one
+    /// stands by, who comes with the next step. From an odd number to the even one below a majority takes as many as before.
+    fn without_gone(&self) -> Option<Vec<Member>> {
+        let members = self.log.members();
+        let stands_by = self.newcomers().any(|new| members.iter().all(|member| member.host != new.host));
+        let replaced = stands_by && members.len() % 2 == 1 && members.len() >= MEMBERS_MIN;
+        let least = guard!(ReplacedOnly, self.tuning.least.max(MEMBERS_MIN), MEMBERS_MIN);
+        if members.len() <= least && !replaced {
+            return None;
+        }
+        let gone_ms = guard!(GoneSoon, self.tuning.gone_ms, LATE_MS);
+        let ends = |id| guard!(EndTold, self.ending.iter().any(|(ending, _)| *ending == id), false);
+        let is_gone =
+            |member: &&Member| self.silent(member, gone_ms) || (member.id != self.me.id && ends(member.id));
+        let Role::Leading(lead) = &self.role else { return None };
+        let gone =
+            members.iter().filter(is_gone).min_by_key(|member| lead.peer(member.id).map(Peer::heard_at))?;
+        let next = self.without(gone);
+        self.in_touch(&next).then_some(next)
+    }
+
+    /// The members without this one.
+    fn without(&self, gone: &Member) -> Vec<Member> {
+        self.log.members().iter().filter(|member| member.id != gone.id).cloned().collect()
+    }
+
+    /// Operators want a member there: one more, or in the place of one that is still there.
+    fn is_called(&self, host: &str) -> bool {
+        let is_there = |host: &String| self.log.members().iter().any(|member| member.host == *host);
+        let follows = |away: &Away| away.after.as_deref() == Some(host) && is_there(&away.host);
+        self.called.as_deref() == Some(host) || self.away.iter().any(follows)
+    }
+
+    /// Another member that wasn't heard for so long, ms.
+    fn silent(&self, member: &Member, ms: u64) -> bool {
         let Role::Leading(lead) = &self.role else { return false };
-        let answers = |member: &&Member| {
-            member.id == self.me.id || lead.peer(member.id).is_some_and(|peer| self.answers(peer, self.now))
-        };
-        members.iter().filter(answers).count() > members.len() / 2
+        member.id != self.me.id && lead.peer(member.id).is_some_and(|peer| self.now > peer.heard_at() + ms)
+    }
+
+    /// It is this one, or answered within the longest election time.
+    fn is_here(&self, member: &Member) -> bool {
+        let Role::Leading(lead) = &self.role else { return false };
+        member.id == self.me.id || lead.peer(member.id).is_some_and(|peer| self.answers(peer, self.now))
+    }
+
+    /// More than half of these members are here.
+    fn in_touch(&self, members: &[Member]) -> bool {
+        members.iter().filter(|member| self.is_here(member)).count() > members.len() / 2
     }
 
     /// It answered within the longest election time.
--- a/crates/consensus/src/messages.rs
+++ b/crates/consensus/src/messages.rs
@@ -1,5 +1,6 @@
 //! What goes in and out: entries, snapshots, messages between members, writes, tuning.
 
+use crate::membership::{MEMBERS_MAX, MEMBERS_MIN};
 use nickeljunction_messages::{Member, MemberId};
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
@@ -266,7 +267,7 @@
         #[serde(rename = "l")]
         leader: Member,
     },
-    /// "I lead no longer; don't wait for me."
+    /// "I lead no longer; don't wait for me", or, of one that doesn't lead: "I am about to end."
     #[serde(rename = "z")]
     Resign,
 }
@@ -306,7 +307,14 @@
     pub election_min_ms: u64,
     /// See `election_min_ms`; a leader that no majority answered for this long steps down.
     pub election_max_ms: u64,
-    /// A member that was silent for so long is removed, where at least 3 remain.
+    /// Nobody is removed for silence alone where no more members than this are left: a smaller list keeps what is
+    /// acknowledged on fewer disks.
+    pub least: usize,
+    /// Machines that ask are taken in up to this many members; more of them stand by as learners, until a member is gone
+    /// or operators call one in.
+    pub most: usize,
+    /// A member that was silent for so long is gone: it makes room for one that stands by. Shorter than the time after
+    /// which the next loss has to be borne.
     pub gone_ms: u64,
     /// A machine that isn't a member asks so often to be taken in.
     pub join_ms: u64,
@@ -320,13 +328,23 @@
             heartbeat_ms: 100,
             election_min_ms: 350,
             election_max_ms: 650,
-            gone_ms: 6_000,
+            least: MEMBERS_MIN,
+            most: MEMBERS_MAX,
+            gone_ms: 2_000,
             join_ms: 300,
             retry_ms: 200,
         }
     }
 }
 
+impl Tuning {
+    /// For a core that is to bear the loss of so many machines at once: twice as many members, and one.
+    pub fn bearing(losses: usize) -> Tuning {
+        let members = losses.saturating_mul(2).saturating_add(1).clamp(MEMBERS_MIN, MEMBERS_MAX);
+        Tuning { least: members, most: members, ..Tuning::default() }
+    }
+}
+
 /// Names a read from [`crate::Consensus::read`] to its [`Outputs::reads`].
 pub type ReadTicket = u64;
 
--- a/crates/consensus/tests/orders.rs
+++ b/crates/consensus/tests/orders.rs
@@ -4,6 +4,7 @@
 mod cluster;
 
 use cluster::Cluster;
+use nickeljunction_consensus::Tuning;
 
 const SEEDS: u64 = 12;
 
@@ -128,3 +129,63 @@
         check(&mut harbour, &rest);
     }
 }
+
+#[test]
+fn a_leader_that_alone_has_its_own_removal_is_elected_again() {
+    each(|harbour, leader| {
+        let new = join(harbour);
+        harbour.members_within(2_000, &[0, 1, 2, new]);
+        let leader = if harbour.leader() == Some(new) { new } else { leader };
+        harbour.propose_away(leader, &[(leader, None)]);
+        while harbour.book(leader).members().len() > 3 {
+            harbour.run(1);
+        }
+        // The others lose power before they hear of it, and one of them its disk; then the leader does, with it synced.
+        let others: Vec<usize> = (0..4).filter(|number| *number != leader).collect();
+        others.iter().for_each(|number| harbour.lose_unsynced(*number, 0));
+        harbour.run(20);
+        harbour.lose_unsynced(leader, 0);
+        harbour.wipe(others[2]);
+        harbour.run(300);
+        (0..4).for_each(|number| harbour.start(number));
+        // The two others' logs are the shorter ones, and are no majority of four.
+        harbour.members_within(8_000, &others);
+        // The wiped one comes back under a new number.
+        harbour.run(3_000);
+        check(harbour, &others);
+    });
+}
+
+#[test]
+fn a_fourth_stands_by_until_it_is_called_or_a_member_is_gone() {
+    for seed in 0..SEEDS {
+        let mut harbour = Cluster::tuned(3, seed, Tuning::bearing(1));
+        let leader = harbour.settle(3_000);
+        harbour.commit(1_000);
+        let new = join(&mut harbour);
+        harbour.run(4_000);
+        assert_eq!(harbour.members(), [0, 1, 2], "it stands by");
+        // One that is gone for good makes room for it, and stands by itself once it is back.
+        let gone = (0..3).find(|number| *number != leader).expect("two others");
+        harbour.kill(gone);
+        let rest: Vec<usize> = (0..4).filter(|number| *number != gone).collect();
+        harbour.members_within(2_500, &rest);
+        harbour.start(gone);
+        harbour.run(4_000);
+        assert_eq!(harbour.members(), rest, "it stands by");
+        // Operators call it.
+        let host = harbour.machines[gone].host.clone();
+        for machine in &mut harbour.machines {
+            machine.book.as_mut().expect("all run").called(Some(host.clone()));
+        }
+        harbour.members_within(1_000, &[0, 1, 2, new]);
+        // One that says that it ends is not waited for.
+        let ends = harbour.settle(1_000);
+        harbour.resign(ends);
+        harbour.run(5);
+        harbour.kill(ends);
+        let rest: Vec<usize> = (0..4).filter(|number| *number != ends).collect();
+        harbour.members_within(1_000, &rest);
+        check(&mut harbour, &rest);
+    }
+}
--- a/crates/consensus/tests/small_world/mod.rs
+++ b/crates/consensus/tests/small_world/mod.rs
@@ -197,6 +197,8 @@
             election_min_ms,
             election_max_ms,
             gone_ms: self.gone,
+            least: 3,
+            most: 7,
             join_ms: 0,
             retry_ms: 0,
         }
--- a/crates/controller/src/serve.rs
+++ b/crates/controller/src/serve.rs
@@ -133,7 +133,8 @@
     let caller = Caller::new(wheel.clone());
     let peers = Peers::new(Caller::within(wheel.clone(), PEER_CONNECT_MS), ports.inner);
     let now = wheel.now() as u64;
-    let house = Replica::new(place.clone(), restored, Tuning::default(), dice.u64(..), now);
+    let tuning = Tuning::bearing(settings.fault_tolerance.machine_failures as usize);
+    let house = Replica::new(place.clone(), restored, tuning, dice.u64(..), now);
     let driver = Driver::new(place, ports, wheel.clone(), house, writes, peers);
     if let Some(copy) = hint::load(&addresses.data) {
         driver.remember(copy);
--- a/crates/replica/src/machine.rs
+++ b/crates/replica/src/machine.rs
@@ -217,6 +217,7 @@
         if self.away_from != orders {
             self.away_from = orders;
             self.book.away(order.away.clone());
+            self.book.called(order.come.clone());
         }
         self.out.send.extend(outputs.send);
         self.out.writes.extend(outputs.writes);
--- a/crates/storage/src/memory.rs
+++ b/crates/storage/src/memory.rs
@@ -83,6 +83,11 @@
         platter.outline = Outline::of(platter.synced.as_ref());
     }
 
+    /// What a loss of power would leave.
+    pub fn synced(&self) -> Option<Kept> {
+        self.0.borrow().synced.clone()
+    }
+
     /// Loses everything.
     pub fn wipe(&self) {
         *self.0.borrow_mut() = Platter::default();
