Tell the difference of two documents by place, with a digest that is kept up by what changed

Change: schema::Difference names places (members, items of tables) with what they hold; DocumentDigest is a sum of 128-bit hashes by place, so that a change costs the hashes of what changed. Patch::apply_raw gives the difference that a patch makes and no longer compiles the document that it builds on.

--- a/crates/schema/src/digest.rs
+++ b/crates/schema/src/digest.rs
@@ -1,6 +1,8 @@
-//! Digest of a call, by which a repeat of it is known.
+//! Digests: of a call, by which a repeat of it is known, and of a document, by which two copies are known to be the same.
 
-use serde_json::Value;
+use crate::patch::Table;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use serde_json::{Map, Value};
 use siphasher::sip128::{Hasher128, SipHasher13};
 use std::hash::Hasher;
 
@@ -29,6 +31,74 @@
     finish(method, if_match, |hasher| add(hasher, body))
 }
 
+/// Digest of a document's content, the same on every machine and however its members are ordered: the sum of a keyless
+/// 128-bit hash for each of its places (see [`crate::Difference`]), so that a change costs the hashes of what changed.
+///
+/// It tells copies apart that came to differ by a lost, doubled or misplaced change, or by another reading of it. It is no
+/// guard against who makes documents collide on purpose: operators may write any document anyhow.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub struct DocumentDigest(u128);
+
+impl DocumentDigest {
+    /// Of a whole document; of null, where there is none yet: 0.
+    pub fn of(doc: &Value) -> DocumentDigest {
+        let none = Map::new();
+        let sum = DocumentDigest(if doc.is_null() { 0 } else { hash(b'o', "", "", &Value::Null) });
+        let members = doc.as_object().unwrap_or(&none);
+        members.iter().fold(sum, |sum, (name, value)| sum.with_member(name, value))
+    }
+
+    pub(crate) fn with_member(self, name: &str, value: &Value) -> DocumentDigest {
+        DocumentDigest(self.0.wrapping_add(member(name, value)))
+    }
+
+    pub(crate) fn without_member(self, name: &str, value: &Value) -> DocumentDigest {
+        DocumentDigest(self.0.wrapping_sub(member(name, value)))
+    }
+
+    pub(crate) fn with_item(self, table: &str, name: &str, item: &Value) -> DocumentDigest {
+        DocumentDigest(self.0.wrapping_add(hash(b'i', table, name, item)))
+    }
+
+    pub(crate) fn without_item(self, table: &str, name: &str, item: &Value) -> DocumentDigest {
+        DocumentDigest(self.0.wrapping_sub(hash(b'i', table, name, item)))
+    }
+}
+
+impl Serialize for DocumentDigest {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_str(&format!("{:032x}", self.0))
+    }
+}
+
+impl<'de> Deserialize<'de> for DocumentDigest {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<DocumentDigest, D::Error> {
+        let digits = String::deserialize(from)?;
+        u128::from_str_radix(&digits, 16).map(DocumentDigest).map_err(serde::de::Error::custom)
+    }
+}
+
+/// A member's part of the sum: a table's is the sum of its items', and of one for the table itself.
+fn member(name: &str, value: &Value) -> u128 {
+    match value {
+        Value::Object(items) if Table::ALL.iter().any(|table| table.name() == name) => {
+            items.iter().fold(hash(b't', name, "", &Value::Null), |sum, (item, value)| {
+                sum.wrapping_add(hash(b'i', name, item, value))
+            })
+        }
+        _ => hash(b'm', name, "", value),
+    }
+}
+
+fn hash(kind: u8, table: &str, name: &str, value: &Value) -> u128 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(&[kind]);
+    text(&mut hasher, table.as_bytes());
+    text(&mut hasher, name.as_bytes());
+    add(&mut hasher, value);
+    hasher.finish128().as_u128()
+}
+
 fn finish(method: &str, if_match: Option<u64>, body: impl FnOnce(&mut SipHasher13)) -> String {
     let mut hasher = SipHasher13::new();
     text(&mut hasher, method.as_bytes());
--- a/crates/schema/src/document.rs
+++ b/crates/schema/src/document.rs
@@ -57,12 +57,18 @@
 
     /// The same for JSON that was read already.
     pub fn of(raw: Value) -> Result<Document, Problem> {
-        check_shapes(&raw)?;
-        let config: Config = typed(&raw)?;
-        check(&config)?;
+        let config = Document::view(&raw)?;
         Ok(Document { raw, config })
     }
 
+    /// Checks JSON and gives the typed view alone.
+    pub fn view(raw: &Value) -> Result<Config, Problem> {
+        check_shapes(raw)?;
+        let config: Config = typed(raw)?;
+        check(&config)?;
+        Ok(config)
+    }
+
     /// The error: its version is not above `current` (0: there is none yet).
     pub fn above(&self, current: u64) -> Result<(), Problem> {
         let version = self.version();
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -6,6 +6,7 @@
 //! that end in `_ms` give milliseconds.
 
 mod config;
+mod difference;
 mod digest;
 mod document;
 mod lenient;
@@ -13,9 +14,10 @@
 mod settings;
 
 pub use config::{Backend, Config, Limits, Route, RouteType, Share, Stage, Tenant, Trial, TrialState};
-pub use digest::{call_digest, if_match, value_digest};
+pub use difference::{places_in, Difference, Place};
+pub use digest::{call_digest, if_match, value_digest, DocumentDigest};
 pub use document::{body_version, read_body, Document, Problem};
-pub use patch::{apply_delta, delta, Patch, Table};
+pub use patch::{apply_delta, delta, Patch, Patched, Table};
 pub use settings::{
     Bounds, CoreAddresses, EdgeAddresses, FaultTolerance, Listen, MachineLimits, Settings, SettingsError,
     SETTINGS_VAR,
--- a/crates/schema/src/patch.rs
+++ b/crates/schema/src/patch.rs
@@ -1,5 +1,7 @@
 //! Changes of named items, and the difference of two documents.
 
+use crate::difference::Difference;
+use crate::digest::DocumentDigest;
 use crate::document::{read_body, Document, Problem};
 use serde_json::{json, Map, Value};
 use std::collections::{BTreeMap, BTreeSet};
@@ -45,6 +47,17 @@
     limits: Option<Value>,
 }
 
+/// What a patch makes of a document.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Patched {
+    /// The whole document that results, checked.
+    pub document: Document,
+    /// What led to it.
+    pub difference: Difference,
+    /// Its digest, where that of the one before was given.
+    pub digest: DocumentDigest,
+}
+
 impl Patch {
     /// Reads a body: `config_version`, `upsert` (for each table a map by name, or a list of items that carry their
     /// `name`; also `limits`, whole) and `remove` (for each table a list of names). Whether the items are right
@@ -94,29 +107,46 @@
     /// both removed and given anew is given anew. Whether the version is above the present one is not asked here:
     /// see [`Document::above`].
     pub fn apply(&self, to: &Document) -> Result<Document, Problem> {
-        let mut raw = to.raw().clone();
-        let Some(members) = raw.as_object_mut() else {
+        self.apply_raw(to.raw(), DocumentDigest::default()).map(|made| made.document)
+    }
+
+    /// The same on a document that was checked before and has this digest, and the difference that it makes.
+    pub fn apply_raw(&self, to: &Value, digest: DocumentDigest) -> Result<Patched, Problem> {
+        if !to.is_object() {
             return Err(Problem::at("body", "wants an object"));
-        };
+        }
+        let mut raw = to.clone();
+        let difference = self.difference(to);
+        let digest = difference.apply(&mut raw, digest);
+        Ok(Patched { document: Document::of(raw)?, difference, digest })
+    }
+
+    /// What it changes in a document.
+    fn difference(&self, to: &Value) -> Difference {
+        let mut difference = Difference::default();
+        difference.set("config_version", self.version.into());
         for (table, names) in &self.remove {
-            if let Some(Value::Object(items)) = members.get_mut(table.name()) {
-                items.retain(|name, _| !names.contains(name));
-            }
+            let given = self.upsert.get(table);
+            let gone = names.iter().filter(|name| given.is_none_or(|given| !given.contains_key(*name)));
+            let there = |name: &&String| to[table.name()].get(name.as_str()).is_some();
+            difference.remove(table.name(), gone.filter(there).cloned().collect());
         }
         for (table, given) in &self.upsert {
-            let items = members.entry(table.name()).or_insert(Value::Null);
-            if items.is_null() {
-                *items = Value::Object(Map::new());
-            }
-            if let Value::Object(items) = items {
-                items.extend(given.iter().map(|(name, item)| (name.clone(), item.clone())));
+            match &to[table.name()] {
+                Value::Object(held) => {
+                    let news = given.iter().filter(|(name, item)| held.get(*name) != Some(item));
+                    let news = news.map(|(name, item)| (name.clone(), item.clone())).collect();
+                    difference.upsert(table.name(), news);
+                }
+                Value::Null => difference.set(table.name(), given.clone().into()),
+                // No table: what results is refused as it was.
+                _ => {}
             }
         }
         if let Some(limits) = &self.limits {
-            members.insert("limits".into(), limits.clone());
+            difference.set("limits", limits.clone());
         }
-        members.insert("config_version".into(), self.version.into());
-        Document::of(raw)
+        difference
     }
 }
 
