Have the log and watch answers carry differences, checked by a digest of the document that results

Cause: a PATCH went on the log as the whole document and to each gateway whole, for each version; bytes grew with the document, the gateways and the changes.

Change: Entry::Change has the difference, base, version, call's digest and the digest of the result; a PUT becomes one, too, where most of it is known. Core members are told no configuration: they have it from the log. A gateway refuses a difference by reason and asks for the whole. The leader compiles a document once a change (it did three to four times).

--- a/crates/controller/src/driver.rs
+++ b/crates/controller/src/driver.rs
@@ -231,7 +231,8 @@
 
     /// The trials of all tenants as this member, which leads, sees them.
     pub fn trials(&self) -> BTreeMap<String, TrialView> {
-        self.house.borrow().trials(self.now())
+        let now = self.now();
+        self.house.borrow_mut().trials(now)
     }
 
     // ---- For who may ask only a leader; errors: this member doesn't lead, or is not sure of it ----
@@ -340,7 +341,8 @@
     /// # Errors
     /// It leads back.
     pub fn learned(&self, answer: WatchAnswer) -> Result<Applied, Refused> {
-        self.house.borrow_mut().learned(answer)
+        let now = self.now();
+        self.house.borrow_mut().learned(now, answer)
     }
 
     // ---- For everyone ----
--- a/crates/controller/src/store.rs
+++ b/crates/controller/src/store.rs
@@ -2,7 +2,7 @@
 
 use crate::cli::StoreCmd;
 use nickeljunction_consensus::{draw_id, Body, Hard, Member, Snapshot, Write};
-use nickeljunction_replica::state::{Entry, ReplicatedState};
+use nickeljunction_replica::state::{Entry, Outcome, ReplicatedState};
 use nickeljunction_storage::{Hold, HoldError, SledHold, Survey};
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
@@ -139,7 +139,9 @@
         if let Body::Data(data) = &entry.body {
             let change: Entry =
                 serde_json::from_str(data).map_err(|error| unsound(format!("entry {index}: {error}")))?;
-            state.apply(change);
+            if state.apply(change) == Outcome::Diverged {
+                return Err(unsound(format!("entry {index}: makes another configuration than it should")));
+            }
         }
     }
     Ok(Parcel { from, index, term, hard_term: survey.hard.map_or(0, |hard| hard.term), state })
--- a/crates/controller/src/tell.rs
+++ b/crates/controller/src/tell.rs
@@ -44,5 +44,9 @@
         Event::EntryUnreadable { index, error } => {
             log::error!("event=entry_unreadable index={index} error={error:?}");
         }
+        Event::Diverged { index, version } => {
+            log::error!("event=state_diverged index={index} version={version}");
+        }
+        Event::Restated { after } => log::warn!("event=state_restated index={after}"),
     }
 }
--- a/crates/edge/src/link.rs
+++ b/crates/edge/src/link.rs
@@ -351,8 +351,8 @@
         }
         if applied.config {
             if let Some(config) = &catalog.config {
-                match Document::of(config.doc.clone()) {
-                    Ok(document) => self.configure(document.config()),
+                match Document::view(&config.doc) {
+                    Ok(config) => self.configure(&config),
                     // The leader has checked it: versions of the programs differ.
                     Err(problem) => log::error!(
                         "event=config_unreadable version={} error={:?}",
@@ -364,8 +364,8 @@
         }
         if !applied.trials.is_empty() {
             // Stages count down from here; curves come with the configuration, which may be older.
-            let document = catalog.config.as_ref().and_then(|config| Document::of(config.doc.clone()).ok());
-            self.ebb.told(&applied.trials, document.as_ref().map(Document::config));
+            let config = catalog.config.as_ref().and_then(|config| Document::view(&config.doc).ok());
+            self.ebb.told(&applied.trials, config.as_ref());
         }
         if applied.gateways {
             self.proxy.fleet(catalog.gateways);
--- a/crates/hollow/src/gateway.rs
+++ b/crates/hollow/src/gateway.rs
@@ -9,7 +9,6 @@
 use nickeljunction_net::wheel::Wheel;
 use nickeljunction_quota::{Allowance, Limit, Spend, Tuning};
 use nickeljunction_registry::Copy;
-use serde::de::IgnoredAny;
 use serde::Deserialize;
 use serde_json::Value;
 use std::cell::{Cell, RefCell};
@@ -79,6 +78,8 @@
     #[serde(default)]
     config: Option<Version>,
     #[serde(default)]
+    change: Option<Version>,
+    #[serde(default)]
     evacuated: Option<Vec<String>>,
     #[serde(default)]
     servers: Vec<ServerLine>,
@@ -95,15 +96,26 @@
 #[derive(Deserialize)]
 struct Version {
     version: u64,
-    #[serde(rename = "doc")]
-    _doc: IgnoredAny,
 }
 
 impl From<Taken> for WatchAnswer {
     fn from(taken: Taken) -> WatchAnswer {
-        let Taken { term, seq, age_ms, whole, config, evacuated, servers, gone, gateways, core, roster } =
-            taken;
-        let config = config.map(|config| ConfigLine { version: config.version, doc: Value::Null });
+        let Taken {
+            term,
+            seq,
+            age_ms,
+            whole,
+            config,
+            change,
+            evacuated,
+            servers,
+            gone,
+            gateways,
+            core,
+            roster,
+        } = taken;
+        let newest = config.or(change);
+        let config = newest.map(|newest| Rc::new(ConfigLine { version: newest.version, doc: Value::Null }));
         WatchAnswer {
             term,
             seq,
--- a/crates/hollow/tests/figures.rs
+++ b/crates/hollow/tests/figures.rs
@@ -11,6 +11,7 @@
 use nickeljunction_messages::{ConfigLine, ServerLine, ServerState, WatchAnswer};
 use nickeljunction_schema::{Bounds, Document, Patch};
 use serde_json::json;
+use std::rc::Rc;
 
 const SMALL: Size = Size { routes: 12, tenants: 7, limited: 3, services: 4 };
 
@@ -148,7 +149,7 @@
         seq: 9,
         age_ms: 4,
         whole: true,
-        config: Some(ConfigLine { version: 7, doc: json!({"routes": {"r": {"x": [1, 2]}}}) }),
+        config: Some(Rc::new(ConfigLine { version: 7, doc: json!({"routes": {"r": {"x": [1, 2]}}}) })),
         servers: vec![line],
         gateways: Some(2),
         ..WatchAnswer::default()
@@ -159,6 +160,10 @@
     let config = told.config.clone();
     assert_eq!(WatchAnswer { config, ..taken.clone() }, told, "all else is as told");
     assert_eq!(taken.config.map(|config| config.version), Some(7));
+    let change =
+        br#"{"term":3,"seq":10,"age_ms":1,"change":{"from":7,"version":8,"difference":{},"digest":"0"}}"#;
+    let taken = read_answer(change).expect("an answer with a difference");
+    assert_eq!(taken.config.map(|config| config.version), Some(8), "of a difference, too, the version alone");
     assert!(read_answer(b"{\"term\":1").is_err());
 }
 
--- a/crates/messages/src/lib.rs
+++ b/crates/messages/src/lib.rs
@@ -4,8 +4,10 @@
 //! Times are durations in ms: clocks of two machines are never compared. Short names on the wire where a call is made
 //! often: bytes between regions are priced.
 
+use nickeljunction_schema::{Difference, DocumentDigest};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 /// Paths of the inner calls.
 pub mod path {
@@ -85,6 +87,12 @@
     /// A gateway that serves the directory, too: it is told the list of gateways.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub directory: bool,
+    /// It takes [`ConfigChange`]s.
+    #[serde(rename = "d", default, skip_serializing_if = "std::ops::Not::not")]
+    pub differences: bool,
+    /// A core member whose state came apart from the log's: it is to be told the leader's, whole.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub diverged: bool,
 }
 
 /// State of a server's life.
@@ -132,6 +140,28 @@
     pub doc: serde_json::Value,
 }
 
+/// What makes the newest configuration of an older one: all versions between in one.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ConfigChange {
+    /// The version that it changes.
+    pub from: u64,
+    /// The version that results.
+    pub version: u64,
+    /// What differs.
+    pub difference: Difference,
+    /// Digest of the document that results.
+    pub digest: DocumentDigest,
+}
+
+/// A leader's state, for a core member that lost its own.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Restated {
+    /// Index of the last entry of the log in it.
+    pub after: u64,
+    /// As in a snapshot of the log.
+    pub state: String,
+}
+
 /// What is new.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct WatchAnswer {
@@ -144,9 +174,15 @@
     /// `servers` is the whole list: lives that are not named are gone.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub whole: bool,
-    /// The newest configuration, where the caller hasn't it.
+    /// The newest configuration, where the caller hasn't it and `change` isn't given.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub config: Option<Rc<ConfigLine>>,
+    /// The same as a difference to the version that the caller has.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub change: Option<Rc<ConfigChange>>,
+    /// The leader's state, where the caller asked for it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub config: Option<ConfigLine>,
+    pub restated: Option<Restated>,
     /// Zones that are evacuated: all of them, where they changed.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub evacuated: Option<Vec<String>>,
--- a/crates/registry/src/catalog.rs
+++ b/crates/registry/src/catalog.rs
@@ -2,8 +2,9 @@
 
 use crate::register::PERMIT_LIFE_MS;
 use nickeljunction_messages::{
-    Caller, ConfigLine, GatewayLine, ServerLine, ServerState, TrialLine, WatchAnswer, WatchCall,
+    Caller, ConfigChange, ConfigLine, GatewayLine, ServerLine, ServerState, TrialLine, WatchAnswer, WatchCall,
 };
+use nickeljunction_schema::DocumentDigest;
 use quick_error::quick_error;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
@@ -141,6 +142,14 @@
         Config(held: u64, seen: u64) {
             display("applying an answer: its configuration {} is older than {}", seen, held)
         }
+        /// With a difference to another version of the configuration than is held.
+        Base(held: u64, from: u64) {
+            display("applying an answer: its difference is to configuration {}, held is {}", from, held)
+        }
+        /// With a difference that makes another document than the leader's.
+        Digest(version: u64) {
+            display("applying an answer: its difference makes another configuration {} than the leader's", version)
+        }
     }
 }
 
@@ -154,6 +163,10 @@
     complete: bool,
     /// Newest last, at most [`MOST_GONE`].
     gone: VecDeque<Rc<str>>,
+    /// Of the configuration held.
+    digest: DocumentDigest,
+    /// A difference didn't fit: the configuration is to be told whole.
+    whole_config: bool,
 }
 
 impl Copy {
@@ -221,14 +234,57 @@
             line,
             term: self.term,
             seq: self.seq,
-            version: self.catalog.version(),
+            version: if self.whole_config { 0 } else { self.catalog.version() },
             wait_ms,
             directory: false,
+            differences: true,
+            diverged: false,
+        }
+    }
+
+    /// The configuration that an answer leads to, with its digest; `None`: it has none that is news.
+    fn config_of(
+        &self,
+        answer: &mut WatchAnswer,
+    ) -> Result<Option<(Rc<ConfigLine>, DocumentDigest)>, Refused> {
+        let held = self.catalog.version();
+        if let Some(change) = answer.change.take() {
+            return self.changed(&change);
+        }
+        let Some(config) = answer.config.take() else { return Ok(None) };
+        if config.version < held {
+            return Err(Refused::Config(held, config.version));
+        }
+        if config.version == held && !self.whole_config {
+            return Ok(None);
         }
+        let digest = DocumentDigest::of(&config.doc);
+        Ok(Some((config, digest)))
     }
 
-    /// Takes an answer to a call made by [`Copy::ask`]; nothing changes where it is refused.
-    pub fn apply(&mut self, answer: WatchAnswer) -> Result<Applied, Refused> {
+    fn changed(&self, change: &ConfigChange) -> Result<Option<(Rc<ConfigLine>, DocumentDigest)>, Refused> {
+        let version = self.catalog.version();
+        if change.version < version {
+            return Err(Refused::Config(version, change.version));
+        }
+        // Another answer was faster.
+        if change.version == version && !self.whole_config {
+            return Ok(None);
+        }
+        let held =
+            self.catalog.config.as_ref().filter(|held| held.version == change.from && !self.whole_config);
+        let Some(held) = held else { return Err(Refused::Base(version, change.from)) };
+        let mut doc = held.doc.clone();
+        let digest = change.difference.apply(&mut doc, self.digest);
+        if digest != change.digest {
+            return Err(Refused::Digest(change.version));
+        }
+        Ok(Some((Rc::new(ConfigLine { version: change.version, doc }), digest)))
+    }
+
+    /// Takes an answer to a call made by [`Copy::ask`]; nothing changes where it is refused, but that the next call asks for
+    /// the whole configuration where a difference didn't fit.
+    pub fn apply(&mut self, mut answer: WatchAnswer) -> Result<Applied, Refused> {
         if answer.term < self.term {
             return Err(Refused::Term(self.term, answer.term));
         }
@@ -236,10 +292,9 @@
         if !turn && answer.seq < self.seq {
             return Err(Refused::Seq(self.seq, answer.seq));
         }
-        let version = self.catalog.version();
-        if let Some(config) = answer.config.as_ref().filter(|config| config.version < version) {
-            return Err(Refused::Config(version, config.version));
-        }
+        let config = self.config_of(&mut answer).inspect_err(|refused| {
+            self.whole_config |= matches!(refused, Refused::Digest(_));
+        })?;
         let mut applied = Applied { leader: turn, ..Applied::default() };
         let mut catalog = Catalog::clone(&self.catalog);
         let mut withdrawn = BTreeSet::new();
@@ -260,8 +315,9 @@
             let fresh = Fresh { lines: answer.servers, gone: answer.gone, whole: answer.whole, turn };
             catalog.servers = Rc::new(fresh.over(&catalog.servers, &withdrawn, &mut applied));
         }
-        if let Some(config) = answer.config.filter(|config| config.version > version) {
-            catalog.config = Some(Rc::new(config));
+        if let Some((config, digest)) = config {
+            catalog.config = Some(config);
+            (self.digest, self.whole_config) = (digest, false);
             applied.config = true;
         }
         if let Some(count) = answer.gateways.filter(|count| *count != catalog.gateways) {
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -14,6 +14,7 @@
 //! 100 to 500 ms. After any call check the held watch calls again if [`Register::seq`] rose.
 
 mod catalog;
+mod changes;
 mod directory;
 mod gateways;
 mod register;
@@ -21,6 +22,7 @@
 mod tally;
 
 pub use catalog::{barred, Applied, Bar, Catalog, Copy, Leave, Refused};
+pub use changes::Changes;
 pub use directory::{directory, MOST_ADDRESSES};
 pub use gateways::{GatewayStanding, Seen};
 pub use register::{Reach, Register, Tide, Tuning, PERMIT_LIFE_MS};
--- a/crates/registry/src/register.rs
+++ b/crates/registry/src/register.rs
@@ -1,10 +1,15 @@
 //! The leader's registers as one: what comes in, what is new for whom.
 
 use crate::catalog::Copy;
+use crate::changes::Changes;
 use crate::gateways::{GatewayStanding, Gateways, Seen};
 use crate::servers::{Beat, BeatKind, BeatOutcome, ServerStanding, Servers};
 use crate::tally::{tally, Tally};
-use nickeljunction_messages::{Caller, ConfigLine, GatewayLine, TrialLine, WatchAnswer, WatchCall};
+use nickeljunction_messages::{
+    Caller, ConfigChange, ConfigLine, GatewayLine, TrialLine, WatchAnswer, WatchCall,
+};
+use nickeljunction_schema::DocumentDigest;
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
@@ -131,6 +136,28 @@
     }
 }
 
+/// A configuration as it is told.
+#[derive(Debug)]
+struct Published {
+    line: Rc<ConfigLine>,
+    digest: DocumentDigest,
+    changes: Changes,
+    /// Made when the first caller asks for it, the same for all of one version.
+    made: RefCell<BTreeMap<u64, Option<Rc<ConfigChange>>>>,
+}
+
+impl Published {
+    /// What leads to it from version `from`; `None`: nothing does that is less than the whole.
+    fn change(&self, from: u64) -> Option<Rc<ConfigChange>> {
+        let make = || {
+            let version = self.line.version;
+            let difference = self.changes.since(from, version, &self.line.doc)?;
+            Some(Rc::new(ConfigChange { from, version, difference, digest: self.digest }))
+        };
+        self.made.borrow_mut().entry(from).or_insert_with(make).clone()
+    }
+}
+
 /// A start without a copy.
 #[derive(Debug)]
 struct Gathering {
@@ -158,7 +185,7 @@
     core: Told<Vec<String>>,
     /// All trials that ever changed.
     trials: Told<Vec<Tide>>,
-    config: Option<Rc<ConfigLine>>,
+    config: Option<Published>,
     /// When `config` came, to the tick.
     config_at: u64,
     /// The table is not whole before that.
@@ -332,10 +359,11 @@
         }
     }
 
-    /// The newest configuration that was agreed on; an older one than is held changes nothing.
-    pub fn config(&mut self, config: Rc<ConfigLine>) {
-        if self.config.as_ref().is_none_or(|held| held.version < config.version) {
-            self.config = Some(config);
+    /// The newest configuration that was agreed on, with its digest and what led to it; an older one than is held changes
+    /// nothing.
+    pub fn config(&mut self, line: Rc<ConfigLine>, digest: DocumentDigest, changes: Changes) {
+        if self.config.as_ref().is_none_or(|held| held.line.version < line.version) {
+            self.config = Some(Published { line, digest, changes, made: RefCell::default() });
             self.config_at = self.ticked;
             self.numbers.next();
         }
@@ -370,8 +398,7 @@
                 answer.gone = self.servers.all_gone();
             }
         }
-        answer.config =
-            self.config.as_ref().filter(|held| held.version > call.version).map(|held| (**held).clone());
+        self.add_config(call, &mut answer);
         let evacuated = self.evacuated.as_ref().filter(|(_, at)| *at > since);
         answer.evacuated = evacuated.map(|(zones, _)| zones.iter().cloned().collect());
         answer.core = self.core.as_ref().filter(|(_, at)| *at > since).map(|(hosts, _)| hosts.clone());
@@ -386,6 +413,7 @@
             || !answer.servers.is_empty()
             || !answer.gone.is_empty()
             || answer.config.is_some()
+            || answer.change.is_some()
             || answer.evacuated.is_some()
             || answer.core.is_some()
             || answer.trials.is_some()
@@ -394,6 +422,17 @@
         news.then_some(answer)
     }
 
+    /// The configuration where the caller lacks it: what differs from the caller's own where that is known, else the whole.
+    fn add_config(&self, call: &WatchCall, answer: &mut WatchAnswer) {
+        // A core member has it from the log.
+        let asks = |held: &&Published| call.who == Caller::Gateway && held.line.version > call.version;
+        let Some(held) = self.config.as_ref().filter(asks) else { return };
+        answer.change = if call.differences { held.change(call.version) } else { None };
+        if answer.change.is_none() {
+            answer.config = Some(held.line.clone());
+        }
+    }
+
     /// The answer to a call that was held for its whole time without news.
     pub fn nothing(&self, age_ms: u64) -> WatchAnswer {
         WatchAnswer { term: self.term, seq: self.seq(), age_ms, ..WatchAnswer::default() }
--- a/crates/registry/tests/reference.rs
+++ b/crates/registry/tests/reference.rs
@@ -5,7 +5,8 @@
 
 use common::*;
 use nickeljunction_messages::{Caller, ConfigLine, ServerLine, ServerState, WatchAnswer};
-use nickeljunction_registry::{barred, Applied, Beat, Copy, Leave};
+use nickeljunction_registry::{barred, Applied, Beat, Changes, Copy, Leave};
+use nickeljunction_schema::DocumentDigest;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::collections::{BTreeMap, BTreeSet};
@@ -417,7 +418,9 @@
 
     fn configure(&mut self) {
         let doc = serde_json::json!({ "config_version": self.version });
-        self.harbour.register.config(Rc::new(ConfigLine { version: self.version, doc }));
+        let digest = DocumentDigest::of(&doc);
+        let line = ConfigLine { version: self.version, doc };
+        self.harbour.register.config(Rc::new(line), digest, Changes::default());
     }
 
     fn take_over(&mut self, copy: bool) {
--- a/crates/registry/tests/watching.rs
+++ b/crates/registry/tests/watching.rs
@@ -155,7 +155,7 @@
         term,
         seq,
         whole: true,
-        config: version.map(config),
+        config: version.map(config).map(Rc::new),
         ..WatchAnswer::default()
     };
     assert!(copy.apply(answer(3, 10, Some(7))).is_ok_and(|applied| applied.config && applied.leader));
--- a/crates/replica/src/calls.rs
+++ b/crates/replica/src/calls.rs
@@ -186,7 +186,8 @@
         let (ticket, answer) = match settled {
             Settled::Read(Reading::Get(ticket), true) => (ticket, Answer::Confirmed),
             Settled::Read(Reading::Change(ticket, change), true) => match change.check(&self.state) {
-                Ok(Fit { base, version, entry }) => {
+                Ok(Fit { base, version, entry, checked }) => {
+                    self.checked = Some(checked);
                     let proposed = Proposed::Put { ticket, patch: change.patch, base, version };
                     return self.propose(now, &entry, now + PROPOSAL_MS, proposed);
                 }
@@ -226,7 +227,7 @@
                 let answer = match outcome {
                     Some(Outcome::Taken) => Answer::Taken,
                     Some(Outcome::Conflict) => Answer::Conflict(None),
-                    None => Answer::Unknown,
+                    Some(Outcome::Diverged) | None => Answer::Unknown,
                 };
                 (ticket, answer)
             }
@@ -238,7 +239,7 @@
                         Ok(None) => Answer::Taken,
                         _ => Answer::Conflict(None),
                     },
-                    None => Answer::Unknown,
+                    Some(Outcome::Diverged) | None => Answer::Unknown,
                 };
                 self.out.events.push(Event::CoreOrder { wish, outcome });
                 (ticket, answer)
@@ -253,7 +254,7 @@
                     Some(answer) => (ticket, answer),
                     None => return,
                 },
-                None => (ticket, Answer::Unknown),
+                Some(Outcome::Diverged) | None => (ticket, Answer::Unknown),
             },
             Settled::Entry(Proposed::Zone { ticket, zone, back }, Some(_)) => {
                 self.out.events.push(Event::Evacuation { zone, back });
--- a/crates/replica/src/change.rs
+++ b/crates/replica/src/change.rs
@@ -1,11 +1,16 @@
 //! An operator's change of the configuration, checked against the state.
 
 use crate::effects::Answer;
+use crate::machine::Replica;
 use crate::order_memory::Recall;
 use crate::state::{Entry, ReplicatedState};
 use bytes::Bytes;
-use nickeljunction_schema::{body_version, read_body, value_digest, Document, Patch, Problem};
+use nickeljunction_schema::{
+    body_version, read_body, value_digest, Config, Difference, Document, DocumentDigest, Patch, Patched,
+    Problem,
+};
 use serde_json::Value;
+use std::rc::Rc;
 
 /// A change as an operator sent it.
 #[derive(Debug, Clone, PartialEq)]
@@ -23,6 +28,37 @@
     pub base: u64,
     pub version: u64,
     pub entry: Entry,
+    /// The document that results, checked.
+    pub checked: Checked,
+}
+
+/// The typed view of a document that was checked, by the document's digest.
+#[derive(Debug, Clone)]
+pub(crate) struct Checked {
+    pub result: DocumentDigest,
+    pub config: Rc<Config>,
+}
+
+/// What a call makes of the document in force.
+struct Made {
+    document: Document,
+    digest: DocumentDigest,
+    /// `None`: nothing is in place that it might differ from.
+    difference: Option<Difference>,
+}
+
+impl Replica {
+    /// The typed view of the document in force.
+    pub(crate) fn config(&mut self) -> Rc<Config> {
+        let result = self.state.document_digest();
+        let known = self.checked.as_ref().filter(|checked| checked.result == result);
+        if let Some(checked) = known {
+            return checked.config.clone();
+        }
+        let config = Rc::new(Document::view(self.state.doc()).unwrap_or_default());
+        self.checked = Some(Checked { result, config: config.clone() });
+        config
+    }
 }
 
 fn bad(problem: Problem) -> Answer {
@@ -41,29 +77,33 @@
         if recall == Recall::Taken {
             return Err(Answer::Taken);
         }
-        let (version, document) = self.read(state, base, body)?;
+        let (version, made) = self.read(state, base, body)?;
         // What was taken had a version above its base.
         if recall == Recall::Forgotten && base < version {
             return Err(Answer::Forgotten(version));
         }
         let in_place = || Answer::Conflict(Some(state.version()));
-        let document = document.filter(|_| base == state.version()).ok_or_else(in_place)?;
-        document.above(state.version()).map_err(bad)?;
-        let entry = Entry::Put { base, version, digest, doc: document.into_parts().0 };
-        Ok(Fit { base, version, entry })
+        let made = made.filter(|_| base == state.version()).ok_or_else(in_place)?;
+        made.document.above(state.version()).map_err(bad)?;
+        let Made { document, digest: result, difference } = made;
+        let (doc, config) = document.into_parts();
+        let checked = Checked { result, config: Rc::new(config) };
+        let entry = match difference.filter(|difference| difference.is_less_than(&doc)) {
+            Some(change) => Entry::Change { base, version, digest, change, result },
+            None => Entry::Put { base, version, digest, doc },
+        };
+        Ok(Fit { base, version, entry, checked })
     }
 
     /// The version that it names, and the whole document that it makes; `None` where that can't be told because it builds
     /// on another version.
-    fn read(
-        &self,
-        state: &ReplicatedState,
-        base: u64,
-        body: Value,
-    ) -> Result<(u64, Option<Document>), Answer> {
+    fn read(&self, state: &ReplicatedState, base: u64, body: Value) -> Result<(u64, Option<Made>), Answer> {
         if !self.patch {
             let document = Document::of(body).map_err(bad)?;
-            return Ok((document.version(), Some(document)));
+            let known = base == state.version() && base > 0;
+            let difference = known.then(|| Difference::between(state.doc(), document.raw()));
+            let digest = DocumentDigest::of(document.raw());
+            return Ok((document.version(), Some(Made { document, digest, difference })));
         }
         let patch = Patch::of(body).map_err(bad)?;
         if base != state.version() {
@@ -72,8 +112,9 @@
         if state.version() == 0 {
             return Err(Answer::Wrong("nothing to change: put a whole configuration first".into()));
         }
-        let current = Document::of(state.doc().clone()).map_err(bad)?;
-        Ok((patch.version(), Some(patch.apply(&current).map_err(bad)?)))
+        let made = patch.apply_raw(state.doc(), state.document_digest()).map_err(bad)?;
+        let Patched { document, difference, digest } = made;
+        Ok((patch.version(), Some(Made { document, digest, difference: Some(difference) })))
     }
 }
 
--- a/crates/replica/src/effects.rs
+++ b/crates/replica/src/effects.rs
@@ -87,4 +87,8 @@
     SnapshotUnreadable { index: u64, error: String },
     /// The same of an entry.
     EntryUnreadable { index: u64, error: String },
+    /// The entry made another document here than where it was proposed: this member's state isn't the log's any more.
+    Diverged { index: u64, version: u64 },
+    /// It goes on from the leader's state, which holds all up to this entry.
+    Restated { after: u64 },
 }
--- a/crates/replica/src/lapsed_trials.rs
+++ b/crates/replica/src/lapsed_trials.rs
@@ -7,7 +7,7 @@
 use nickeljunction_messages::{EbbAnswer, EbbCall, Elsewhere};
 use nickeljunction_pacing::{Curve, Pacer};
 use nickeljunction_registry::Tide;
-use nickeljunction_schema::{Config, Document};
+use nickeljunction_schema::Config;
 use serde::Serialize;
 use std::collections::BTreeMap;
 
@@ -51,22 +51,22 @@
     pacer: Pacer,
 }
 
-fn config(state: &ReplicatedState) -> Config {
-    Document::of(state.doc().clone()).map(|document| document.config().clone()).unwrap_or_default()
-}
-
 impl LapsedTrials {
     /// Takes over what the log says; gives the tenants whose trial changed, and all there is to tell.
-    pub(crate) fn log(&mut self, now: u64, state: &ReplicatedState) -> (Vec<String>, Vec<Tide>) {
+    pub(crate) fn log(
+        &mut self,
+        now: u64,
+        state: &ReplicatedState,
+        config: &Config,
+    ) -> (Vec<String>, Vec<Tide>) {
         let live = std::mem::replace(&mut self.begun, true);
         let trials = state.trials();
         let known = |tenant: &String| self.turns.contains_key(tenant);
         // Most cores never have one.
         if self.version != state.version() && !trials.is_empty() || !trials.keys().all(known) {
             self.version = state.version();
-            let config = config(state);
             for tenant in trials.keys() {
-                let curve = Curve::of(&config, tenant);
+                let curve = Curve::of(config, tenant);
                 let fresh = Turn {
                     trial: Trial::default(),
                     curve: curve.clone(),
@@ -143,8 +143,8 @@
 
 impl Replica {
     /// The trials of all tenants as this member, which leads, sees them.
-    pub fn trials(&self, now: u64) -> BTreeMap<String, TrialView> {
-        let config = config(&self.state);
+    pub fn trials(&mut self, now: u64) -> BTreeMap<String, TrialView> {
+        let config = self.config();
         let tides = self.lead.as_ref().map(|lead| &lead.tides);
         let view = |tenant: &String| {
             let (trial, curve) = (self.state.trial(tenant), Curve::of(&config, tenant));
@@ -168,7 +168,7 @@
     ///
     /// # Errors
     /// There is no such tenant; what is wanted.
-    pub(crate) fn trial_entry(&self, tenant: &str, lapse: bool) -> Result<Option<Entry>, String> {
+    pub(crate) fn trial_entry(&mut self, tenant: &str, lapse: bool) -> Result<Option<Entry>, String> {
         if !self.state.has_tenant(tenant) {
             return Err(format!(
                 "{tenant:?} is no tenant: wants the name of one that is in the configuration"
@@ -176,7 +176,7 @@
         }
         let trial = self.state.trial(tenant);
         let order = if lapse { TrialOrder::Lapse } else { TrialOrder::Restore };
-        let most = Curve::of(&config(&self.state), tenant).stages();
+        let most = Curve::of(&self.config(), tenant).stages();
         let entry = Entry::Trial { tenant: tenant.to_owned(), base: trial.step, order, most };
         Ok((trial.lapses != lapse).then_some(entry))
     }
@@ -218,8 +218,9 @@
 
     /// Tells the register and operators what the log says of trials.
     pub(crate) fn publish_tides(&mut self, now: u64) {
+        let config = self.config();
         let Some(lead) = &mut self.lead else { return };
-        let (changed, tides) = lead.tides.log(now, &self.state);
+        let (changed, tides) = lead.tides.log(now, &self.state, &config);
         lead.register.trials(tides);
         for tenant in changed {
             let trial = self.state.trial(&tenant);
--- a/crates/replica/src/leader.rs
+++ b/crates/replica/src/leader.rs
@@ -4,11 +4,11 @@
 use crate::lapsed_trials::LapsedTrials;
 use crate::machine::Replica;
 use nickeljunction_messages::{
-    Caller, ConfigLine, Elsewhere, ServerState, UnitsAnswer, UnitsCall, WatchAnswer, WatchCall,
+    Caller, ConfigLine, Elsewhere, Restated, ServerState, UnitsAnswer, UnitsCall, WatchAnswer, WatchCall,
 };
 use nickeljunction_quota::{Counter, Limit};
 use nickeljunction_registry::{Beat, BeatKind, Register, Seen};
-use nickeljunction_schema::{Bounds, Document};
+use nickeljunction_schema::{Bounds, Config, Document};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -73,13 +73,16 @@
 
 /// Units that a document allows each tenant with a limit, by the rules' figures.
 pub fn limits(doc: &serde_json::Value, bounds: &Bounds) -> BTreeMap<String, Limit> {
-    let Ok(document) = Document::of(doc.clone()) else { return BTreeMap::new() };
+    Document::view(doc).map(|config| limits_of(&config, bounds)).unwrap_or_default()
+}
+
+fn limits_of(config: &Config, bounds: &Bounds) -> BTreeMap<String, Limit> {
     let limit = |tenant: &nickeljunction_schema::Tenant| {
         let (rate, burst) = tenant.quota()?;
         let (window, overrun, slack) = (bounds.quota_window_s, bounds.quota_overrun, bounds.quota_slack);
         Limit::with_margin(rate, burst, window, overrun, slack)
     };
-    let tenants = document.config().tenants.iter();
+    let tenants = config.tenants.iter();
     tenants.filter_map(|(name, tenant)| Some((name.clone(), limit(tenant)?))).collect()
 }
 
@@ -131,6 +134,10 @@
 
     /// Tells registers and counter what the log says.
     pub(crate) fn publish(&mut self, now: u64) {
+        if self.lead.is_none() {
+            return;
+        }
+        let config = self.config();
         self.publish_tides(now);
         let Some(lead) = &mut self.lead else { return };
         lead.register.evacuated(now, self.state.evacuated().clone());
@@ -139,9 +146,9 @@
         let version = self.state.version();
         if version > lead.version {
             lead.version = version;
-            let doc = self.state.doc();
-            lead.counter.limits(now, &limits(doc, &self.place.bounds));
-            lead.register.config(Rc::new(ConfigLine { version, doc: doc.clone() }));
+            lead.counter.limits(now, &limits_of(&config, &self.place.bounds));
+            let line = Rc::new(ConfigLine { version, doc: self.state.doc().clone() });
+            lead.register.config(line, self.state.document_digest(), self.changes.clone());
         }
     }
 
@@ -219,11 +226,13 @@
         call: &WatchCall,
         held: &Held,
     ) -> Result<Option<WatchAnswer>, Elsewhere> {
-        let last = held.brief || now >= held.end;
-        self.with_lead(now, |lead, age| {
+        let last = held.brief || now >= held.end || call.diverged;
+        let answer = self.with_lead(now, |lead, age| {
             let news = lead.register.answer(now, call, age);
             news.or_else(|| last.then(|| lead.register.nothing(age)))
-        })
+        })?;
+        let restated = call.diverged.then(|| Restated { after: self.applied, state: self.state.to_text() });
+        Ok(answer.map(|answer| WatchAnswer { restated, ..answer }))
     }
 
     /// The caller of a held watch call went away before its answer.
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -27,6 +27,7 @@
 
 mod calls;
 mod change;
+mod divergence;
 mod effects;
 pub mod follow;
 mod lapsed_trials;
--- a/crates/replica/src/machine.rs
+++ b/crates/replica/src/machine.rs
@@ -1,6 +1,8 @@
 //! The machine: time, messages, the disk, and what follows from what the agreement puts out.
 
 use crate::calls::{Proposed, Reading, Settled};
+use crate::change::Checked;
+use crate::divergence::Divergence;
 use crate::effects::{Effects, Event, Ticket};
 use crate::follow::HOLD_MS;
 use crate::leader::Lead;
@@ -8,7 +10,7 @@
 use nickeljunction_consensus::{Consensus, Envelope, Outputs, ReadTicket, Restored, Tuning};
 use nickeljunction_messages::{Caller, Elsewhere, GatewayLine, WatchAnswer, WatchCall};
 use nickeljunction_quota::Counter;
-use nickeljunction_registry::{Applied, Copy, Refused, Register};
+use nickeljunction_registry::{Applied, Changes, Copy, Refused, Register};
 use nickeljunction_schema::Bounds;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -48,8 +50,14 @@
     pub(crate) lease_ms: u64,
     pub(crate) book: Consensus,
     pub(crate) state: ReplicatedState,
-    /// Index of the last entry that `state` holds.
-    applied: u64,
+    /// Index of the last entry that `state` holds, or `divergence`.
+    pub(crate) applied: u64,
+    /// `state` isn't the log's.
+    pub(crate) divergence: Option<Divergence>,
+    /// What the last entries changed in the document.
+    pub(crate) changes: Changes,
+    /// The newest document that was checked here.
+    pub(crate) checked: Option<Checked>,
     snapshot_at: u64,
     /// So many orders on the core's members does `book` know.
     away_from: u64,
@@ -79,6 +87,9 @@
             book: Consensus::new(restored, tuning, seed, now),
             state: ReplicatedState::default(),
             applied: 0,
+            divergence: None,
+            changes: Changes::default(),
+            checked: None,
             snapshot_at: 0,
             away_from: 0,
             lead: None,
@@ -167,6 +178,11 @@
                 self.carry_out(now, outputs);
                 continue;
             }
+            // One that is apart was elected all the same.
+            if self.divergence.is_some() && self.book.is_leader() {
+                self.book.resign(now);
+                continue;
+            }
             self.take_or_leave_lead(now);
             if self.settled.is_empty() {
                 break;
@@ -181,6 +197,7 @@
 
     fn carry_out(&mut self, now: u64, outputs: Outputs) {
         if let Some(snapshot) = outputs.restored_state {
+            (self.divergence, self.changes) = (None, Changes::default());
             // The very first one holds only the members.
             match snapshot.state.is_empty() {
                 true => self.state = ReplicatedState::default(),
@@ -200,7 +217,7 @@
             debug_assert_eq!(entry.index, self.applied + 1, "a gap in what was committed");
             self.applied = entry.index;
             let outcome = entry.data().and_then(|data| match serde_json::from_str::<Entry>(data) {
-                Ok(entry) => Some(self.state.apply(entry)),
+                Ok(change) => self.apply(now, entry.index, change),
                 Err(error) => {
                     let error = error.to_string();
                     self.out.events.push(Event::EntryUnreadable { index: entry.index, error });
@@ -213,6 +230,7 @@
             }
             self.out.applied.push(entry);
         }
+        self.rejoin(now);
         let (orders, order) = self.state.core();
         if self.away_from != orders {
             self.away_from = orders;
@@ -223,13 +241,14 @@
         self.out.writes.extend(outputs.writes);
         for (ticket, fine) in outputs.reads {
             let read = self.reads.remove(&ticket);
+            let fine = fine && self.divergence.is_none();
             self.settled.extend(read.map(|(_, reading)| Settled::Read(reading, fine)));
         }
         for index in outputs.lost {
             let wait = self.waits.remove(&index);
             self.settled.extend(wait.map(|(.., proposed)| Settled::Entry(proposed, None)));
         }
-        if self.applied >= self.snapshot_at + SNAPSHOT_EVERY {
+        if self.divergence.is_none() && self.applied >= self.snapshot_at + SNAPSHOT_EVERY {
             self.snapshot_at = self.applied;
             self.book.snapshot(now, self.applied, self.state.to_text());
         }
@@ -295,19 +314,23 @@
 
     /// The call that asks a leader for what is new.
     pub fn ask(&self, life: u64) -> WatchCall {
-        self.copy.ask(Caller::Core, &self.place.name, life, None, HOLD_MS)
+        let call = self.copy.ask(Caller::Core, &self.place.name, life, None, HOLD_MS);
+        WatchCall { diverged: self.wants_state(), ..call }
     }
 
     /// What a leader answered.
     ///
     /// # Errors
     /// It leads back.
-    pub fn learned(&mut self, answer: WatchAnswer) -> Result<Applied, Refused> {
+    pub fn learned(&mut self, now: u64, mut answer: WatchAnswer) -> Result<Applied, Refused> {
         // A leader's own registers are the truth.
         if self.lead.is_some() {
             return Ok(Applied::default());
         }
-        self.copy.apply(answer)
+        let restated = answer.restated.take();
+        let applied = self.copy.apply(answer)?;
+        self.restated(now, restated);
+        Ok(applied)
     }
 
     // ---- To look at ----
--- a/crates/replica/src/state.rs
+++ b/crates/replica/src/state.rs
@@ -3,7 +3,9 @@
 
 use crate::order_memory::{FormerRecord, OrderMemory, Recall};
 use nickeljunction_consensus::Away;
-use serde::{Deserialize, Serialize};
+use nickeljunction_registry::Changes;
+use nickeljunction_schema::{Difference, DocumentDigest};
+use serde::{Deserialize, Serialize, Serializer};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -22,6 +24,19 @@
         /// The document, whole.
         doc: Value,
     },
+    /// The same as a difference to the document of the version that it was made for.
+    Change {
+        /// The version that it builds on.
+        base: u64,
+        /// Its own version.
+        version: u64,
+        /// Digest of the operator's call.
+        digest: String,
+        /// What differs.
+        change: Difference,
+        /// Digest of the document that results, by who proposed it.
+        result: DocumentDigest,
+    },
     /// Nothing more to this zone's servers.
     Evacuate(String),
     /// The zone is taken back.
@@ -122,13 +137,36 @@
     Taken,
     /// Another version is in place.
     Conflict,
+    /// What it makes here isn't what it made where it was proposed: this state, or the other one, is not the log's. Nothing
+    /// was changed.
+    Diverged,
+}
+
+/// A document with its digest, which is not written: it is made anew of what is read.
+#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+#[serde(from = "Value")]
+struct Held {
+    doc: Value,
+    digest: DocumentDigest,
+}
+
+impl Serialize for Held {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        self.doc.serialize(to)
+    }
+}
+
+impl From<Value> for Held {
+    fn from(doc: Value) -> Held {
+        Held { digest: DocumentDigest::of(&doc), doc }
+    }
 }
 
 /// The state that the log's entries make.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct ReplicatedState {
     version: u64,
-    doc: Value,
+    doc: Held,
     /// As former programs kept it: they want the list, which stays empty here.
     #[serde(default)]
     taken: Vec<FormerRecord>,
@@ -154,19 +192,35 @@
 impl ReplicatedState {
     /// Takes the next entry of the log.
     pub fn apply(&mut self, entry: Entry) -> Outcome {
+        self.apply_noting(entry, &mut Changes::default())
+    }
+
+    /// The same; which places of the document it changed is added to `changes`.
+    pub fn apply_noting(&mut self, entry: Entry, changes: &mut Changes) -> Outcome {
         match entry {
             Entry::Put { base, version, digest, doc } => {
-                if self.knows(version, &digest) {
-                    return Outcome::Taken;
+                if let Some(settled) = self.settled(base, version, &digest) {
+                    return settled;
                 }
-                // Two operators' changes of one version may both be on the log: the first one wins, at every member.
-                if base != self.version || version <= self.version {
-                    return Outcome::Conflict;
+                let before = std::mem::replace(&mut self.doc, doc.into());
+                changes.clear();
+                self.take(version, &digest, &before.doc["trials"]);
+            }
+            Entry::Change { base, version, digest, change, result } => {
+                if let Some(settled) = self.settled(base, version, &digest) {
+                    return settled;
+                }
+                let Held { doc, digest: held } = &mut self.doc;
+                let places = change.places(doc);
+                let undo = Difference::of_places(doc, &places);
+                let trials = doc["trials"].clone();
+                *held = change.apply(doc, *held);
+                if *held != result {
+                    *held = undo.apply(doc, *held);
+                    return Outcome::Diverged;
                 }
-                let before = std::mem::replace(&mut self.doc, doc);
-                self.version = version;
-                self.trials_of(&before);
-                self.orders.add(version, &digest);
+                changes.push(base, version, places);
+                self.take(version, &digest, &trials);
             }
             Entry::Evacuate(zone) => {
                 self.evacuated.insert(zone);
@@ -192,6 +246,23 @@
         Outcome::Taken
     }
 
+    /// What becomes of a configuration without a look at it; `None`: it comes into force.
+    fn settled(&self, base: u64, version: u64, digest: &str) -> Option<Outcome> {
+        if self.knows(version, digest) {
+            return Some(Outcome::Taken);
+        }
+        // Two operators' changes of one version may both be on the log: the first one wins, at every member.
+        (base != self.version || version <= self.version).then_some(Outcome::Conflict)
+    }
+
+    /// The document that is in `doc` by now comes into force, by an operator's call of this digest; `trials`: those of the
+    /// one before.
+    fn take(&mut self, version: u64, digest: &str, trials: &Value) {
+        self.version = version;
+        self.trials_of(trials);
+        self.orders.add(version, &digest);
+    }
+
     fn turn(&mut self, tenant: &str, order: TrialOrder, most: u32) {
         let (before, after) = (self.trial(tenant), self.trial(tenant).after(order, most));
         if before != after {
@@ -201,16 +272,16 @@
 
     /// Orders that the document in force gives, where the one before gave another, and trials of tenants that are gone.
     fn trials_of(&mut self, before: &Value) {
-        let named = self.doc["trials"].as_object().into_iter().flat_map(|trials| trials.keys());
+        let named = self.doc.doc["trials"].as_object().into_iter().flat_map(|trials| trials.keys());
         let orders: Vec<(String, TrialOrder)> = named
-            .filter(|tenant| before["trials"][tenant]["state"] != self.doc["trials"][tenant]["state"])
-            .filter_map(|tenant| Some((tenant.clone(), ordered(&self.doc, tenant)?)))
+            .filter(|tenant| before[tenant]["state"] != self.doc.doc["trials"][tenant]["state"])
+            .filter_map(|tenant| Some((tenant.clone(), ordered(&self.doc.doc, tenant)?)))
             .collect();
         for (tenant, order) in orders {
             self.turn(&tenant, order, u32::MAX);
         }
         // Its step stays: should there be a tenant of this name again, gateways know higher ones only.
-        let tenants = &self.doc["tenants"];
+        let tenants = &self.doc.doc["tenants"];
         for (_, trial) in self.trials.iter_mut().filter(|(tenant, _)| tenants.get(tenant.as_str()).is_none())
         {
             if (trial.lapses, trial.stage) != (false, 0) {
@@ -231,7 +302,7 @@
 
     /// The configuration in force has this tenant.
     pub fn has_tenant(&self, tenant: &str) -> bool {
-        self.doc["tenants"].get(tenant).is_some()
+        self.doc.doc["tenants"].get(tenant).is_some()
     }
 
     /// This very call was taken before, as far as is remembered.
@@ -251,7 +322,12 @@
 
     /// The document in force; null before the first.
     pub fn doc(&self) -> &Value {
-        &self.doc
+        &self.doc.doc
+    }
+
+    /// Digest of the document in force.
+    pub fn document_digest(&self) -> DocumentDigest {
+        self.doc.digest
     }
 
     /// Zones that are evacuated.
--- a/crates/replica/tests/member.rs
+++ b/crates/replica/tests/member.rs
@@ -158,6 +158,8 @@
         version: 0,
         wait_ms: 1_000,
         directory: false,
+        differences: true,
+        diverged: false,
     }
 }
 
--- a/crates/schema/src/difference.rs
+++ b/crates/schema/src/difference.rs
@@ -168,7 +168,11 @@
 /// How many places a document has.
 pub fn places_in(doc: &Value) -> usize {
     let members = doc.as_object().into_iter().flatten();
-    members.map(|(_, member)| 1 + member.as_object().map_or(0, Map::len)).sum()
+    let places = |(name, member): (&String, &Value)| match member {
+        Value::Object(items) if is_table(name) => items.len(),
+        _ => 1,
+    };
+    members.map(places).sum()
 }
 
 fn is_table(name: &str) -> bool {
--- a/crates/simulation/src/audit.rs
+++ b/crates/simulation/src/audit.rs
@@ -1,7 +1,7 @@
 //! Checks on all that comes out of the machines, as it comes. A fault panics with the world's seed and time.
 
 use crate::{Answer, Fact, Node, Question};
-use nickeljunction_replica::state::{CoreOrder, Entry, ReplicatedState, Trial};
+use nickeljunction_replica::state::{CoreOrder, Entry, Outcome, ReplicatedState, Trial};
 use nickeljunction_replica::Wish;
 use nickeljunction_schema::Bounds;
 use std::collections::{BTreeMap, HashMap};
@@ -111,7 +111,14 @@
                     self.applied += 1;
                     if let Some(data) = data {
                         let before = self.state.trials().clone();
-                        self.state.apply(serde_json::from_str::<Entry>(data).expect("an entry"));
+                        let outcome =
+                            self.state.apply(serde_json::from_str::<Entry>(data).expect("an entry"));
+                        assert_ne!(
+                            outcome,
+                            Outcome::Diverged,
+                            "seed {seed}, {now} ms: entry {}",
+                            self.applied
+                        );
                         let (number, order) = self.state.core();
                         if number as usize > self.orders.len() {
                             self.orders.push(order.clone());
--- a/crates/simulation/src/member.rs
+++ b/crates/simulation/src/member.rs
@@ -180,7 +180,9 @@
         for event in effects.events {
             match event {
                 Event::LeadBegun { term, version, .. } => out.facts.push(Fact::Leads(version, term)),
-                Event::SnapshotUnreadable { .. } | Event::EntryUnreadable { .. } => panic!("{event:?}"),
+                Event::SnapshotUnreadable { .. } | Event::EntryUnreadable { .. } | Event::Diverged { .. } => {
+                    panic!("{event:?}")
+                }
                 _ => {}
             }
         }
@@ -352,7 +354,7 @@
 
     fn learned(&mut self, now: u64, answer: Answer) {
         let applied = match (answer, &mut self.house) {
-            (Answer::Watch(answer), Some(house)) => house.learned(answer).is_ok(),
+            (Answer::Watch(answer), Some(house)) => house.learned(now, answer).is_ok(),
             _ => false,
         };
         self.watch_at = if applied { now } else { now + follow::AGAIN_MS };
