Give no watch call up for being slow, and ask beside it instead

Cause: a gateway dropped a watch call whose answer had not come whole 400 ms after its hold, and its connection with it. A new connection had 200 ms to come up. Counted adds that failed by the same wait dropped the held call, too.

Change: edge::watch decides without I/O which calls are made, and is driven by the gateway and by the simulation alike. A call in doubt stays; others are made beside it, with growing patience, four at one host at most, and the first that is answered counts. A counted add that names a newer version makes the gateway ask at once. The leader takes a gateway for gone only when the last of its calls breaks. Gateways of the simulation have connections now, and links with queues (Pipe).

--- a/crates/controller/src/driver.rs
+++ b/crates/controller/src/driver.rs
@@ -289,8 +289,8 @@
     }
 
     /// The caller of a held watch call went away before its answer.
-    pub fn hung_up(&self, call: &WatchCall) {
-        self.turn(|house, now| house.hung_up(now, call));
+    pub fn hung_up(&self, call: &WatchCall, held: &Held) {
+        self.turn(|house, now| house.hung_up(now, call, held));
     }
 
     /// A server says that it lives; a round is to be waited for.
--- a/crates/controller/src/resources/inner.rs
+++ b/crates/controller/src/resources/inner.rs
@@ -82,13 +82,14 @@
 struct Held<'a> {
     driver: &'a Driver,
     call: &'a WatchCall,
+    hold: &'a Hold,
     answered: bool,
 }
 
 impl Drop for Held<'_> {
     fn drop(&mut self) {
         if !self.answered {
-            self.driver.hung_up(self.call);
+            self.driver.hung_up(self.call, self.hold);
         }
     }
 }
@@ -136,7 +137,7 @@
                 Ok(held) => held,
                 Err(elsewhere) => return misdirected(&elsewhere),
             };
-            let mut caller = Held { driver: &self.0, call: &call, answered: false };
+            let mut caller = Held { driver: &self.0, call: &call, hold: &held, answered: false };
             let answered = self.answer(&call, &held).await;
             caller.answered = true;
             match answered {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod serve;
 pub mod table;
 pub mod upstream;
+pub mod watch;
--- a/crates/edge/src/link.rs
+++ b/crates/edge/src/link.rs
@@ -4,16 +4,16 @@
 use crate::exchange::{Admission, Admitted};
 use crate::lease::Lease;
 use crate::proxy::{Backend, Proxy};
-use crate::seek::Seek;
 use crate::table::{Swap, Table};
 use crate::upstream::Place;
+use crate::watch::{Call, Ended, Step, Watcher, CONNECT_MS, GIVE_UP_MS};
 use bytes::Bytes;
 use nickeljunction_messages::{path, EbbCall, Elsewhere, GatewayLine, ServerLine, UnitsAnswer, WatchAnswer};
 use nickeljunction_net::caller::Caller;
 use nickeljunction_net::figures::MOST_LABELLED;
 use nickeljunction_net::wheel::Wheel;
 use nickeljunction_quota::{Allowance, Holding, Limit, Spend};
-use nickeljunction_registry::{Copy, Leave};
+use nickeljunction_registry::{Copy, Leave, Refused};
 use nickeljunction_schema::{Bounds, Config, Document};
 use serde::{de::DeserializeOwned, Serialize};
 use std::cell::{Cell, RefCell};
@@ -23,23 +23,15 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use tokio::sync::Notify;
+use tokio::task::{AbortHandle, JoinSet};
 
-/// How long the leader may hold a call, ms: with the answer's way it bounds how old the knowledge of a gateway in
-/// touch gets.
-const HOLD_MS: u64 = 1_000;
-/// How long beyond its hold an answer may take, ms; also how long a host may take that is asked whether it leads.
-const ANSWER_MS: f64 = 400.0;
-/// Pause before a machine that doesn't lead is asked once more, ms: first and at most; and how long the same machines
-/// are asked.
-const AGAIN_MS: (f64, f64) = (40.0, 200.0);
-const FIND_MS: f64 = 2_000.0;
 /// How long a counted add may take, ms.
 const UNITS_MS: f64 = 300.0;
 /// How long a request waits for units: the counter's short time-out, ms.
 const WAIT_MS: f64 = 220.0;
 /// When a client is to come back while the core is out of touch, ms.
 const STALE_MS: f64 = 700.0;
-/// Since the core was last heard, ms: held calls are answered every [`HOLD_MS`], units last for 4 s.
+/// Since the core was last heard, ms: held calls are answered every second, units last for 4 s.
 const OUT_OF_TOUCH_MS: f64 = 3_000.0;
 
 /// What this gateway is, for the core.
@@ -79,16 +71,18 @@
     own: Own,
     wheel: Wheel,
     caller: Rc<Caller>,
+    /// For watch calls, which may take their time.
+    patient: Rc<Caller>,
     table: Rc<Swap<Table>>,
     proxy: Rc<Proxy>,
-    seek: RefCell<Seek>,
+    watcher: RefCell<Watcher>,
     copy: RefCell<Copy>,
     allowance: RefCell<Allowance>,
     lease: RefCell<Lease>,
     ebb: Rc<Ebb>,
     leaving: Cell<bool>,
     permits_told: Cell<bool>,
-    /// The held call should end: this gateway has something to say, or doubts the leader.
+    /// The leader is to be asked at once: this gateway has something to say, or a doubt.
     recall: Notify,
     /// Units came, or won't.
     units: Notify,
@@ -112,15 +106,17 @@
         let tuning = nickeljunction_quota::Tuning::new(window);
         let allowance = Allowance::new(wheel.now() as u64, own.place.name.clone(), own.life, tuning);
         let lease = Lease::new(own.bounds.revocation_strict, own.bounds.revoke_timeout_s * 1_000.0);
-        let seek = Seek::new(seeds);
+        let watcher = RefCell::new(Watcher::new(seeds, 0));
+        let patient = Caller::within(wheel.clone(), CONNECT_MS);
         let ebb = Rc::new(Ebb::new(wheel.clone()));
         Rc::new(Link {
             own,
             wheel,
             caller,
+            patient,
             table,
             proxy,
-            seek: RefCell::new(seek),
+            watcher,
             copy: RefCell::new(Copy::new()),
             allowance: RefCell::new(allowance),
             lease: RefCell::new(lease),
@@ -175,7 +171,7 @@
         call: &C,
         timeout_ms: f64,
     ) -> Option<A> {
-        let host = self.seek.borrow().leader()?.to_string();
+        let host = self.watcher.borrow().leader()?.to_string();
         let to = self.address(&host)?;
         let body = serde_json::to_vec(call).ok()?;
         match self.caller.call(to, "POST", path, &[], &body, timeout_ms).await {
@@ -205,7 +201,7 @@
         Seen {
             version: copy.catalog().version(),
             term: copy.term(),
-            leader: self.seek.borrow().leader().map(str::to_string),
+            leader: self.watcher.borrow().leader().map(str::to_string),
             age_ms: self.lease.borrow().age(now),
             units: self.allowance.borrow_mut().told(now as u64, MOST_LABELLED),
         }
@@ -213,7 +209,7 @@
 
     /// Other seeds' hosts.
     pub fn seeds(&self, hosts: Vec<String>) {
-        self.seek.borrow_mut().seeds(hosts);
+        self.watcher.borrow_mut().seeds(hosts);
     }
 
     fn address(&self, host: &str) -> Option<SocketAddr> {
@@ -224,123 +220,101 @@
 
     /// Watches the leader for as long as it is polled.
     pub async fn watch(self: Rc<Self>) {
+        let mut asking = JoinSet::new();
+        let mut under_way: BTreeMap<u64, AbortHandle> = BTreeMap::new();
         loop {
-            let leader = self.seek.borrow().leader().map(str::to_string);
-            match leader {
-                Some(host) => self.follow(&host).await,
-                None => self.find().await,
+            let now = self.wheel.now();
+            let known_ms = self.lease.borrow().age(now);
+            let steps = self.watcher.borrow_mut().poll(now, known_ms);
+            for step in steps {
+                match step {
+                    Step::Ask(call) => {
+                        let id = call.id;
+                        under_way.insert(id, asking.spawn_local(self.clone().ask(call)));
+                    }
+                    Step::HangUp(call) => {
+                        under_way.remove(&call.id).into_iter().for_each(|asked| asked.abort());
+                    }
+                }
             }
-        }
-    }
-
-    /// One call to a host that leads, or is said to.
-    async fn follow(&self, host: &str) {
-        // One that has not answered lately is not asked to hold the call: it may be dark.
-        let fresh = self.lease.borrow().age(self.wheel.now()) < HOLD_MS as f64 + ANSWER_MS;
-        let hold = if fresh { HOLD_MS } else { 0 };
-        let asked = tokio::select! {
-            biased;
-            asked = self.ask(host, hold) => asked,
-            // Only this call: a leader in doubt is asked again, briefly.
-            () = self.recall.notified(), if hold > 0 => self.ask(host, 0).await,
-        };
-        match asked {
-            Ok(()) => self.seek.borrow_mut().found(host),
-            // Whom it points to is found among all.
-            Err(_) => {
-                self.seek.borrow_mut().lost();
+            if self.watcher.borrow().in_doubt(now) {
                 self.permits_age();
             }
-        }
-    }
-
-    /// Asks all machines of the core who leads, each for itself and again: one after the other, or in rounds, each dark one
-    /// would cost its time.
-    async fn find(self: &Rc<Self>) {
-        let mut asking = tokio::task::JoinSet::new();
-        let mut asked = self.seek.borrow().all();
-        let until = self.wheel.now() + FIND_MS;
-        asked.iter().for_each(|host| drop(asking.spawn_local(self.clone().ask_again(host.clone(), until))));
-        while let Some(answer) = asking.join_next().await {
-            match answer {
-                Ok(Ok(host)) => return self.seek.borrow_mut().found(&host),
-                // One that neither the seeds nor the last leader named.
-                Ok(Err(Some(leader))) if !asked.contains(&leader) => {
-                    asked.push(leader.clone());
-                    asking.spawn_local(self.clone().ask_again(leader, until));
+            let wake = self.watcher.borrow().next_wake();
+            tokio::select! {
+                biased;
+                Some(ended) = asking.join_next(), if !asking.is_empty() => {
+                    // Those that were hung up end without an answer.
+                    let Ok((id, how)) = ended else { continue };
+                    under_way.remove(&id);
+                    let luck = self.dice.borrow_mut().f64();
+                    self.watcher.borrow_mut().ended(self.wheel.now(), id, how, luck);
                 }
-                Ok(Err(_)) | Err(_) => {}
+                () = self.recall.notified() => self.watcher.borrow_mut().recall(),
+                () = self.wheel.sleep_until(wake) => {}
             }
         }
-        self.permits_age();
-        // Nobody to ask, or all have been asked for long: the list may be another one by now.
-        self.wheel.sleep(AGAIN_MS.0).await;
     }
 
-    /// Asks a host until it leads; the error: whom it pointed to last, when the time is over or it names one.
-    async fn ask_again(self: Rc<Self>, host: String, until: f64) -> Result<String, Option<String>> {
-        let mut pause = AGAIN_MS.0;
-        loop {
-            let points_to = match self.ask(&host, 0).await {
-                Ok(()) => return Ok(host),
-                Err(points_to) => points_to,
-            };
-            if self.wheel.now() >= until
-                || points_to.as_ref().is_some_and(|other| !self.seek.borrow().all().contains(other))
-            {
-                return Err(points_to);
-            }
-            // By lot, so that gateways that lost a leader together don't ask in step.
-            let luck = 0.5 + self.dice.borrow_mut().f64();
-            self.wheel.sleep(pause * luck).await;
-            pause = (pause * 1.5).min(AGAIN_MS.1);
-        }
+    /// Asks a host for what is new.
+    async fn ask(self: Rc<Self>, call: Call) -> (u64, Ended) {
+        (call.id, self.asked(&call).await.unwrap_or(Ended::Failed))
     }
 
-    /// Asks a host for what is new; the error: who leads instead, where it knows.
-    async fn ask(&self, host: &str, hold_ms: u64) -> Result<(), Option<String>> {
-        let to = self.address(host).ok_or(None)?;
+    async fn asked(&self, call: &Call) -> Option<Ended> {
+        let to = self.address(&call.host)?;
         let place = &self.own.place;
         let (front, zone) = (self.own.front.clone(), place.zone.clone());
         let line = GatewayLine { name: place.name.clone(), front, zone, ready: self.ready() };
-        let mut call = self.copy.borrow().ask(
+        let mut ask = self.copy.borrow().ask(
             nickeljunction_messages::Caller::Gateway,
             &place.name,
             self.own.life,
             Some(line),
-            hold_ms,
+            call.hold_ms,
         );
-        call.directory = self.own.directory;
-        let body = serde_json::to_vec(&call).map_err(|_| None)?;
+        ask.directory = self.own.directory;
+        let body = serde_json::to_vec(&ask).ok()?;
         let sent = self.wheel.now();
-        let timeout = hold_ms as f64 + ANSWER_MS;
-        let reply = match self.caller.call(to, "POST", path::WATCH, &[], &body, timeout).await {
+        let timeout = call.hold_ms as f64 + GIVE_UP_MS;
+        let reply = match self.patient.call(to, "POST", path::WATCH, &[], &body, timeout).await {
             Ok(reply) => reply,
             Err(error) => {
                 log::debug!("event=core_silent step=watch peer={to} error={:?}", error.to_string());
-                return Err(None);
+                return None;
             }
         };
         match reply.status {
-            200 => self.learn(to, sent, &reply.body).map_err(|()| None),
+            200 => Some(self.learn(to, sent, &reply.body)),
             421 => {
-                Err(serde_json::from_slice::<Elsewhere>(&reply.body).ok().and_then(|answer| answer.leader))
+                let answer = serde_json::from_slice::<Elsewhere>(&reply.body).ok();
+                Some(Ended::Elsewhere(answer.and_then(|answer| answer.leader)))
             }
             status => {
                 log::warn!("event=watch_refused peer={to} status={status}");
-                Err(None)
+                None
             }
         }
     }
 
-    fn learn(&self, from: SocketAddr, sent: f64, body: &Bytes) -> Result<(), ()> {
-        let answer = serde_json::from_slice::<WatchAnswer>(body).map_err(|error| {
-            log::warn!("event=answer_unreadable step=watch peer={from} error={:?}", error.to_string());
-        })?;
+    fn learn(&self, from: SocketAddr, sent: f64, body: &Bytes) -> Ended {
+        let answer = match serde_json::from_slice::<WatchAnswer>(body) {
+            Ok(answer) => answer,
+            Err(error) => {
+                log::warn!("event=answer_unreadable step=watch peer={from} error={:?}", error.to_string());
+                return Ended::Failed;
+            }
+        };
         let (age, ready) = (answer.age_ms as f64, self.ready());
-        let applied = self.copy.borrow_mut().apply(answer).map_err(|error| {
-            log::warn!("event=answer_refused step=watch peer={from} error={:?}", error.to_string());
-        })?;
+        let applied = match self.copy.borrow_mut().apply(answer) {
+            Ok(applied) => applied,
+            // The next call is answered by a difference to what is held by now, or by the whole.
+            Err(Refused::Seq(..) | Refused::Base(..) | Refused::Digest(..)) => return Ended::Overtaken,
+            Err(error) => {
+                log::warn!("event=answer_refused step=watch peer={from} error={:?}", error.to_string());
+                return Ended::Failed;
+            }
+        };
         self.lease.borrow_mut().answered(sent, age);
         let now = self.wheel.now();
         let catalog = self.copy.borrow().catalog();
@@ -371,7 +345,7 @@
             self.proxy.fleet(catalog.gateways);
         }
         if applied.core {
-            self.seek.borrow_mut().known(&catalog.core);
+            self.watcher.borrow_mut().known(&catalog.core);
         }
         if applied.config || applied.evacuated || !applied.servers.is_empty() || !applied.gone.is_empty() {
             self.tell_servers();
@@ -381,7 +355,7 @@
             // The directory should know at once.
             self.recall.notify_one();
         }
-        Ok(())
+        Ended::Answered
     }
 
     fn configure(&self, config: &Config) {
@@ -468,7 +442,7 @@
     }
 
     async fn add(&self, call: &nickeljunction_messages::UnitsCall) -> Option<UnitsAnswer> {
-        let host = self.seek.borrow().leader()?.to_string();
+        let host = self.watcher.borrow().leader()?.to_string();
         let to = self.address(&host)?;
         let body = serde_json::to_vec(call).ok()?;
         let sent = self.wheel.now();
@@ -480,6 +454,10 @@
                 if answer.version == copy.catalog().version() && answer.term >= copy.term() {
                     self.lease.borrow_mut().answered(sent, answer.age_ms as f64);
                 }
+                // There is a newer one, and the held call has not brought it.
+                if answer.version > copy.catalog().version() {
+                    self.recall.notify_one();
+                }
                 Some(answer)
             }
             Ok(_) => {
--- a/crates/registry/src/gateways.rs
+++ b/crates/registry/src/gateways.rs
@@ -144,9 +144,11 @@
             _ => gateway.has = gateway.has.max(has),
         }
         let was_ready = gateway.ready(now);
+        // One that asks beside a call that is held is there for as long as that one is.
+        let same = gateway.life == Some(call.life);
+        gateway.until = if same { gateway.until.max(until) } else { until };
         gateway.life = Some(call.life);
         gateway.version = Some(call.version);
-        gateway.until = until;
         gateway.broken = None;
         let mut changed = false;
         if let Some(line) = &call.line {
--- a/crates/replica/src/leader.rs
+++ b/crates/replica/src/leader.rs
@@ -31,6 +31,20 @@
     pub version: u64,
     /// The counter's wish to forget lives is on its way to the log.
     pub forgets: bool,
+    /// Watch calls under way, by the life of their sender: one of them that breaks says nothing while others are there.
+    watching: BTreeMap<u64, u32>,
+}
+
+impl Lead {
+    /// A watch call of this life has ended; true where it was the last one.
+    fn unwatched(&mut self, life: u64) -> bool {
+        let left = self.watching.get(&life).map_or(0, |count| count.saturating_sub(1));
+        match left {
+            0 => drop(self.watching.remove(&life)),
+            left => drop(self.watching.insert(life, left)),
+        }
+        left == 0
+    }
 }
 
 /// What became of a call for units.
@@ -48,6 +62,8 @@
     /// Its sender is to come again with its line, or was replaced: nothing to hold it for.
     brief: bool,
     end: u64,
+    /// Of the leader that holds it.
+    term: u64,
 }
 
 impl Held {
@@ -127,6 +143,7 @@
             tides: LapsedTrials::default(),
             version: 0,
             forgets: false,
+            watching: BTreeMap::new(),
         });
         self.publish(now);
         self.out.changed = true;
@@ -211,9 +228,12 @@
     /// # Errors
     /// As all here.
     pub fn called(&mut self, now: u64, call: &WatchCall) -> Result<Held, Elsewhere> {
-        let seen = self.with_lead(now, |lead, _| lead.register.called(now, call))?;
+        let (seen, term) = self.with_lead(now, |lead, _| {
+            *lead.watching.entry(call.life).or_default() += 1;
+            (lead.register.called(now, call), lead.term)
+        })?;
         let brief = matches!(seen, Seen::NoLine | Seen::Replaced);
-        Ok(Held { brief, end: now + call.wait_ms.min(MOST_HOLD_MS) })
+        Ok(Held { brief, end: now + call.wait_ms.min(MOST_HOLD_MS), term })
     }
 
     /// What a watch call gets now; `None`: it is to look again after a change, or at its end.
@@ -229,17 +249,22 @@
         let last = held.brief || now >= held.end || call.diverged;
         let answer = self.with_lead(now, |lead, age| {
             let news = lead.register.answer(now, call, age);
-            news.or_else(|| last.then(|| lead.register.nothing(age)))
+            let answer = news.or_else(|| last.then(|| lead.register.nothing(age)));
+            if answer.is_some() && held.term == lead.term {
+                lead.unwatched(call.life);
+            }
+            answer
         })?;
         let restated = call.diverged.then(|| Restated { after: self.applied, state: self.state.to_text() });
         Ok(answer.map(|answer| WatchAnswer { restated, ..answer }))
     }
 
-    /// The caller of a held watch call went away before its answer.
-    pub fn hung_up(&mut self, now: u64, call: &WatchCall) {
-        if call.who == Caller::Gateway {
+    /// The caller of a held watch call went away before its answer. Its sender is gone where that was its last one.
+    pub fn hung_up(&mut self, now: u64, call: &WatchCall, held: &Held) {
+        // Whoever leads by then has a watch of its own.
+        let Some(lead) = self.lead.as_mut().filter(|lead| lead.term == held.term) else { return };
+        if lead.unwatched(call.life) && call.who == Caller::Gateway {
             self.out.events.push(Event::GatewayAway { name: call.name.clone() });
-            // Whoever leads by then has a watch of its own.
             let _ = self.with_lead(now, |lead, _| lead.register.gateway_left(now, &call.name, call.life));
         }
     }
--- a/crates/simulation/src/gateway.rs
+++ b/crates/simulation/src/gateway.rs
@@ -1,29 +1,45 @@
-//! A gateway: the real copy, lease, allowance and search, driven by the thin rules of `edge::link::Link`, which are modelled here.
+//! A gateway: the real copy, lease, allowance and watcher, driven by the thin rules of `edge::link::Link`, which are modelled here,
+//! with the connections that its calls go over.
 
-use crate::{host, node_of, Answer, Fact, Node, Out, Packet, Question, TENANT, WINDOW_MS};
+use crate::{node_of, Answer, Fact, Node, Out, Packet, Question, TENANT, WINDOW_MS};
 use nickeljunction_edge::lease::Lease;
-use nickeljunction_edge::seek::Seek;
-use nickeljunction_messages::{Caller, GatewayLine, WatchAnswer};
+use nickeljunction_edge::watch::{Call, Ended, Step, Watcher, CONNECT_MS};
+use nickeljunction_messages::{Caller, GatewayLine, WatchAnswer, WatchCall};
 use nickeljunction_pacing::Throttle;
 use nickeljunction_quota::{Allowance, Spend};
-use nickeljunction_registry::{Copy, Leave};
+use nickeljunction_registry::{Copy, Leave, Refused};
 use nickeljunction_replica::limits;
 use nickeljunction_schema::Bounds;
+use std::collections::BTreeMap;
 
+/// `Caller` keeps so many idle connections to a host.
+const MOST_IDLE: usize = 3;
 // The figures of `edge::link`.
-const HOLD_MS: u64 = 1_000;
-const ANSWER_MS: u64 = 400;
 const UNITS_MS: u64 = 300;
 const WAIT_MS: u64 = 220;
 
-/// A call under way.
+/// A counted add under way.
 #[derive(Debug, Clone, Copy)]
 struct Flight {
     call: u64,
     to: Node,
-    sent: u64,
     until: u64,
-    held: bool,
+}
+
+/// A watch call under way.
+#[derive(Debug, Clone)]
+struct Watching {
+    call: Call,
+    to: Node,
+    sent: u64,
+    /// What goes out once its connection is up, and the last moment for that.
+    unsent: Option<(WatchCall, u64)>,
+}
+
+impl Watching {
+    fn open_until(&self) -> u64 {
+        self.unsent.as_ref().map_or(u64::MAX, |(_, until)| *until)
+    }
 }
 
 /// One edge machine and its process.
@@ -39,17 +55,14 @@
     pub lease: Lease,
     /// Its units.
     pub allowance: Allowance,
-    /// Its search for the leader.
-    pub seek: Seek,
+    /// Its watch calls.
+    pub watcher: Watcher,
     /// Trials that lapse.
     pub throttle: Throttle,
     rng: fastrand::Rng,
-    watch: Option<Flight>,
-    /// Calls to all who may lead, and whom they asked; while no leader is known.
-    finding: Vec<Flight>,
-    asked: Vec<String>,
-    watch_at: u64,
-    recall: bool,
+    watching: Vec<Watching>,
+    /// Kept connections for watch calls, by host.
+    idle: BTreeMap<Node, usize>,
     units: Option<Flight>,
     next_call: u64,
     waiting: Vec<u64>,
@@ -78,17 +91,14 @@
             copy: Copy::new(),
             lease: Lease::new(strict, Bounds::usual().revoke_timeout_s * 1_000.0),
             allowance: Allowance::new(now, format!("g{node}"), life, tuning),
-            seek: Seek::new(seeds.to_vec()),
-            throttle: Throttle::default(),
             // Answers to the life before are not taken for its own.
-            next_call: rng.u64(..1 << 40),
+            watcher: Watcher::new(seeds.to_vec(), rng.u64(..1 << 40)),
+            throttle: Throttle::default(),
+            next_call: (1 << 41) + rng.u64(..1 << 40),
             rng,
-            watch: None,
-            finding: Vec::new(),
-            asked: Vec::new(),
+            watching: Vec::new(),
+            idle: BTreeMap::new(),
             paced: Vec::new(),
-            watch_at: now,
-            recall: false,
             units: None,
             waiting: Vec::new(),
             next_server: 0,
@@ -112,109 +122,93 @@
         standings.iter().find(|one| one.tenant == TENANT).map_or((0, 0), |one| (one.step, one.stage))
     }
 
-    /// `Link::ask`.
-    fn ask(&mut self, now: u64, to: Node, hold: u64, out: &mut Out) -> Flight {
-        self.next_call += 1;
+    /// `Link::watch`.
+    fn watch(&mut self, now: u64, out: &mut Out) {
+        let late: Vec<u64> =
+            self.watching.iter().filter(|one| one.open_until() <= now).map(|one| one.call.id).collect();
+        late.into_iter().for_each(|id| self.ended(now, id, Ended::Failed));
+        for step in self.watcher.poll(now as f64, self.lease.age(now as f64)) {
+            match step {
+                Step::Ask(call) => self.ask(now, call, out),
+                Step::HangUp(call) => {
+                    let Some(at) = self.watching.iter().position(|one| one.call.id == call.id) else {
+                        continue;
+                    };
+                    let one = self.watching.remove(at);
+                    out.posts.push((one.to, Packet::Ask(self.node, call.id, Question::HangUp)));
+                }
+            }
+        }
+    }
+
+    /// `Link::asked`, over a kept connection or a new one.
+    fn ask(&mut self, now: u64, call: Call, out: &mut Out) {
+        let Some(to) = node_of(&call.host) else {
+            return self.watcher.ended(now as f64, call.id, Ended::Failed, 0.5);
+        };
         let name = format!("g{}", self.node);
         let zone = if self.node.is_multiple_of(2) { "z1" } else { "z2" };
         let front = format!("10.1.0.{}:80", self.node);
         let line = GatewayLine { name: name.clone(), front, zone: zone.into(), ready: self.ready(now) };
-        let call = self.copy.ask(Caller::Gateway, &name, self.life, Some(line), hold);
-        out.posts.push((to, Packet::Ask(self.node, self.next_call, Question::Watch(call))));
-        Flight { call: self.next_call, to, sent: now, until: now + hold + ANSWER_MS, held: hold > 0 }
-    }
-
-    fn hang_up(&self, flight: Flight, out: &mut Out) {
-        out.posts.push((flight.to, Packet::Ask(self.node, flight.call, Question::HangUp)));
-    }
-
-    /// `Link::find`: asks all at once; here in rounds, the slower case: there each machine is asked again by itself.
-    fn find(&mut self, now: u64, out: &mut Out) {
-        self.asked = self.seek.all();
-        for to in self.asked.clone().iter().filter_map(|host| node_of(host)) {
-            let flight = self.ask(now, to, 0, out);
-            self.finding.push(flight);
-        }
-        self.found_nobody(now);
-    }
-
-    /// One of those asked doesn't lead.
-    fn not_there(&mut self, now: u64, flight: Flight, leader: Option<String>, out: &mut Out) {
-        self.finding.retain(|other| other.call != flight.call);
-        if let Some(to) = leader.filter(|leader| !self.asked.contains(leader)) {
-            self.asked.push(to.clone());
-            if let Some(to) = node_of(&to) {
-                let flight = self.ask(now, to, 0, out);
-                self.finding.push(flight);
+        let ask = self.copy.ask(Caller::Gateway, &name, self.life, Some(line), call.hold_ms);
+        let id = call.id;
+        let mut watching = Watching { call, to, sent: now, unsent: None };
+        match self.idle.get_mut(&to).filter(|idle| **idle > 0) {
+            Some(idle) => {
+                *idle -= 1;
+                out.posts.push((to, Packet::Ask(self.node, id, Question::Watch(ask))));
+            }
+            None => {
+                watching.unsent = Some((ask, now + CONNECT_MS as u64));
+                out.posts.push((to, Packet::Open(self.node, id)));
             }
         }
-        self.found_nobody(now);
+        self.watching.push(watching);
     }
 
-    fn found_nobody(&mut self, now: u64) {
-        if self.finding.is_empty() {
-            self.watch_at = now + self.rng.u64(20..=60);
-        }
+    /// A connection is up.
+    fn opened(&mut self, id: u64, out: &mut Out) {
+        let Some(one) = self.watching.iter_mut().find(|one| one.call.id == id) else { return };
+        let ask = one.unsent.take();
+        out.posts.extend(ask.map(|(ask, _)| (one.to, Packet::Ask(self.node, id, Question::Watch(ask)))));
     }
 
-    /// `Link::watch`, with `Link::follow`.
-    fn watch(&mut self, now: u64, out: &mut Out) {
-        for flight in self.finding.clone().into_iter().filter(|flight| now >= flight.until) {
-            self.hang_up(flight, out);
-            self.not_there(now, flight, None, out);
-        }
-        if let Some(flight) = self.watch {
-            if now >= flight.until {
-                self.watch = None;
-                self.hang_up(flight, out);
-                self.seek.lost();
-                self.watch_at = now;
-            } else if flight.held && std::mem::take(&mut self.recall) {
-                self.hang_up(flight, out);
-                self.watch = Some(self.ask(now, flight.to, 0, out));
+    /// A watch call has ended.
+    fn ended(&mut self, now: u64, id: u64, how: Ended) {
+        let Some(at) = self.watching.iter().position(|one| one.call.id == id) else { return };
+        let one = self.watching.remove(at);
+        match how {
+            // Nobody listens there, or the connections are gone with who did.
+            Ended::Failed | Ended::Elsewhere(None) => drop(self.idle.remove(&one.to)),
+            _ => {
+                let idle = self.idle.entry(one.to).or_default();
+                *idle = (*idle + 1).min(MOST_IDLE);
             }
         }
-        if self.watch.is_some() || !self.finding.is_empty() || now < self.watch_at {
-            return;
-        }
-        let Some(to) = self.seek.leader().and_then(node_of) else { return self.find(now, out) };
-        let fresh = self.lease.age(now as f64) < (HOLD_MS + ANSWER_MS) as f64;
-        self.watch = Some(self.ask(now, to, if fresh { HOLD_MS } else { 0 }, out));
+        let luck = self.rng.f64();
+        self.watcher.ended(now as f64, id, how, luck);
     }
 
     /// An answer to a watch call.
-    fn told(&mut self, now: u64, flight: Flight, answer: Answer, out: &mut Out) {
-        let sought = self.watch.is_none_or(|watch| watch.call != flight.call);
-        let leader = match answer {
-            Answer::Watch(ref answer) if self.learn(now, flight, answer.clone(), out) => {
-                self.watch = None;
-                // The others' answers are not waited for.
-                for other in std::mem::take(&mut self.finding) {
-                    if other.call != flight.call {
-                        self.hang_up(other, out);
-                    }
-                }
-                self.seek.found(&host(flight.to));
-                self.watch_at = now;
-                return;
-            }
-            Answer::Elsewhere(leader) => leader,
-            _ => None,
+    fn told(&mut self, now: u64, id: u64, sent: u64, answer: Answer, out: &mut Out) {
+        let how = match answer {
+            Answer::Watch(answer) => self.learn(now, sent, answer, out),
+            Answer::Elsewhere(leader) => Ended::Elsewhere(leader),
+            _ => Ended::Failed,
         };
-        if sought {
-            return self.not_there(now, flight, leader, out);
-        }
-        self.watch = None;
-        // Whom it points to is found among all.
-        self.seek.lost();
-        self.watch_at = now;
+        self.ended(now, id, how);
     }
 
-    /// `Link::learn`; false where the answer is refused.
-    fn learn(&mut self, now: u64, flight: Flight, answer: WatchAnswer, out: &mut Out) -> bool {
+    /// `Link::learn`.
+    fn learn(&mut self, now: u64, sent: u64, answer: WatchAnswer, out: &mut Out) -> Ended {
         let (age, ready) = (answer.age_ms as f64, self.ready(now));
-        let Ok(applied) = self.copy.apply(answer) else { return false };
-        self.lease.answered(flight.sent as f64, age);
+        let applied = match self.copy.apply(answer) {
+            Ok(applied) => applied,
+            // The next call is answered by a difference to what is held by now, or by the whole.
+            Err(Refused::Seq(..) | Refused::Base(..) | Refused::Digest(..)) => return Ended::Overtaken,
+            Err(_) => return Ended::Failed,
+        };
+        self.lease.answered(sent as f64, age);
         let catalog = self.copy.catalog();
         if applied.leader {
             self.allowance.moved(now, self.copy.term());
@@ -229,20 +223,22 @@
             out.facts.push(Fact::Tide { life: self.life, tenant, step, stage, holds: now + line.in_ms });
         }
         if applied.core {
-            self.seek.known(&catalog.core);
+            self.watcher.known(&catalog.core);
+        }
+        if !ready && self.ready(now) {
+            self.watcher.recall();
         }
-        self.recall |= !ready && self.ready(now);
         let at = now - self.lease.age(now as f64).min(now as f64) as u64;
         out.facts.push(Fact::Knows { life: self.life, version: catalog.version(), at });
-        true
+        Ended::Answered
     }
 
     /// `Link::count` and `Link::add`.
     fn count(&mut self, now: u64, out: &mut Out) {
         if let Some(flight) = self.units.filter(|flight| now >= flight.until) {
             self.units = None;
-            self.hang_up(flight, out);
-            self.recall = true;
+            out.posts.push((flight.to, Packet::Ask(self.node, flight.call, Question::HangUp)));
+            self.watcher.recall();
             self.allowance.failed(now);
             self.serve_waiting(now);
         }
@@ -250,30 +246,37 @@
             return;
         }
         let Some(units) = self.allowance.poll(now) else { return };
-        let Some(to) = self.seek.leader().and_then(node_of) else {
+        let Some(to) = self.watcher.leader().and_then(node_of) else {
             self.allowance.failed(now);
             return self.serve_waiting(now);
         };
         self.next_call += 1;
-        self.units = Some(Flight { call: self.next_call, to, sent: now, until: now + UNITS_MS, held: false });
+        self.units = Some(Flight { call: self.next_call, to, until: now + UNITS_MS });
         out.posts.push((to, Packet::Ask(self.node, self.next_call, Question::Units(units))));
     }
 
     /// An answer came in.
     pub(crate) fn heard(&mut self, now: u64, packet: Packet, out: &mut Out) {
-        let Packet::Reply(call, answer) = packet else { return };
-        if !self.up {
-            return;
-        }
-        let mut flights = self.watch.iter().chain(&self.finding);
-        if let Some(flight) = flights.find(|flight| flight.call == call).copied() {
-            self.told(now, flight, answer, out);
+        let (call, answer) = match packet {
+            Packet::Reply(call, answer) if self.up => (call, answer),
+            Packet::Opened(call) if self.up => return self.opened(call, out),
+            _ => return,
+        };
+        let watching = self.watching.iter().find(|one| one.call.id == call).map(|one| one.sent);
+        if let Some(sent) = watching {
+            self.told(now, call, sent, answer, out);
         } else if self.units.is_some_and(|flight| flight.call == call) {
             self.units = None;
             match answer {
-                Answer::Units(answer) => self.allowance.answered(now, &answer),
+                Answer::Units(answer) => {
+                    // There is a newer one, and the held call has not brought it.
+                    if answer.version > self.version() {
+                        self.watcher.recall();
+                    }
+                    self.allowance.answered(now, &answer);
+                }
                 _ => {
-                    self.recall = true;
+                    self.watcher.recall();
                     self.allowance.failed(now);
                 }
             }
@@ -341,8 +344,8 @@
         if !self.up {
             return u64::MAX;
         }
-        let calls = self.watch.iter().chain(&self.finding).map(|flight| flight.until);
-        let watch = calls.min().unwrap_or(self.watch_at);
+        let opens = self.watching.iter().map(Watching::open_until).min().unwrap_or(u64::MAX);
+        let watch = opens.min(self.watcher.next_wake().max(0.0).ceil() as u64);
         let paced = self.paced.iter().map(|(from, _)| *from).min().unwrap_or(u64::MAX);
         let units = self.units.map_or(self.allowance.next_wake().unwrap_or(u64::MAX), |flight| flight.until);
         self.waiting.iter().copied().chain([watch, units, paced]).min().unwrap_or(u64::MAX)
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -9,12 +9,14 @@
 mod gateway;
 mod member;
 mod operators;
+mod pipe;
 mod simulation;
 
 pub use audit::{Acked, Audit, Said, Tide, Told};
 pub use gateway::Gateway;
 pub use member::Member;
 pub use operators::{Operators, Order, Server};
+pub use pipe::Pipe;
 pub use simulation::{Plan, World};
 
 use nickeljunction_consensus::Envelope;
@@ -91,6 +93,10 @@
 pub(crate) enum Packet {
     /// Between core members.
     Book(Envelope),
+    /// A new connection for the call of this number is asked for, and is up.
+    Open(Node, u64),
+    /// See `Open`.
+    Opened(u64),
     /// A call.
     Ask(Node, u64, Question),
     /// Its answer.
--- a/crates/simulation/src/member.rs
+++ b/crates/simulation/src/member.rs
@@ -229,6 +229,8 @@
     pub(crate) fn heard(&mut self, now: u64, packet: Packet, out: &mut Out) {
         match packet {
             Packet::Book(envelope) => drop(self.act(now, out, |house| house.heard(now, vec![envelope]))),
+            Packet::Open(from, call) => out.posts.push((from, Packet::Opened(call))),
+            Packet::Opened(_) => {}
             Packet::Reply(call, answer) => {
                 if self.watching.is_some_and(|(mine, ..)| mine == call) {
                     self.watching = None;
@@ -290,7 +292,7 @@
             Question::HangUp => {
                 let gone = self.held.iter().position(|held| (held.from, held.call) == (from, call));
                 if let Some(held) = gone.map(|at| self.held.remove(at)) {
-                    self.act(now, out, |house| house.hung_up(now, &held.watch));
+                    self.act(now, out, |house| house.hung_up(now, &held.watch, &held.held));
                 }
             }
             Question::Beat(id, beat) => match self.act(now, out, |house| house.beat(now, id, beat))? {
--- a/crates/simulation/src/simulation.rs
+++ b/crates/simulation/src/simulation.rs
@@ -1,6 +1,6 @@
 //! The clock, the network, and what befalls machines.
 
-use crate::{host, Answer, Audit, Gateway, Member, Node, Operators, Out, Packet, Question, TENANT};
+use crate::{host, Answer, Audit, Gateway, Member, Node, Operators, Out, Packet, Pipe, Question, TENANT};
 use nickeljunction_consensus::{draw_id, first_id, Restored, Tuning};
 use nickeljunction_schema::value_digest;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -47,6 +47,8 @@
     pub loss: u8,
     /// See `loss`.
     pub late: u8,
+    /// Machines with a thin link; all others' are wide.
+    pub pipes: BTreeMap<Node, Pipe>,
     /// Requests of clients a second, over all gateways.
     pub load: u64,
     strict: bool,
@@ -78,6 +80,7 @@
             cuts: BTreeSet::new(),
             loss: 0,
             late: 0,
+            pipes: BTreeMap::new(),
             load: 20,
             strict: plan.strict,
             mail: HashMap::new(),
@@ -129,8 +132,12 @@
                 continue;
             }
             let delay = self.rng.u64(1..=3) + if far { self.rng.u64(..1_200) } else { 0 };
+            let now = self.now as f64;
+            let left = self.pipes.get_mut(&from).map_or(now, |pipe| pipe.send(now, &packet));
+            let came = left + delay as f64;
+            let came = self.pipes.get_mut(&to).map_or(came, |pipe| pipe.receive(came, &packet));
             self.posted += 1;
-            self.queue.insert((self.now + delay, self.posted), (to, packet));
+            self.queue.insert((came.ceil() as u64, self.posted), (to, packet));
         }
     }
 
@@ -142,7 +149,7 @@
         match to {
             _ if to < self.members.len() => match packet {
                 // Refused: nobody listens.
-                Packet::Ask(from, call, _) if !self.members[to].up() => {
+                Packet::Ask(from, call, _) | Packet::Open(from, call) if !self.members[to].up() => {
                     out.posts.push((from, Packet::Reply(call, Answer::Elsewhere(None))));
                 }
                 packet => self.members[to].heard(self.now, packet, &mut out),
@@ -277,7 +284,7 @@
         for node in 0..self.members.len() {
             self.at_member(node, |one, now, out| one.seek(now, &seeds, out));
         }
-        self.gateways.iter_mut().for_each(|gateway| gateway.seek.seeds(seeds.clone()));
+        self.gateways.iter_mut().for_each(|gateway| gateway.watcher.seeds(seeds.clone()));
         self.seeds = seeds;
     }
 
