Count a watch call as ended also where a leader out of touch sends it away

Cause: the calls under way of a gateway's life were counted down when answered or broken off, but not when a leader whose lease had run out answered 421 and kept its lead afterwards: the gateway's real end would have gone unseen until its call's time was over.

Change: every end counts. A call beside one in doubt waits twice as long before it is in doubt, and no longer: with a patience that grew on, a machine that was dark was not asked for up to 1.2 s after its return.

--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -12,7 +12,7 @@
 /// touch gets.
 pub const HOLD_MS: u64 = 1_000;
 /// A call that isn't answered so long after its hold is in doubt, ms; twice as long where it was made beside another one
-/// in doubt at the same host, and so on: on a thin link each answer makes the others wait.
+/// in doubt at the same host: on a thin link each answer makes the others wait.
 pub const DOUBT_MS: f64 = 400.0;
 /// A call is given up so long after its hold, ms. A new connection over a link on which packets wait for half a second
 /// each way has its answer after 2 s.
@@ -208,8 +208,8 @@
 
     fn ask(&mut self, now: f64, host: &str, hold_ms: u64) -> Call {
         self.next_id += 1;
-        let doubtful = self.at(host).filter(|call| !call.sound(now)).count();
-        let doubt_at = now + hold_ms as f64 + DOUBT_MS * (1 + doubtful) as f64;
+        let beside = self.at(host).any(|call| !call.sound(now));
+        let doubt_at = now + hold_ms as f64 + DOUBT_MS * if beside { 2.0 } else { 1.0 };
         let call = Call { id: self.next_id, host: host.to_owned(), hold_ms, sent: now, doubt_at };
         self.calls.push(call.clone());
         call
--- a/crates/replica/src/leader.rs
+++ b/crates/replica/src/leader.rs
@@ -249,21 +249,25 @@
         let last = held.brief || now >= held.end || call.diverged;
         let answer = self.with_lead(now, |lead, age| {
             let news = lead.register.answer(now, call, age);
-            let answer = news.or_else(|| last.then(|| lead.register.nothing(age)));
-            if answer.is_some() && held.term == lead.term {
-                lead.unwatched(call.life);
-            }
-            answer
-        })?;
+            news.or_else(|| last.then(|| lead.register.nothing(age)))
+        });
+        if !matches!(answer, Ok(None)) {
+            self.unwatched(call, held);
+        }
         let restated = call.diverged.then(|| Restated { after: self.applied, state: self.state.to_text() });
-        Ok(answer.map(|answer| WatchAnswer { restated, ..answer }))
+        Ok(answer?.map(|answer| WatchAnswer { restated, ..answer }))
+    }
+
+    /// A watch call has ended; true where its sender has no other one here.
+    fn unwatched(&mut self, call: &WatchCall, held: &Held) -> bool {
+        let lead = self.lead.as_mut().filter(|lead| lead.term == held.term);
+        lead.is_some_and(|lead| lead.unwatched(call.life))
     }
 
     /// The caller of a held watch call went away before its answer. Its sender is gone where that was its last one.
     pub fn hung_up(&mut self, now: u64, call: &WatchCall, held: &Held) {
         // Whoever leads by then has a watch of its own.
-        let Some(lead) = self.lead.as_mut().filter(|lead| lead.term == held.term) else { return };
-        if lead.unwatched(call.life) && call.who == Caller::Gateway {
+        if self.unwatched(call, held) && call.who == Caller::Gateway {
             self.out.events.push(Event::GatewayAway { name: call.name.clone() });
             let _ = self.with_lead(now, |lead, _| lead.register.gateway_left(now, &call.name, call.life));
         }
--- a/crates/replica/tests/member.rs
+++ b/crates/replica/tests/member.rs
@@ -210,6 +210,28 @@
     assert!(house.come_round(now, &round).is_err(), "not even for want of time");
 }
 
+#[test]
+fn a_gateway_is_there_until_the_last_of_its_calls_breaks() {
+    let mut core = Core::new(9);
+    let leader = core.leader();
+    let there = |core: &Core| core.houses[leader].roster().iter().any(|line| line.ready);
+    let held = core.at(leader, |house, now| house.called(now, &watch(7))).expect("it leads");
+    // One that is dropped, one that is answered, one that a leader out of touch sends away: beside the one held.
+    let beside = WatchCall { wait_ms: 0, ..watch(7) };
+    let dropped = core.at(leader, |house, now| house.called(now, &beside)).expect("it leads");
+    let answered = core.at(leader, |house, now| house.called(now, &beside)).expect("it leads");
+    let refused = core.at(leader, |house, now| house.called(now, &beside)).expect("it leads");
+    core.at(leader, |house, now| house.hung_up(now, &beside, &dropped));
+    assert!(there(&core), "another call is held");
+    assert!(matches!(core.at(leader, |house, now| house.watch(now, &beside, &answered)), Ok(Some(_))));
+    let late = core.now + Tuning::default().election_min_ms;
+    assert!(core.houses[leader].watch(late, &beside, &refused).is_err(), "past its lease");
+    core.run(100);
+    assert!(there(&core));
+    core.at(leader, |house, now| house.hung_up(now, &watch(7), &held));
+    assert!(!there(&core), "none is left");
+}
+
 /// Two gateways ask in turn, each with its demand; gives their shares and the pace that the leader tells.
 fn shares(core: &mut Core, seq: u64) -> (Vec<f64>, Option<f64>) {
     let leader = core.leader();
