--- a/crates/replica/src/calls.rs
+++ b/crates/replica/src/calls.rs
@@ -9,13 +9,28 @@
 use nickeljunction_messages::UnitsCall;
 use nickeljunction_quota::Roll;
 
-/// A proposal that is not on a majority's disks by then is answered as open, ms; the operator repeats it unchanged.
-const PROPOSAL_MS: u64 = 2_500;
+/// A call that isn't settled by then is answered as open, ms: operators move on after a second of silence, and repeat it
+/// unchanged elsewhere.
+const ANSWER_MS: u64 = 900;
+/// An entry of the leader's own that is not on a majority's disks by then is proposed anew, ms.
+const OWN_MS: u64 = 2_500;
 /// A read that no majority confirms by then is given up, ms.
 const READ_MS: u64 = 800;
+/// Operators wait longer where they sent much: a ms for so many bytes.
+const BYTES_A_MS: usize = 1_024;
 /// How long a gateway's counted add waits for the log, ms: below its own time-out.
 const ENROLL_MS: u64 = 250;
 
+/// A call that waits for a majority to confirm it.
+#[derive(Debug)]
+pub(crate) struct Confirming {
+    /// Last moment for that, ms.
+    pub confirm_by: u64,
+    /// Last moment for its answer, ms.
+    pub answer_by: u64,
+    pub reading: Reading,
+}
+
 /// A call that a majority is to confirm.
 #[derive(Debug)]
 pub(crate) enum Reading {
@@ -40,7 +55,7 @@
     /// A zone is evacuated, or taken back.
     Zone { ticket: Ticket, zone: String, back: bool },
     /// An order on a tenant's trial.
-    Trial { ticket: Ticket, tenant: String, lapse: bool },
+    Trial { ticket: Ticket, tenant: String, lapse: bool, answer_by: u64 },
     /// The leader's own: the next stage of a trial, on a step.
     Stage { tenant: String, base: u64 },
 }
@@ -48,8 +63,8 @@
 /// A call that can go on.
 #[derive(Debug)]
 pub(crate) enum Settled {
-    /// Whether a majority has confirmed the lead.
-    Read(Reading, bool),
+    /// A majority has confirmed the lead: last moment for the answer, ms. `None`: none has.
+    Read(Reading, Option<u64>),
     /// What the entry came to; `None`: not known to be taken.
     Entry(Proposed, Option<Outcome>),
 }
@@ -63,7 +78,7 @@
     /// An operator reads: [`Answer::Confirmed`] once a majority has confirmed this member's lead after now.
     pub fn read(&mut self, now: u64) -> Ticket {
         let ticket = self.ticket();
-        self.confirm(now, Reading::Get(ticket));
+        self.confirm(now, now + ANSWER_MS, Reading::Get(ticket));
         ticket
     }
 
@@ -71,7 +86,8 @@
     pub fn change(&mut self, now: u64, change: Change) -> Ticket {
         let ticket = self.ticket();
         // A member that doesn't lead sends it on before it reads: the leader looks.
-        self.confirm(now, Reading::Change(ticket, change));
+        let answer_by = now + ANSWER_MS + (change.body.len() / BYTES_A_MS) as u64;
+        self.confirm(now, answer_by, Reading::Change(ticket, change));
         ticket
     }
 
@@ -79,7 +95,7 @@
     /// already. [`Replica::core_view`] tells how far it is.
     pub fn order(&mut self, now: u64, wish: Wish) -> Ticket {
         let ticket = self.ticket();
-        self.confirm(now, Reading::Core(ticket, wish));
+        self.confirm(now, now + ANSWER_MS, Reading::Core(ticket, wish));
         ticket
     }
 
@@ -87,7 +103,7 @@
     pub fn zone(&mut self, now: u64, zone: String, back: bool) -> Ticket {
         let ticket = self.ticket();
         let entry = if back { Entry::Return(zone.clone()) } else { Entry::Evacuate(zone.clone()) };
-        self.propose(now, &entry, now + PROPOSAL_MS, Proposed::Zone { ticket, zone, back });
+        self.propose(now, &entry, now + ANSWER_MS, Proposed::Zone { ticket, zone, back });
         self.turn(now, |_| ());
         ticket
     }
@@ -95,13 +111,13 @@
     /// An operator has a tenant's trial lapse, or else restores it: [`Answer::Taken`] once that is its direction.
     pub fn trial(&mut self, now: u64, tenant: String, lapse: bool) -> Ticket {
         let ticket = self.ticket();
-        self.confirm(now, Reading::Trial(ticket, tenant, lapse));
+        self.confirm(now, now + ANSWER_MS, Reading::Trial(ticket, tenant, lapse));
         ticket
     }
 
     /// Nobody waits for this answer any more: what was not begun for it is not done.
     pub fn leave_off(&mut self, ticket: Ticket) {
-        self.reads.retain(|_, (_, reading)| match reading {
+        self.reads.retain(|_, confirming| match &confirming.reading {
             Reading::Get(of) | Reading::Change(of, _) | Reading::Core(of, _) | Reading::Trial(of, ..) => {
                 *of != ticket
             }
@@ -116,10 +132,13 @@
         });
     }
 
-    fn confirm(&mut self, now: u64, reading: Reading) {
+    fn confirm(&mut self, now: u64, answer_by: u64, reading: Reading) {
         match self.book.read(now) {
-            Ok(ticket) => drop(self.reads.insert(ticket, (now + READ_MS, reading))),
-            Err(_) => self.settled.push(Settled::Read(reading, false)),
+            Ok(ticket) => {
+                let confirming = Confirming { confirm_by: now + READ_MS, answer_by, reading };
+                self.reads.insert(ticket, confirming);
+            }
+            Err(_) => self.settled.push(Settled::Read(reading, None)),
         }
         self.turn(now, |_| ());
     }
@@ -144,16 +163,24 @@
         }
     }
 
-    /// The same, for an entry on a trial.
-    pub(crate) fn propose_trial(&mut self, now: u64, entry: &Entry, proposed: Proposed) {
-        self.propose(now, entry, now + PROPOSAL_MS, proposed);
+    /// The leader's own entry on a trial.
+    pub(crate) fn propose_own(&mut self, now: u64, entry: &Entry, proposed: Proposed) {
+        self.propose(now, entry, now + OWN_MS, proposed);
     }
 
     /// Has a trial's order put on the log, where that is needed; else its answer.
-    fn order_trial(&mut self, now: u64, ticket: Ticket, tenant: String, lapse: bool) -> Option<Answer> {
+    fn order_trial(
+        &mut self,
+        now: u64,
+        answer_by: u64,
+        ticket: Ticket,
+        tenant: String,
+        lapse: bool,
+    ) -> Option<Answer> {
         match self.trial_entry(&tenant, lapse) {
             Ok(Some(entry)) => {
-                self.propose_trial(now, &entry, Proposed::Trial { ticket, tenant, lapse });
+                let proposed = Proposed::Trial { ticket, tenant, lapse, answer_by };
+                self.propose(now, &entry, answer_by, proposed);
                 None
             }
             Ok(None) => Some(Answer::Taken),
@@ -184,24 +211,24 @@
     /// Goes on with a call.
     pub(crate) fn go_on(&mut self, now: u64, settled: Settled) {
         let (ticket, answer) = match settled {
-            Settled::Read(Reading::Get(ticket), true) => (ticket, Answer::Confirmed),
-            Settled::Read(Reading::Change(ticket, change), true) => match change.check(&self.state) {
+            Settled::Read(Reading::Get(ticket), Some(_)) => (ticket, Answer::Confirmed),
+            Settled::Read(Reading::Change(ticket, change), Some(by)) => match change.check(&self.state) {
                 Ok(Fit { base, version, entry, checked }) => {
                     self.checked = Some(checked);
                     let proposed = Proposed::Put { ticket, patch: change.patch, base, version };
-                    return self.propose(now, &entry, now + PROPOSAL_MS, proposed);
+                    return self.propose(now, &entry, by, proposed);
                 }
                 Err(answer) => (ticket, answer),
             },
-            Settled::Read(Reading::Core(ticket, wish), true) => match self.core_entry(now, &wish) {
+            Settled::Read(Reading::Core(ticket, wish), Some(by)) => match self.core_entry(now, &wish) {
                 Ok(Some(entry)) => {
-                    return self.propose(now, &entry, now + PROPOSAL_MS, Proposed::Core { ticket, wish });
+                    return self.propose(now, &entry, by, Proposed::Core { ticket, wish });
                 }
                 Ok(None) => (ticket, Answer::Taken),
                 Err(unfit) => (ticket, Answer::Unfit(unfit)),
             },
-            Settled::Read(Reading::Trial(ticket, tenant, lapse), true) => {
-                match self.order_trial(now, ticket, tenant, lapse) {
+            Settled::Read(Reading::Trial(ticket, tenant, lapse), Some(by)) => {
+                match self.order_trial(now, by, ticket, tenant, lapse) {
                     Some(answer) => (ticket, answer),
                     None => return,
                 }
@@ -211,7 +238,7 @@
                 | Reading::Change(ticket, _)
                 | Reading::Core(ticket, _)
                 | Reading::Trial(ticket, ..),
-                false,
+                None,
             ) => (ticket, Answer::Elsewhere(self.elsewhere())),
             Settled::Entry(Proposed::Forget, _) => {
                 if let Some(lead) = &mut self.lead {
@@ -247,10 +274,10 @@
             Settled::Entry(Proposed::Stage { tenant, base }, _) => {
                 return self.stage_settled(now, &tenant, base)
             }
-            Settled::Entry(Proposed::Trial { ticket, tenant, lapse }, outcome) => match outcome {
+            Settled::Entry(Proposed::Trial { ticket, tenant, lapse, answer_by }, outcome) => match outcome {
                 Some(Outcome::Taken) => (ticket, Answer::Taken),
                 // A stage came first, or another operator: made anew on top of it.
-                Some(Outcome::Conflict) => match self.order_trial(now, ticket, tenant, lapse) {
+                Some(Outcome::Conflict) => match self.order_trial(now, answer_by, ticket, tenant, lapse) {
                     Some(answer) => (ticket, answer),
                     None => return,
                 },
--- a/crates/replica/src/lapsed_trials.rs
+++ b/crates/replica/src/lapsed_trials.rs
@@ -212,7 +212,7 @@
     fn propose_stage(&mut self, now: u64, entry: &Entry) {
         if let Entry::Trial { tenant, base, .. } = entry {
             let proposed = Proposed::Stage { tenant: tenant.clone(), base: *base };
-            self.propose_trial(now, entry, proposed);
+            self.propose_own(now, entry, proposed);
         }
     }
 
--- a/crates/replica/src/machine.rs
+++ b/crates/replica/src/machine.rs
@@ -1,6 +1,6 @@
 //! The machine: time, messages, the disk, and what follows from what the agreement puts out.
 
-use crate::calls::{Proposed, Reading, Settled};
+use crate::calls::{Confirming, Proposed, Settled};
 use crate::change::Checked;
 use crate::divergence::Divergence;
 use crate::effects::{Effects, Event, Ticket};
@@ -66,8 +66,8 @@
     pub(crate) next_ticket: Ticket,
     /// Calls whose entries are on their way, by index, with their term and the time of their last moment.
     pub(crate) waits: BTreeMap<u64, (u64, u64, Proposed)>,
-    /// Calls that a majority is to confirm, with the time of their last moment.
-    pub(crate) reads: BTreeMap<ReadTicket, (u64, Reading)>,
+    /// Calls that a majority is to confirm.
+    pub(crate) reads: BTreeMap<ReadTicket, Confirming>,
     /// Calls that can go on.
     pub(crate) settled: Vec<Settled>,
     age_at: u64,
@@ -116,7 +116,7 @@
     /// When [`Replica::tick`] is due, by the clock of `now`, ms.
     pub fn next_wake(&self) -> u64 {
         let late = self.waits.values().map(|(_, until, _)| *until);
-        let late = late.chain(self.reads.values().map(|(until, _)| *until));
+        let late = late.chain(self.reads.values().map(|confirming| confirming.confirm_by));
         let tides = self.lead.iter().filter_map(|lead| lead.tides.wake());
         late.chain(tides)
             .chain([self.book.next_wake(), self.age_at, self.hint_at])
@@ -242,7 +242,8 @@
         for (ticket, fine) in outputs.reads {
             let read = self.reads.remove(&ticket);
             let fine = fine && self.divergence.is_none();
-            self.settled.extend(read.map(|(_, reading)| Settled::Read(reading, fine)));
+            let settled = |one: Confirming| Settled::Read(one.reading, fine.then_some(one.answer_by));
+            self.settled.extend(read.map(settled));
         }
         for index in outputs.lost {
             let wait = self.waits.remove(&index);
@@ -267,9 +268,9 @@
             self.settled.push(Settled::Entry(wait.2, None));
         }
         let reads: Vec<ReadTicket> =
-            self.reads.iter().filter(|(_, read)| late(&read.0)).map(|(ticket, _)| *ticket).collect();
-        for (_, reading) in reads.iter().filter_map(|ticket| self.reads.remove(ticket)) {
-            self.settled.push(Settled::Read(reading, false));
+            self.reads.iter().filter(|(_, read)| late(&read.confirm_by)).map(|(ticket, _)| *ticket).collect();
+        for confirming in reads.iter().filter_map(|ticket| self.reads.remove(ticket)) {
+            self.settled.push(Settled::Read(confirming.reading, None));
         }
         if !self.settled.is_empty() {
             self.turn(now, |_| ());
--- a/crates/simulation/src/audit.rs
+++ b/crates/simulation/src/audit.rs
@@ -188,6 +188,7 @@
             Answer::State(_) => "read",
             Answer::Units(_) => "units",
             Answer::Watch(_) => "watch",
+            Answer::Conflict => return self.refused(now, member, &question),
             _ => return,
         };
         self.said.push(Said { at: now, member, what });
@@ -196,6 +197,7 @@
         let by_lease = !matches!(
             question,
             Question::Put(..)
+                | Question::Patch(..)
                 | Question::Evacuate(_)
                 | Question::Core(_)
                 | Question::Trial(..)
@@ -210,7 +212,7 @@
             return;
         }
         match question {
-            Question::Put(base, version, digest, _) => {
+            Question::Put(base, version, digest, _) | Question::Patch(base, version, digest, _) => {
                 assert!(
                     self.state.knows(version, &digest),
                     "seed {seed}, {now} ms: {version} was acknowledged and isn't on the log"
@@ -254,6 +256,19 @@
         }
     }
 
+    /// A change was refused: another version was in place by then, and it is not in force itself.
+    fn refused(&self, now: u64, member: Node, question: &Question) {
+        let (Question::Put(base, version, digest, _) | Question::Patch(base, version, digest, _)) = question
+        else {
+            return;
+        };
+        let (seed, there) = (self.seed, self.state.version());
+        assert!(
+            there != *base && !self.state.knows(*version, digest),
+            "seed {seed}, {now} ms: member {member} refuses {version} on {base}, with {there} in force"
+        );
+    }
+
     /// A read came back.
     pub(crate) fn read(&mut self, now: u64, floor: u64, version: u64) {
         let seed = self.seed;
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -53,6 +53,8 @@
     Get,
     /// An operator puts a configuration: base, version, digest, document.
     Put(u64, u64, String, serde_json::Value),
+    /// An operator patches a configuration: base, version, digest, patch.
+    Patch(u64, u64, String, serde_json::Value),
     /// An operator evacuates a zone.
     Evacuate(String),
     /// An operator orders who is to be a member of the core.
--- a/crates/simulation/src/member.rs
+++ b/crates/simulation/src/member.rs
@@ -251,9 +251,10 @@
         let (from, call) = (job.from, job.call);
         match &job.question {
             Question::Get => self.wait(now, job, out, |house| house.read(now)),
-            Question::Put(base, _, _, doc) => {
-                let body = serde_json::to_vec(doc).expect("plain data").into();
-                let change = Change { patch: false, base: Some(*base), body };
+            Question::Put(base, _, _, body) | Question::Patch(base, _, _, body) => {
+                let body = serde_json::to_vec(body).expect("plain data").into();
+                let patch = matches!(job.question, Question::Patch(..));
+                let change = Change { patch, base: Some(*base), body };
                 self.wait(now, job, out, |house| house.change(now, change));
             }
             Question::Evacuate(zone) => {
--- a/crates/simulation/src/operators.rs
+++ b/crates/simulation/src/operators.rs
@@ -21,6 +21,10 @@
     pub floor: u64,
     /// Only this member is asked, once: to see what one machine says.
     pub only: bool,
+    /// When it was first asked.
+    pub asked_at: u64,
+    /// When its clear answer came.
+    pub answered_at: Option<u64>,
     to: Node,
     call: u64,
     again_at: u64,
@@ -73,7 +77,18 @@
 
     /// An operator asks, at this member first.
     pub(crate) fn order(&mut self, now: u64, to: Node, question: Question, floor: u64, only: bool) -> usize {
-        self.orders.push(Order { question, answer: None, floor, only, to, call: 0, again_at: now });
+        let order = Order {
+            question,
+            answer: None,
+            floor,
+            only,
+            asked_at: now,
+            answered_at: None,
+            to,
+            call: 0,
+            again_at: now,
+        };
+        self.orders.push(order);
         self.orders.len() - 1
     }
 
@@ -120,7 +135,10 @@
                     (order.to, order.call) = (next(order.to, leader), 0);
                 }
                 Answer::Unknown if !order.only => (order.again_at, order.call) = (now + AGAIN_MS, 0),
-                clear => (order.answer, order.again_at) = (Some(clear), u64::MAX),
+                clear => {
+                    (order.answer, order.again_at) = (Some(clear), u64::MAX);
+                    order.answered_at = Some(now);
+                }
             }
         } else if let Some(server) = self.servers.iter_mut().find(|server| server.call == call) {
             match answer {
--- a/crates/simulation/src/simulation.rs
+++ b/crates/simulation/src/simulation.rs
@@ -446,6 +446,16 @@
         Question::Put(base, version, value_digest("PUT", Some(base), &doc), doc)
     }
 
+    /// A call that changes the version in place, `base`, by one more.
+    pub fn patch(&mut self, base: u64, rate: u64) -> Question {
+        self.next_version = self.next_version.max(base) + 1;
+        let version = self.next_version;
+        let tenant =
+            serde_json::json!({"api_keys": [format!("k{version}")], "rate_per_s": rate, "burst_size": rate});
+        let patch = serde_json::json!({"config_version": version, "upsert": {"tenants": {TENANT: tenant}}});
+        Question::Patch(base, version, value_digest("PATCH", Some(base), &patch), patch)
+    }
+
     /// Puts a configuration and waits for its acknowledgement; again where another operator's came first. Its version.
     pub fn commit(&mut self, rate: u64) -> u64 {
         let end = self.now + 15_000;
