Ask again 400 ms after a counted add named a newer version, not at once

Cause: a counted add's answer is small and mostly overtakes the watch answer that brings the same change: a gateway that asked at once would be sent the configuration twice, over links whose bytes are priced. Besides, a call made in the same ms as one that was answered was never in doubt.

Change: Watcher::behind asks beside the held call where nothing has come by then. Calls are told apart by their numbers.

--- a/crates/edge/src/link.rs
+++ b/crates/edge/src/link.rs
@@ -84,6 +84,8 @@
     permits_told: Cell<bool>,
     /// The leader is to be asked at once: this gateway has something to say, or a doubt.
     recall: Notify,
+    /// When the leader is to be asked may have come nearer.
+    behind: Notify,
     /// Units came, or won't.
     units: Notify,
     /// A batch may be low.
@@ -124,6 +126,7 @@
             leaving: Cell::new(false),
             permits_told: Cell::new(false),
             recall: Notify::new(),
+            behind: Notify::new(),
             units: Notify::new(),
             low: Notify::new(),
             dice: RefCell::new(fastrand::Rng::with_seed(seed)),
@@ -251,6 +254,7 @@
                     self.watcher.borrow_mut().ended(self.wheel.now(), id, how, luck);
                 }
                 () = self.recall.notified() => self.watcher.borrow_mut().recall(),
+                () = self.behind.notified() => {}
                 () = self.wheel.sleep_until(wake) => {}
             }
         }
@@ -456,7 +460,8 @@
                 }
                 // There is a newer one, and the held call has not brought it.
                 if answer.version > copy.catalog().version() {
-                    self.recall.notify_one();
+                    self.watcher.borrow_mut().behind(self.wheel.now());
+                    self.behind.notify_one();
                 }
                 Some(answer)
             }
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -91,8 +91,10 @@
     pointed: Vec<String>,
     /// The gateway has something to say, or doubts the leader.
     recall: bool,
-    /// The newest call that was answered was sent then.
-    heard_sent: f64,
+    /// The leader knows more than this gateway: it is to be asked then, if the held call has brought nothing.
+    behind_at: Option<f64>,
+    /// Number of the newest call that was answered.
+    heard: u64,
     next_id: u64,
     wake_at: f64,
 }
@@ -107,7 +109,8 @@
             paces: BTreeMap::new(),
             pointed: Vec::new(),
             recall: false,
-            heard_sent: f64::NEG_INFINITY,
+            behind_at: None,
+            heard: first_id,
             next_id: first_id,
             wake_at: f64::NEG_INFINITY,
         }
@@ -128,8 +131,14 @@
         self.seek.known(hosts);
     }
 
-    /// The leader is to be asked at once, beside what it holds: there is something to say to it, a doubt, or a sign that
-    /// it knows more than this gateway.
+    /// Another call's answer shows that the leader knows more than this gateway. The held call's answer is mostly on its
+    /// way then: the leader is asked beside it where nothing comes.
+    pub fn behind(&mut self, now: f64) {
+        let at = *self.behind_at.get_or_insert(now + DOUBT_MS);
+        self.wake_at = self.wake_at.min(at);
+    }
+
+    /// The leader is to be asked at once, beside what it holds: there is something to say to it, or a doubt.
     pub fn recall(&mut self) {
         self.recall = true;
         self.wake_at = f64::NEG_INFINITY;
@@ -143,7 +152,7 @@
     /// A call at the leader that was made after the last one it answered has taken too long; or nobody is known to lead.
     pub fn in_doubt(&self, now: f64) -> bool {
         let Some(leader) = self.seek.leader() else { return true };
-        self.at(leader).any(|call| call.sent > self.heard_sent && !call.sound(now))
+        self.at(leader).any(|call| call.id > self.heard && !call.sound(now))
     }
 
     fn at<'a>(&'a self, host: &'a str) -> impl Iterator<Item = &'a Call> {
@@ -156,6 +165,7 @@
             std::mem::take(&mut self.calls).into_iter().partition(|call: &Call| now >= call.over_at());
         self.calls = under_way;
         self.hung_up.extend::<Vec<Call>>(over);
+        self.recall |= self.behind_at.take_if(|at| *at <= now).is_some();
         let mut asked = Vec::new();
         match self.in_doubt(now) {
             true => self.search(now, &mut asked),
@@ -221,7 +231,7 @@
             self.calls.iter().map(|call| if call.sound(now) { call.doubt_at } else { call.over_at() });
         let paces = self.paces.values().map(|pace| pace.next_at).filter(|at| *at > now);
         // Nobody to ask: the list may be another one by then.
-        doubts.chain(paces).fold(now + HOLD_MS as f64, f64::min)
+        doubts.chain(paces).chain(self.behind_at).fold(now + HOLD_MS as f64, f64::min)
     }
 
     /// A call has ended. `luck`, 0 to 1, is for pauses: gateways that lost a leader together don't ask in step.
@@ -231,7 +241,7 @@
         self.wake_at = f64::NEG_INFINITY;
         match how {
             Ended::Answered => self.answered(now, &call),
-            Ended::Overtaken => self.heard_sent = self.heard_sent.max(call.sent),
+            Ended::Overtaken => self.heard = self.heard.max(call.id),
             Ended::Elsewhere(leader) => {
                 self.not_there(now, &call, luck);
                 self.pointed.extend(leader.filter(|host| !self.hosts().contains(host)));
@@ -241,7 +251,8 @@
     }
 
     fn answered(&mut self, now: f64, call: &Call) {
-        self.heard_sent = self.heard_sent.max(call.sent);
+        self.heard = self.heard.max(call.id);
+        self.behind_at = None;
         self.seek.found(&call.host);
         self.paces.clear();
         self.pointed.clear();
--- a/crates/simulation/src/gateway.rs
+++ b/crates/simulation/src/gateway.rs
@@ -271,7 +271,7 @@
                 Answer::Units(answer) => {
                     // There is a newer one, and the held call has not brought it.
                     if answer.version > self.version() {
-                        self.watcher.recall();
+                        self.watcher.behind(now as f64);
                     }
                     self.allowance.answered(now, &answer);
                 }
