Ask the one that still takes itself for the leader for member orders and trials, too

An order to remove a stranger, decided from old state, would be refused with 409: it must be left open as reads and changes are.

--- a/crates/simulation/tests/cut_off.rs
+++ b/crates/simulation/tests/cut_off.rs
@@ -290,7 +290,10 @@
         while world.members[old].leads() {
             let base = world.audit.newest;
             let (put, patch) = (world.put(base, 80), world.patch(base, 70));
-            calls.extend([Question::Get, put, patch].map(|question| world.ask_only(old, question)));
+            let (stranger, trial) =
+                (Wish::Go("10.9.9.9".into()), Question::Trial(TENANT.into(), true, world.now));
+            let all = [Question::Get, put, patch, Question::Core(stranger), trial];
+            calls.extend(all.map(|question| world.ask_only(old, question)));
             world.run(5);
         }
         world.run(PATIENCE_MS);
