--- a/crates/edge/tests/cuts.rs
+++ b/crates/edge/tests/cuts.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use nickeljunction_core::facade::Repeat;
 use nickeljunction_core::life::Answer;
-use nickeljunction_edge::exchange::{Body, Dispatch, Exchange, Served, ServedBody};
+use nickeljunction_edge::exchange::{Body, Dispatch, Exchange, Part, Served, ServedBody};
 use nickeljunction_edge::figures::{Backend, Tuning};
 use nickeljunction_edge::proxy::Proxy;
 use nickeljunction_edge::upstream::Place;
@@ -36,6 +36,8 @@
 enum Spot {
     Request(usize),
     Answer(usize),
+    /// Amid a long answer.
+    Long,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -54,6 +56,8 @@
     request: Cell<usize>,
 }
 
+/// How much later than its time an answer may come on a busy machine, ms: far less than the bound of any connection.
+const LATE_MS: f64 = 2_000.0;
 const BODY: &[u8] = b"0123456789";
 
 fn good(id: &str) -> Vec<u8> {
@@ -76,6 +80,14 @@
     Some((from.len() - rest.len(), head.headers.get("x-attempt-id").expect("an id").to_string()))
 }
 
+/// A long answer, of which only a part is sent.
+fn long(id: &str) -> Vec<u8> {
+    let head = format!(
+        "HTTP/1.1 200 X\r\nX-Attempt-Id: {id}\r\nX-Response-Seal: s\r\nContent-Length: 200000\r\n\r\n"
+    );
+    [head.as_bytes(), &[b'x'; 100_000]].concat()
+}
+
 fn finish(stream: TcpStream, end: End) {
     match end {
         End::Close => drop(stream),
@@ -121,6 +133,10 @@
             stream.write_all(&answer[..bytes]).await.expect("somebody waits");
             return finish(stream, cut.end);
         }
+        if (first, cut.at) == (true, Spot::Long) {
+            stream.write_all(&long(&id)).await.expect("somebody waits");
+            return finish(stream, cut.end);
+        }
         if stream.write_all(&answer).await.is_err() {
             return;
         }
@@ -169,43 +185,58 @@
     }
 }
 
-/// One cut on a gateway of its own with two servers; the length of the request as a server got it.
-async fn play(wheel: Wheel, cut: Cut) -> usize {
-    let here = Place { name: "g1".into(), zone: "n1".into(), region: "n".into() };
-    let tuning = Tuning { retry_slack: 1_000, ..Tuning::default() };
-    let proxy = Proxy::new(wheel.clone(), Budget::new(200), here, 7, tuning);
-    let turns = spawn_local(proxy.clone().run());
-    let (seen, mut servers, mut lines) = (Rc::new(Seen::default()), JoinSet::new(), Vec::new());
-    for at in 0..2 {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let address = listener.local_addr().expect("bound").to_string();
-        let (id, backend, zone) = (format!("s{at}"), "b".to_string(), "n1".to_string());
-        lines.push(ServerLine {
-            id,
-            backend,
-            address,
-            zone,
-            slots: 2,
-            state: ServerState::InService,
-            cold: None,
-        });
-        let seen = seen.clone();
-        servers.spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                spawn_local(serve(stream, seen.clone(), cut));
-            }
-        });
+/// A gateway of its own with two servers that play a cut.
+struct World {
+    proxy: Rc<Proxy>,
+    wheel: Wheel,
+    seen: Rc<Seen>,
+    /// Dropped with it: the listeners, and the gateway's turns.
+    _tasks: JoinSet<()>,
+}
+
+impl World {
+    async fn new(wheel: Wheel, cut: Cut) -> World {
+        let here = Place { name: "g1".into(), zone: "n1".into(), region: "n".into() };
+        let tuning = Tuning { retry_slack: 1_000, ..Tuning::default() };
+        let proxy = Proxy::new(wheel.clone(), Budget::new(200), here, 7, tuning);
+        let (seen, mut tasks, mut lines) = (Rc::new(Seen::default()), JoinSet::new(), Vec::new());
+        tasks.spawn_local(proxy.clone().run());
+        for at in 0..2 {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let address = listener.local_addr().expect("bound").to_string();
+            let (id, backend, zone) = (format!("s{at}"), "b".to_string(), "n1".to_string());
+            let state = ServerState::InService;
+            lines.push(ServerLine { id, backend, address, zone, slots: 2, state, cold: None });
+            let seen = seen.clone();
+            tasks.spawn_local(async move {
+                while let Ok((stream, _)) = listener.accept().await {
+                    spawn_local(serve(stream, seen.clone(), cut));
+                }
+            });
+        }
+        proxy.fleet(1);
+        let backend = Backend { max_connections: 100, warmup_per_s: 0.0 };
+        proxy.backends(HashMap::from([("b".to_string(), backend)]));
+        proxy.servers(&lines, &[], &HashMap::from([("n1".to_string(), "n".to_string())]));
+        World { proxy, wheel, seen, _tasks: tasks }
     }
-    proxy.fleet(1);
-    proxy.backends(HashMap::from([("b".to_string(), Backend { max_connections: 100, warmup_per_s: 0.0 })]));
-    proxy.servers(&lines, &[], &HashMap::from([("n1".to_string(), "n".to_string())]));
-    let ask = async |id: &str, repeat, patience_ms| {
-        let (exchange, answer) = exchange(&wheel, id, repeat, patience_ms);
-        proxy.dispatch(exchange);
-        told(answer.await.expect("exactly one answer"))
-    };
+
+    async fn ask(&self, id: &str, repeat: Repeat, patience_ms: f64) -> Answer<Served> {
+        let (exchange, answer) = exchange(&self.wheel, id, repeat, patience_ms);
+        self.proxy.dispatch(exchange);
+        answer.await.expect("exactly one answer")
+    }
+}
+
+/// Plays a cut; the length of the request as a server got it.
+async fn play(wheel: Wheel, cut: Cut) -> usize {
+    let world = World::new(wheel, cut).await;
+    let (seen, proxy) = (world.seen.clone(), world.proxy.clone());
     let patience_ms = if cut.end == End::Silence { 500.0 } else { 9_000.0 };
-    let first = ask("a", cut.repeat, patience_ms).await;
+    let began = world.wheel.now();
+    let first = told(world.ask("a", cut.repeat, patience_ms).await);
+    let held_ms = world.wheel.now() - began;
+    assert!(held_ms < patience_ms + LATE_MS, "{cut:?}: held for {held_ms} ms");
     let sent = proxy.counts().sends + proxy.counts().repeats;
     let runs = |id: &str| seen.ran.borrow().iter().filter(|ran| *ran == id).count();
     let fine = |id: &str| Ok(Some(format!("for {id}")));
@@ -228,9 +259,8 @@
         _ => assert!(first == fine("a") && runs("a") <= 2, "{cut:?}: {first:?}"),
     }
     // What is asked next gets its own answer, once, whatever is left of the first.
-    let next = ask("b", Repeat::Once, 9_000.0).await;
+    let next = told(world.ask("b", Repeat::Once, 9_000.0).await);
     assert!(next == fine("b") && runs("b") == 1, "{cut:?}, then {next:?}");
-    turns.abort();
     seen.request.get()
 }
 
@@ -279,3 +309,36 @@
     println!("{} cuts of an answer of {whole} bytes", played.len());
     all(&played);
 }
+
+#[test]
+fn a_long_answer_that_stalls_or_breaks_ends_visibly_and_with_its_time() {
+    let cuts = cuts([Spot::Long].into_iter(), &[End::Close, End::Reset, End::Silence]);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let wheel = Wheel::new(Clock::start());
+        spawn_local(wheel.clone().run());
+        for cut in cuts {
+            let world = World::new(wheel.clone(), cut).await;
+            let (began, patience_ms) = (wheel.now(), 1_000.0);
+            let Answer::Served(Served { body: ServedBody::Streamed(mut body), .. }) =
+                world.ask("a", cut.repeat, patience_ms).await
+            else {
+                panic!("{cut:?}: a streamed answer")
+            };
+            let mut ended = false;
+            while let Some(part) = body.parts.recv().await {
+                ended |= part == Part::End;
+            }
+            let held_ms = wheel.now() - began;
+            assert!(!ended && held_ms < patience_ms + LATE_MS, "{cut:?}: {ended}, held for {held_ms} ms");
+            assert!(cut.end != End::Silence || held_ms >= patience_ms - 50.0, "{cut:?}: {held_ms}");
+            world.proxy.idle().await;
+            assert_eq!(
+                told(world.ask("b", Repeat::Once, 9_000.0).await),
+                Ok(Some("for b".into())),
+                "{cut:?}"
+            );
+            assert_eq!(world.seen.ran.borrow()[..], ["a", "b"], "{cut:?}");
+        }
+    });
+}
--- a/crates/edge/tests/exchange.rs
+++ b/crates/edge/tests/exchange.rs
@@ -345,6 +345,9 @@
     Cut,
 }
 
+/// What a step of a send does to the ledger.
+type Change = fn(&mut Sends);
+
 /// All orders of up to so many steps of the sends of one request: begin another where that is allowed, or move one on.
 fn sends_walk(ledger: Sends, sends: &[Send], repeat: Repeat, most: u32, steps: usize, walked: &mut u64) {
     *walked += 1;
@@ -368,7 +371,7 @@
         sends_walk(ledger, &sends, repeat, most, steps - 1, walked);
     }
     for (at, send) in sends.iter().enumerate() {
-        let moves: &[(Send, fn(&mut Sends))] = match send {
+        let moves: &[(Send, Change)] = match send {
             Send::Begun => &[(Send::Exposed, Sends::expose), (Send::Unsent, Sends::unsent)],
             Send::Exposed => &[(Send::Vouched, Sends::vouched)],
             Send::Unsent | Send::Vouched | Send::Cut => &[],
