--- a/crates/testkit/src/checks.rs
+++ b/crates/testkit/src/checks.rs
@@ -64,6 +64,37 @@
     pub at: f64,
 }
 
+/// A plan's ceiling over all gateways.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Ceiling {
+    /// Units a second.
+    pub rate: f64,
+    /// Units at once.
+    pub burst: f64,
+    /// Units below nothing that are let pass.
+    pub slack: f64,
+}
+
+/// What a server can do, warm and cold.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Capacity {
+    /// Requests a second when it is warm.
+    pub warm_per_s: f64,
+    /// Part of that when it has just started.
+    pub cold_part: f64,
+    /// Time from its start until it is warm, ms.
+    pub warm_ms: f64,
+}
+
+/// Load under which a cold server fails.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Overload {
+    /// Multiple of the capacity that it has at the time.
+    pub multiple: f64,
+    /// For so long, ms.
+    pub span_ms: f64,
+}
+
 /// Figures of the rules.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Figures {
@@ -71,12 +102,21 @@
     pub drain_grace_ms: f64,
     /// Franchisees of the plan with a ceiling: from this number up to that one.
     pub ceiling_of: std::ops::Range<u64>,
-    /// Units a second, units at most, and units below nothing that are let pass.
-    pub ceiling: (f64, f64, f64),
-    /// What a warm server can do, requests a second; what share of it a cold one can at least; when it is warm, ms.
-    pub capacity: (f64, f64, f64),
-    /// Work beyond this multiple of the present capacity over this time, ms, pushes a cold server over.
-    pub fall: (f64, f64),
+    /// The ceiling.
+    pub ceiling: Ceiling,
+    /// What a server can do.
+    pub capacity: Capacity,
+    /// What is too much for a cold server.
+    pub overload: Overload,
+}
+
+/// A server's start without warm caches.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct ColdStart {
+    /// The server.
+    pub region: usize,
+    /// When, ms.
+    pub at: f64,
 }
 
 /// What was logged.
@@ -90,8 +130,8 @@
     pub spans: Vec<Span>,
     /// By discovery.
     pub told: Vec<Told>,
-    /// Cold starts: server and time.
-    pub cold: Vec<(usize, f64)>,
+    /// Cold starts.
+    pub cold: Vec<ColdStart>,
 }
 
 /// A broken rule.
@@ -208,8 +248,8 @@
                 between.map(|span| span.to).fold(told.at, f64::max)
             };
             // It may come back under the same number.
-            let back = self.cold.iter().filter(|(region, back)| *region == told.region && *back > told.at);
-            let back = back.map(|(_, back)| *back).fold(f64::INFINITY, f64::min);
+            let back = self.cold.iter().filter(|start| start.region == told.region && start.at > told.at);
+            let back = back.map(|start| start.at).fold(f64::INFINITY, f64::min);
             let late = self.ran.iter().find(|run| {
                 run.gateway == Some(told.gateway)
                     && run.region == told.region
@@ -232,7 +272,7 @@
 
     /// Over all gateways no more than the ceiling: each request's first attempt takes a unit.
     pub fn ceiling(&self, figures: &Figures) -> Vec<Broken> {
-        let (rate, burst, slack) = figures.ceiling;
+        let Ceiling { rate, burst, slack } = figures.ceiling;
         let by_id = self.by_id();
         let mut firsts: BTreeMap<u64, Vec<f64>> = BTreeMap::new();
         for asked in self.asked.iter().filter(|asked| figures.ceiling_of.contains(&asked.franchisee)) {
@@ -260,17 +300,18 @@
 
     /// No cold server got more than a multiple of what it can do, by all gateways together.
     pub fn pushed_over(&self, figures: &Figures) -> Vec<Broken> {
-        let ((capacity, from, warm_ms), (multiple, span_ms)) = (figures.capacity, figures.fall);
+        let Capacity { warm_per_s, cold_part, warm_ms } = figures.capacity;
+        let Overload { multiple, span_ms } = figures.overload;
         let mut found = Vec::new();
-        for (region, start) in &self.cold {
+        for ColdStart { region, at: start } in &self.cold {
             let runs = self.ran.iter().filter(|run| run.region == *region);
             let mut times: Vec<f64> =
                 runs.map(|run| run.began).filter(|at| *at >= *start && *at < start + warm_ms).collect();
             times.sort_by(f64::total_cmp);
             for (index, at) in times.iter().enumerate() {
                 let within = times[..=index].iter().filter(|other| **other > at - span_ms).count() as f64;
-                let warmth = from + (1.0 - from) * (at - start) / warm_ms;
-                let budget = multiple * capacity * warmth * span_ms / 1_000.0;
+                let warmth = cold_part + (1.0 - cold_part) * (at - start) / warm_ms;
+                let budget = multiple * warm_per_s * warmth * span_ms / 1_000.0;
                 // Some slack for chance, as in the rules.
                 if within > budget * 1.1 + 3.0 {
                     let what = format!(
@@ -293,9 +334,9 @@
         Figures {
             drain_grace_ms: 1_000.0,
             ceiling_of: 300..320,
-            ceiling: (2.0, 4.0, 1.0),
-            capacity: (20.0, 0.2, 10_000.0),
-            fall: (2.0, 1_500.0),
+            ceiling: Ceiling { rate: 2.0, burst: 4.0, slack: 1.0 },
+            capacity: Capacity { warm_per_s: 20.0, cold_part: 0.2, warm_ms: 10_000.0 },
+            overload: Overload { multiple: 2.0, span_ms: 1_500.0 },
         }
     }
 
@@ -389,7 +430,7 @@
     fn a_cold_server_that_is_pushed_over_is_found() {
         let sent = |count: usize| Log {
             ran: (0..count).map(|at| ran(&format!("{at}"), 2, 100.0 + at as f64)).collect(),
-            cold: vec![(2, 0.0)],
+            cold: vec![ColdStart { region: 2, at: 0.0 }],
             ..Log::default()
         };
         assert_eq!(rules(&sent(15)), [""; 0]);
--- a/crates/testkit/src/rig/acts.rs
+++ b/crates/testkit/src/rig/acts.rs
@@ -3,7 +3,7 @@
 use super::cluster::{logged, Cluster};
 use super::documents::region_line;
 use super::timeline::Act;
-use crate::checks::{Span, Told};
+use crate::checks::{ColdStart, Span, Told};
 use crate::counter::Manner as CounterManner;
 use crate::gateway::Gateway;
 use crate::network::{Link, Party};
@@ -32,7 +32,7 @@
 
     /// When a server last came back, ms.
     fn came_back(&self, region: usize) -> f64 {
-        let starts = self.log.cold.iter().filter(|(cold, _)| *cold == region).map(|(_, at)| *at);
+        let starts = self.log.cold.iter().filter(|start| start.region == region).map(|start| start.at);
         starts.fold(f64::NEG_INFINITY, f64::max)
     }
 
@@ -222,7 +222,7 @@
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         self.states[region] = ("Ready", unix.as_millis() as u64);
         let now = self.now();
-        self.log.cold.push((region, now));
+        self.log.cold.push(ColdStart { region, at: now });
         self.publish_servers();
         Ok(())
     }
--- a/crates/testkit/src/rig/documents.rs
+++ b/crates/testkit/src/rig/documents.rs
@@ -1,14 +1,16 @@
 //! The texts that a run's processes start with: gateways' configurations and discovery's lines.
 
+use crate::checks::{Capacity, Ceiling, Overload};
 use std::net::SocketAddr;
 
 /// Grace of drains that the gateways are told, ms.
 pub(super) const DRAIN_GRACE_MS: f64 = 1_000.0;
-/// Cold servers: share of the capacity, requests a second when warm, and time to get there, ms.
-pub(super) const COLD: (f64, f64, f64) = (60.0, 0.3, 8_000.0);
-pub(super) const FALL: (f64, f64) = (2.0, 1_500.0);
-/// Ceiling of the plan `growth`: units a second, at once, slack.
-pub(super) const CEILING: (f64, f64, f64) = (12.0, 30.0, 4.0);
+/// What a server can do, as the gateways are told.
+pub(super) const CAPACITY: Capacity = Capacity { warm_per_s: 60.0, cold_part: 0.3, warm_ms: 8_000.0 };
+/// What is too much for a cold server, as the gateways are told.
+pub(super) const OVERLOAD: Overload = Overload { multiple: 2.0, span_ms: 1_500.0 };
+/// Ceiling of the plan `growth`.
+pub(super) const CEILING: Ceiling = Ceiling { rate: 12.0, burst: 30.0, slack: 4.0 };
 
 pub(super) fn region_line(at: usize, endpoint: SocketAddr, state: &str, boot_ms: u64) -> String {
     format!(
@@ -31,10 +33,10 @@
     let plan = |name: &str, more: &str| {
         format!(r#"{{"Name":"{name}","Refill":20,"PeakUnits":60,"WorthFactor":1,"OverCost":1{more}}}"#)
     };
-    let (rate, depth, slack) = CEILING;
-    let growth = format!(r#","CeilingRate":{rate},"NeverOverDepth":{depth},"CeilingSlack":{slack}"#);
-    let (_, from, warm_ms) = COLD;
-    let (multiple, span) = FALL;
+    let Ceiling { rate, burst, slack } = CEILING;
+    let growth = format!(r#","CeilingRate":{rate},"NeverOverDepth":{burst},"CeilingSlack":{slack}"#);
+    let Capacity { cold_part, warm_ms, .. } = CAPACITY;
+    let Overload { multiple, span_ms } = OVERLOAD;
     format!(
         r#"{{"name":"n{me}","listen":"127.0.0.1:0","admin_addr":"127.0.0.1:0","discovery":"{discovery}",
         "counter":"{counter}","seed":"{me}7","limits":{{"sockets":1024,"memory_mb":192}},
@@ -45,7 +47,7 @@
         "Discovery":"automatic",
         "Permissions":{{"MayCancel":true,"MaxAttempts":3,"MaxRetryAfterMs":2000,"RetryAfter":true,"MayTell":true,
         "SecondCopies":false,"ConnectTimeoutMs":500,"IdleCloseMs":30000}},
-        "Guarantees":{{"ColdFrom":{from},"ColdMs":{warm_ms},"DrainGraceMs":{DRAIN_GRACE_MS},"FallMultiple":{multiple},"FallMs":{span}}}}}}}"#,
+        "Guarantees":{{"ColdFrom":{cold_part},"ColdMs":{warm_ms},"DrainGraceMs":{DRAIN_GRACE_MS},"FallMultiple":{multiple},"FallMs":{span_ms}}}}}}}"#,
         class("slot-lookup", "repeatable"),
         class("slot-hold", "by_key"),
         class("donor-checkin", "once"),
--- a/crates/testkit/src/rig/outcome.rs
+++ b/crates/testkit/src/rig/outcome.rs
@@ -1,7 +1,7 @@
 //! What came of a run, gathered from the processes that took part.
 
 use super::cluster::Cluster;
-use super::documents::{CEILING, COLD, DRAIN_GRACE_MS, FALL};
+use super::documents::{CAPACITY, CEILING, DRAIN_GRACE_MS, OVERLOAD};
 use super::looks::{parts, rates, settled};
 use super::report::{Look, Report};
 use crate::checks::{Asked, Broken, Figures, Ran, Span};
@@ -56,8 +56,8 @@
             drain_grace_ms: DRAIN_GRACE_MS,
             ceiling_of: 300..320,
             ceiling: CEILING,
-            capacity: COLD,
-            fall: FALL,
+            capacity: CAPACITY,
+            overload: OVERLOAD,
         };
         let mut broken = self.log.check(&figures);
         let living: Vec<usize> = (0..self.gateways.len()).filter(|at| self.gateways[*at].is_some()).collect();
