--- a/crates/gateway/src/net/counter.rs
+++ b/crates/gateway/src/net/counter.rs
@@ -425,31 +425,45 @@
     use nickeljunction_net::clock::Clock;
     use std::cell::RefCell;
     use std::io::{Read, Write};
+    use std::net::TcpStream;
 
-    /// A late answer keeps its place in the order: it must never pass for the answer to the next call.
-    #[test]
-    fn a_late_answer_is_not_taken_for_that_of_the_next_call() {
+    /// A counter on a port of its own, with a thread for each connection.
+    fn serve(connection: impl Fn(TcpStream) + Copy + Send + 'static) -> SocketAddr {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
         std::thread::spawn(move || {
-            for mut stream in listener.incoming().flatten() {
-                std::thread::spawn(move || {
-                    let (mut seen, mut part) = (String::new(), [0; 1024]);
-                    while let Ok(read @ 1..) = stream.read(&mut part) {
-                        seen.push_str(&String::from_utf8_lossy(&part[..read]));
-                        // Says nothing until three calls are there, then answers all.
-                        if seen.matches("INCRTTL").count() == 3 {
-                            let _ = stream.write_all(b"$1\r\n5\r\n-BUSY\r\n$1\r\n7\r\n");
-                            seen.clear();
-                        }
-                    }
-                });
+            for stream in listener.incoming().flatten() {
+                std::thread::spawn(move || connection(stream));
             }
         });
+        address
+    }
+
+    /// Runs a test beside a wheel.
+    fn with_wheel(test: impl AsyncFnOnce(Wheel)) {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
         tokio::task::LocalSet::new().block_on(&runtime, async {
             let wheel = Wheel::new(Clock::start());
             tokio::task::spawn_local(wheel.clone().run());
+            test(wheel).await;
+        });
+    }
+
+    /// A late answer keeps its place in the order: it must never pass for the answer to the next call.
+    #[test]
+    fn a_late_answer_is_not_taken_for_that_of_the_next_call() {
+        let address = serve(|mut stream| {
+            let (mut seen, mut part) = (String::new(), [0; 1024]);
+            while let Ok(read @ 1..) = stream.read(&mut part) {
+                seen.push_str(&String::from_utf8_lossy(&part[..read]));
+                // Says nothing until three calls are there, then answers all.
+                if seen.matches("INCRTTL").count() == 3 {
+                    let _ = stream.write_all(b"$1\r\n5\r\n-BUSY\r\n$1\r\n7\r\n");
+                    seen.clear();
+                }
+            }
+        });
+        with_wheel(async |wheel| {
             let replies: Rc<RefCell<Vec<(String, CounterReply)>>> = Rc::default();
             let told = replies.clone();
             let (_moves, addresses) = watch::channel(Some(address));
@@ -480,22 +494,13 @@
     /// once on a new one. A total counts in whatever form it comes.
     #[test]
     fn a_spoilt_answer_ends_its_connection_and_any_total_is_true() {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-        let address = listener.local_addr().expect("an address");
-        std::thread::spawn(move || {
-            for mut stream in listener.incoming().flatten() {
-                std::thread::spawn(move || {
-                    let (mut answers, mut part) = ([":5\r\n", "+oops\r\n$1\r\n6\r\n"].into_iter(), [0; 1024]);
-                    while let Ok(1..) = stream.read(&mut part) {
-                        let _ = stream.write_all(answers.next().unwrap_or_default().as_bytes());
-                    }
-                });
+        let address = serve(|mut stream| {
+            let (mut answers, mut part) = ([":5\r\n", "+oops\r\n$1\r\n6\r\n"].into_iter(), [0; 1024]);
+            while let Ok(1..) = stream.read(&mut part) {
+                let _ = stream.write_all(answers.next().unwrap_or_default().as_bytes());
             }
         });
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-        tokio::task::LocalSet::new().block_on(&runtime, async {
-            let wheel = Wheel::new(Clock::start());
-            tokio::task::spawn_local(wheel.clone().run());
+        with_wheel(async |wheel| {
             let replies: Rc<RefCell<Vec<CounterReply>>> = Rc::default();
             let (told, (_moves, addresses)) = (replies.clone(), watch::channel(Some(address)));
             let done = Rc::new(move |_, reply| told.borrow_mut().push(reply));
@@ -533,10 +538,7 @@
                 });
             }
         });
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-        tokio::task::LocalSet::new().block_on(&runtime, async {
-            let wheel = Wheel::new(Clock::start());
-            tokio::task::spawn_local(wheel.clone().run());
+        with_wheel(async |wheel| {
             let replies: Rc<RefCell<Vec<CounterReply>>> = Rc::default();
             let (told, (_moves, addresses)) = (replies.clone(), watch::channel(Some(address)));
             let done = Rc::new(move |_, reply| {
--- a/crates/gateway/tests/transactions.rs
+++ b/crates/gateway/tests/transactions.rs
@@ -6,6 +6,7 @@
 use fleet::{document, Fleet, BAD, SMALL_PLAN};
 use nickeljunction_testkit::counter::Manner;
 use nickeljunction_testkit::discovery::Discovery;
+use nickeljunction_testkit::load::Load;
 use nickeljunction_testkit::region;
 use std::time::Duration;
 
@@ -17,6 +18,17 @@
     std::thread::sleep(Duration::from_millis(ms));
 }
 
+/// The guard rolled the change back for refusals, and a second later all are served again.
+fn check_rolled_back(fleet: &Fleet, load: Load) {
+    let history = fleet.gateways[0].done(&["history"]);
+    assert!(history.contains("rolled back: the guard: refused"), "{history}");
+    pause(1_000);
+    let answers = load.stop();
+    fleet.check(&answers);
+    let last = &answers[answers.len() - 50..];
+    assert!(last.iter().all(|answer| answer.status == Some(200)), "{last:?}");
+}
+
 /// Every deliberately bad change is taken back by the guard under load, and all are served as before after it.
 #[test]
 fn bad_changes_are_rolled_back_under_load_and_nothing_is_answered_twice_or_left() {
@@ -52,13 +64,7 @@
     std::thread::sleep(BEFORE);
     fleet.push(SMALL_PLAN, &[], "50s");
     fleet.settle(LONG);
-    let history = fleet.gateways[0].done(&["history"]);
-    assert!(history.contains("rolled back: the guard: refused"), "{history}");
-    pause(1_000);
-    let answers = load.stop();
-    fleet.check(&answers);
-    let last = &answers[answers.len() - 50..];
-    assert!(last.iter().all(|answer| answer.status == Some(200)), "{last:?}");
+    check_rolled_back(&fleet, load);
 }
 
 /// A plug-in that loops costs bounded steps and is passed over: no harm, so no rollback; the time to confirm ends
@@ -83,7 +89,7 @@
     fleet.push(routes, &[], "50s");
     fleet.gateways[0].done(&["confirm"]);
     let status = |fleet: &Fleet, line: &str| {
-        use nickeljunction_testkit::load::{Load, Shape};
+        use nickeljunction_testkit::load::Shape;
         let shape = Shape { line: line.into(), plan: "growth".into(), keyed: false, franchisees: 1..2 };
         let load = Load::start(vec![fleet.gateways[0].address.clone()], 20.0, vec![shape]);
         pause(300);
@@ -279,12 +285,7 @@
     pause(300);
     other.set(Vec::new());
     fleet.settle(LONG);
-    let history = fleet.gateways[0].done(&["history"]);
-    assert!(history.contains("rolled back: the guard: refused"), "{history}");
-    pause(1_000);
-    let answers = load.stop();
-    fleet.check(&answers);
-    assert!(answers[answers.len() - 50..].iter().all(|answer| answer.status == Some(200)));
+    check_rolled_back(&fleet, load);
 }
 
 /// Signed documents: refused without a tag of an accepted key, and with one of a document that was changed since.
