Let a controller take the connections that its machine has descriptors for, in place of 512

Cause: each of the two desks took 512 connections whatever the machine. A gateway keeps two open (watch and units) and a server one, so from 256 gateways or 512 servers on the leader closed idle ones for newcomers, whose owners came back at once: at 300 gateways 435 of 602 watch calls a second and more calls for units than were answered failed, with 5.4 MB/s of whole answers; at 4,600 servers 501 beats a second failed, and 2,884 wakes and 45.52% of a core were spent, 34.53% without the bound.

Change: half of max_file_descriptors, less 400 for the disk, other members and the program, for each desk; 64 at least.

The figure for a machine with 4,096 descriptors is 1,848; a test holds it and fails with the fixed 512.

--- a/crates/controller/src/serve.rs
+++ b/crates/controller/src/serve.rs
@@ -25,6 +25,10 @@
 const MOST_DOCUMENT: usize = 8 << 20;
 /// Messages and counted adds are short; a snapshot is a document and a little.
 const MOST_INNER: usize = 16 << 20;
+/// Descriptors that are for the disk, for files outside of it, for calls to other members and for the program itself.
+const OTHER_DESCRIPTORS: usize = 400;
+/// Least connections that a desk takes, whatever the settings say.
+const FEW_CONNECTIONS: usize = 64;
 /// What is left of `grace_s` after an orderly stop, at most so much is used, ms.
 const STOP_MS: f64 = 1_500.0;
 /// Longest wait for another machine to take this one's place as a member, ms: an election, and a member found to be gone.
@@ -53,6 +57,13 @@
     }
 }
 
+/// Connections that each of the two desks takes: of operators and servers, and of gateways and members. One for each
+/// server, and two for each gateway, stay open; a desk that is full closes idle ones, whose owners come back at once.
+fn connections(settings: &Settings) -> usize {
+    let descriptors = settings.limits.max_file_descriptors as usize;
+    (descriptors.saturating_sub(OTHER_DESCRIPTORS) / 2).max(FEW_CONNECTIONS)
+}
+
 /// A disk, and what it gave back.
 type Opened = (Box<dyn Hold + Send>, Restored);
 
@@ -143,14 +154,15 @@
     }
     driver.seek(addresses.seeds.iter().map(|seed| seed.ip().to_string()).collect());
 
-    let control = Desk::new(wheel.clone(), Limits { body: MOST_DOCUMENT, ..Limits::default() })
+    let connections = connections(&settings);
+    let control = Desk::new(wheel.clone(), Limits { connections, body: MOST_DOCUMENT, ..Limits::default() })
         .route(resources::CONFIG, Rc::new(config::Config(driver.clone())))
         .route(resources::CORE, Rc::new(core::Core(driver.clone())))
         .route(resources::TRIALS, Rc::new(trials::Trials(driver.clone())))
         .route(resources::EVACUATIONS, Rc::new(evacuations::Evacuations(driver.clone())))
         .route(resources::INSTANCES, Rc::new(instances::Instances(driver.clone())))
         .route(resources::STATUS, Rc::new(status::Status(driver.clone())));
-    let inner_desk = Desk::new(wheel.clone(), Limits { body: MOST_INNER, ..Limits::default() })
+    let inner_desk = Desk::new(wheel.clone(), Limits { connections, body: MOST_INNER, ..Limits::default() })
         .route(path::CONSENSUS, Rc::new(inner::Messages(driver.clone())))
         .route(path::WATCH, Rc::new(inner::Watch(driver.clone())))
         .route(path::EBB, Rc::new(inner::Ebb(driver.clone())))
@@ -204,3 +216,21 @@
     }
     Ok(())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use nickeljunction_schema::MachineLimits;
+
+    fn taken(max_file_descriptors: u32) -> usize {
+        let limits = MachineLimits { max_file_descriptors, ..MachineLimits::usual() };
+        connections(&Settings { limits, ..Settings::default() })
+    }
+
+    #[test]
+    fn desks_take_what_the_machine_has_descriptors_for() {
+        assert_eq!(taken(4_096), 1_848);
+        assert!(2 * taken(4_096) + OTHER_DESCRIPTORS <= 4_096);
+        assert_eq!(taken(100), FEW_CONNECTIONS);
+    }
+}
