Have hollow tell what its gateways' start weighed

Cause: what a start costs grows faster than what a settled fleet does, and was not shown.

Change: a line with bytes of all gateways' calls up to the measurement, and how many of them failed.

--- a/crates/hollow/src/report.rs
+++ b/crates/hollow/src/report.rs
@@ -35,6 +35,8 @@
     pub first_ms: Option<f64>,
     /// Real processes, and this one.
     pub processes: Vec<Process>,
+    /// Calls of gateways before that, from their start on.
+    pub start: Traffic,
     /// Calls in the time that was measured.
     pub traffic: Traffic,
     /// Counted adds in that time.
@@ -61,6 +63,14 @@
             self.seconds, self.document, self.gateways.1, self.gateways.0, self.servers.1, self.servers.0
         )?;
         writeln!(text, "last gateway's first configuration after {} ms", shown(self.first_ms))?;
+        let (watch, units) = (self.start.of(Kind::Watch), self.start.of(Kind::Units));
+        writeln!(
+            text,
+            "until then     in {:.2} MB, out {:.2} MB; calls that are not 2xx {}",
+            (watch.sent + units.sent) as f64 / 1e6,
+            (watch.received + units.received) as f64 / 1e6,
+            watch.failed + units.failed
+        )?;
         writeln!(
             text,
             "{:<14} {:>8} {:>10} {:>10} {:>10}",
@@ -141,6 +151,7 @@
             "asked": self.asked, "seconds": self.seconds, "document": self.document,
             "gateways": self.gateways.0, "gateways_configured": self.gateways.1,
             "servers": self.servers.0, "servers_known": self.servers.1, "first_ms": self.first_ms,
+            "start_received": self.start.of(Kind::Watch).received + self.start.of(Kind::Units).received,
             "processes": self.processes.iter().map(process).collect::<Vec<_>>(), "calls": calls,
             "adds": {"spent": self.adds.spent, "refused": self.adds.refused, "waited": self.adds.waited},
             "changes": {"count": self.delays.changes, "everywhere": self.delays.everywhere,
--- a/crates/hollow/src/run.rs
+++ b/crates/hollow/src/run.rs
@@ -301,6 +301,7 @@
         servers: (plan.servers, known),
         first_ms,
         processes: after.looks.iter().enumerate().map(process).collect(),
+        start: before.traffic,
         traffic: after.traffic.since(&before.traffic),
         adds: Adds {
             spent: after.adds.spent - before.adds.spent,
--- a/crates/hollow/tests/figures.rs
+++ b/crates/hollow/tests/figures.rs
@@ -208,6 +208,7 @@
         servers: (5, 4),
         first_ms: None,
         processes: vec![Process { name: "controller-1".into(), leads: true, spent }],
+        start: traffic,
         traffic,
         adds: Adds { spent: 50, refused: 0, waited: 0 },
         delays: Delays::default(),
@@ -216,6 +217,7 @@
     let has = |line: &str| assert!(text.lines().any(|shown| shown.starts_with(line)), "{line}\n{text}");
     has("controller-1 *     2.10       12.5        8.0        9.0");
     has("a gateway      in 400 B/s, out 100 B/s, calls 1.00/s");
+    has("until then     in 0.00 MB, out 0.01 MB; calls that are not 2xx 0");
     has("counted adds   spent 5.0/s");
     has("last gateway's first configuration after - ms");
     assert_eq!(report.json()["calls"]["watch"]["received"], 8_000);
