--- a/crates/ctl/tests/storm.rs
+++ b/crates/ctl/tests/storm.rs
@@ -317,3 +317,21 @@
     log.ended.push("second 3.0: core-2 (exit status: 1)".into());
     wants(&log, "no process ends by itself", &["core-2"]);
 }
+
+#[test]
+fn bad_use_starts_nothing() {
+    for told in [["--seconds", "5"], ["--seconds", "601"], ["--broken", "everything"], ["--seed", "x"]] {
+        let words = ["demo-storm", told[0], told[1]].map(std::ffi::OsString::from).to_vec();
+        let (mut out, mut err) = (Vec::new(), Vec::new());
+        assert_eq!(
+            ctl::run(words, None, &mut std::io::empty(), &mut out, &mut err),
+            ctl::BAD_INPUT,
+            "{told:?}"
+        );
+        let said = String::from_utf8(err).expect("text");
+        assert!(
+            said.contains(told[0].trim_start_matches("--")) || said.contains(told[1]),
+            "{told:?}: {said}"
+        );
+    }
+}
