End demo-storm's processes when it is told to end

Cause: SIGTERM ended the demonstration and left its processes running, frozen ones among them.

Change: SIGINT and SIGTERM are heeded; the demonstration then ends all of its processes by id and exits with 1. signal-hook was among the dependencies already.

--- a/crates/ctl/src/storm_demo/run.rs
+++ b/crates/ctl/src/storm_demo/run.rs
@@ -14,6 +14,7 @@
 use crate::wire::Request;
 use quick_error::quick_error;
 use serde_json::Value;
+use signal_hook::consts::{SIGINT, SIGTERM};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -60,6 +61,10 @@
         Start(saw: String) {
             display("the system does not come up: {}", saw)
         }
+        /// It was told to end.
+        Interrupted {
+            display("interrupted")
+        }
     }
 }
 
@@ -83,11 +88,25 @@
     samples: Receiver<Sample>,
 }
 
+/// What goes on while the crowd works.
+struct Sky<'a> {
+    faults: &'a mut Faults,
+    crowd: &'a Crowd,
+    /// It was told to end.
+    told: &'a AtomicBool,
+    start: Instant,
+}
+
 impl Storm {
     /// Plays it, and gives all notes and the folder with settings, logs and disks.
     pub fn play(&self, tell: &mut Tell) -> Result<(Log, PathBuf), StormError> {
+        // Its processes have to end with it, also those that stand still.
+        let told = Arc::new(AtomicBool::new(false));
+        for signal in [SIGINT, SIGTERM] {
+            signal_hook::flag::register(signal, told.clone()).map_err(system("heeding signals"))?;
+        }
         let mut fleet = Fleet::plan_core(FOUNDERS, SPARE, GATEWAYS, scene::ZONES, std::process::id())?;
-        let played = self.traffic(&mut fleet, tell);
+        let played = self.traffic(&mut fleet, tell, &told);
         match &played {
             Ok(_) => {
                 if let Err(unruly) = fleet.end()? {
@@ -99,7 +118,7 @@
         Ok((played?, fleet.folder.clone()))
     }
 
-    fn traffic(&self, fleet: &mut Fleet, tell: &mut Tell) -> Result<Log, StormError> {
+    fn traffic(&self, fleet: &mut Fleet, tell: &mut Tell, told: &AtomicBool) -> Result<Log, StormError> {
         let founders = usize::from(FOUNDERS);
         let spares = founders..founders + usize::from(SPARE);
         for machine in (0..fleet.machines.len()).filter(|at| !spares.contains(at)) {
@@ -118,7 +137,7 @@
             &Plan { id: FIRST, operator: 0, patch: false, step: 1, valid: true },
             &View { version: 0, order: 0, routes: Vec::new() },
         );
-        put(fleet, servers.len(), body)?;
+        put(fleet, servers.len(), body, told)?;
         tell.line(&format!(
             "{FOUNDERS} core processes and {SPARE} spare, {GATEWAYS} gateways, {} stand-ins; {OPERATORS} operators with \
             {HANDS} orders each under way, {READERS} readers, {} clients; {:.0} s; seed {}",
@@ -137,7 +156,8 @@
         };
         let crowd = self.crowd(fleet, &view, start)?;
         let mut faults = Faults::new(schedule::draw(self.seed), founders);
-        let played = self.weather(fleet, tell, &mut faults, &crowd, &mut log, start);
+        let mut sky = Sky { faults: &mut faults, crowd: &crowd, told, start };
+        let played = self.weather(fleet, tell, &mut sky, &mut log);
         // Also where it ended early: nobody may work on.
         crowd.stop.store(true, Ordering::Relaxed);
         played?;
@@ -217,16 +237,18 @@
         &self,
         fleet: &mut Fleet,
         tell: &mut Tell,
-        faults: &mut Faults,
-        crowd: &Crowd,
+        sky: &mut Sky,
         log: &mut Log,
-        start: Instant,
     ) -> Result<(), StormError> {
+        let Sky { faults, crowd, told, start } = sky;
         let end = self.length_s * 1_000.0;
         let mut next_line = EACH_MS;
         loop {
             let now = start.elapsed().as_secs_f64() * 1_000.0;
             let over = now >= end;
+            if told.load(Ordering::Relaxed) {
+                return Err(StormError::Interrupted);
+            }
             if (over && faults.calm()) || now >= end + LAST_FAULT_MS {
                 return Ok(());
             }
@@ -312,12 +334,15 @@
 }
 
 /// Puts the first configuration and waits until all gateways are ready and all servers known.
-fn put(fleet: &mut Fleet, servers: usize, body: Vec<u8>) -> Result<(), StormError> {
+fn put(fleet: &mut Fleet, servers: usize, body: Vec<u8>, told: &AtomicBool) -> Result<(), StormError> {
     let until = Instant::now() + PATIENCE;
     let request =
         Request { method: "PUT", path: "/-/config".into(), on: Some(0), body, ..Request::default() };
     fleet.tour(until).call(&request).map_err(|failure| StormError::Start(failure.to_string()))?;
     loop {
+        if told.load(Ordering::Relaxed) {
+            return Err(StormError::Interrupted);
+        }
         // Another program may have been quicker to listen there.
         if let Some(name) = fleet.ended_by_themselves()?.first() {
             return Err(StormError::Start(format!("{name} ended by itself")));
