--- a/crates/ctl/src/storm_demo/faults.rs
+++ b/crates/ctl/src/storm_demo/faults.rs
@@ -10,6 +10,8 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
+/// Two members that are hit are the leader and a follower below, two followers above.
+const LEADER_TOO: f64 = 0.5;
 /// A core that isn't whole after so long gets no further fault; ms.
 const WHOLE_MS: f64 = 25_000.0;
 /// What a core machine said of itself counts for so long, ms.
@@ -126,7 +128,9 @@
         let leader = self.leader(now).unwrap_or(self.seats[0]);
         let followers: Vec<usize> = self.seats.iter().copied().filter(|seat| *seat != leader).collect();
         let first = ((planned.pick * followers.len() as f64) as usize).min(followers.len() - 1);
-        let two = vec![followers[first], followers[(first + 1) % followers.len()]];
+        // The leader is one of the two in half of all cases: what it has just acknowledged may be on three disks only.
+        let other = if planned.pick < LEADER_TOO { leader } else { followers[(first + 1) % followers.len()] };
+        let two = vec![followers[first], other];
         let machines = match planned.fault {
             CoreFault::KillLeader | CoreFault::FreezeLeader | CoreFault::WipeLeader => vec![leader],
             CoreFault::KillTwo | CoreFault::FreezeTwo | CoreFault::WipeTwo => two,
@@ -290,11 +294,11 @@
 fn named(fault: CoreFault) -> &'static str {
     match fault {
         CoreFault::KillLeader => "leader killed",
-        CoreFault::KillTwo => "two followers killed",
+        CoreFault::KillTwo => "two members killed",
         CoreFault::FreezeLeader => "leader frozen",
-        CoreFault::FreezeTwo => "two followers frozen",
+        CoreFault::FreezeTwo => "two members frozen",
         CoreFault::WipeLeader => "leader killed, disk gone",
-        CoreFault::WipeTwo => "two followers killed, disks gone",
+        CoreFault::WipeTwo => "two members killed, disks gone",
         CoreFault::KillAll => "whole core killed",
         CoreFault::Replace => "member replaced",
     }
--- a/crates/ctl/src/storm_demo/relay.rs
+++ b/crates/ctl/src/storm_demo/relay.rs
@@ -13,7 +13,7 @@
 const MOST: usize = 1 << 20;
 /// One call in so many is spoilt.
 const EACH: u64 = 5;
-/// What is to be told again later is kept from the first calls on.
+/// The machine behind it has so long to answer.
 const SILENCE: Duration = Duration::from_secs(2);
 /// A caller that sends nothing is left alone.
 const CALLER: Duration = Duration::from_secs(1);
--- a/crates/ctl/src/storm_demo/scene.rs
+++ b/crates/ctl/src/storm_demo/scene.rs
@@ -176,7 +176,7 @@
     let whole: Value = serde_json::from_slice(body).ok()?;
     let version = whole["config_version"].as_u64()?;
     let order = whole["tenants"].as_object()?.keys().find_map(|name| order_of(name))?;
-    // Not by name but by number, which grows with time for one operator only: the own route is the newest.
+    // Names sort as numbers do, which grow with time; the order's own route is the newest in any case.
     let named = whole["routes"].as_object()?.keys().filter_map(|name| name.strip_prefix("r-")?.parse().ok());
     let mut routes: Vec<OrderId> = named.filter(|route| *route != order).collect();
     routes.push(order);
--- a/crates/ctl/src/storm_demo/schedule.rs
+++ b/crates/ctl/src/storm_demo/schedule.rs
@@ -8,15 +8,15 @@
 pub enum CoreFault {
     /// The leader is killed and comes back with its disk.
     KillLeader,
-    /// Two followers are.
+    /// Two members are, the leader among them or not.
     KillTwo,
     /// The leader stands still.
     FreezeLeader,
-    /// Two followers stand still.
+    /// Two members stand still, the leader among them or not.
     FreezeTwo,
     /// The leader is killed and comes back without its disk.
     WipeLeader,
-    /// Two followers are killed and come back without their disks.
+    /// Two members are killed and come back without their disks, the leader among them or not.
     WipeTwo,
     /// All are killed at once and come back with their disks.
     KillAll,
