--- a/crates/ctl/src/storm_demo/operators.rs
+++ b/crates/ctl/src/storm_demo/operators.rs
@@ -35,6 +35,13 @@
 /// Taken orders that a hand remembers and may repeat.
 const REMEMBERED: usize = 6;
 
+/// Part of changes that go up by one version; the others by three.
+const BY_ONE: f64 = 0.7;
+/// Hands of all operators.
+const OPERATOR_HANDS: u32 = scene::OPERATORS * HANDS;
+/// Numbers of orders below are for what is put before the traffic.
+const FIRST_ID: u32 = 10;
+
 /// A change that may be sent again.
 #[derive(Debug, Clone)]
 struct Sent {
@@ -119,7 +126,7 @@
             id,
             operator: self.number / HANDS,
             patch: self.draws.chance(PATCHES),
-            step: if self.draws.chance(0.7) { 1 } else { 3 },
+            step: if self.draws.chance(BY_ONE) { 1 } else { 3 },
             valid: !self.draws.chance(IMPROPER),
         };
         let (order, made, body) = scene::order(&plan, &self.view);
@@ -169,11 +176,6 @@
     }
 }
 
-/// Hands of all operators.
-const OPERATOR_HANDS: u32 = scene::OPERATORS * HANDS;
-/// Numbers below are for what is put before the traffic.
-const FIRST_ID: u32 = 10;
-
 /// Reads from any machine until it is told to stop.
 pub fn read_on(desk: &Desk, mut draws: Draws, stop: &Arc<AtomicBool>) {
     while !stop.load(Ordering::Relaxed) {
