Send demo-storm's patient reads beside the others, all the while a machine stands still

Cause: a patient reader waited for its answer before it read again, so that a frozen machine held at most three reads, all from the first moments, which any answer fits.

Change: patient reads, one in four, run beside the reader's others.

--- a/crates/ctl/src/storm_demo/operators.rs
+++ b/crates/ctl/src/storm_demo/operators.rs
@@ -17,8 +17,8 @@
 const PATIENT: Duration = Duration::from_secs(25);
 /// One that is not.
 const HASTY: Duration = Duration::from_secs(1);
-/// Part of reads that wait long: their answers come from a machine that has just woken.
-const PATIENT_PART: f64 = 0.1;
+/// Part of reads that wait long: some of their answers come from a machine that has just woken.
+const PATIENT_PART: f64 = 0.25;
 /// Parts of turns in which a hand repeats what it is sure of, orders on a zone, reads first though it needn't.
 const REPEATS: f64 = 0.15;
 const ZONE_ORDERS: f64 = 0.06;
@@ -176,14 +176,20 @@
     }
 }
 
-/// Reads from any machine until it is told to stop.
+/// Reads from any machine until it is told to stop. Patient reads wait beside the others, so that a machine that stands still
+/// gets them all the while: those that come late must not be answered, when it wakes, by what it knew before.
 pub fn read_on(desk: &Desk, mut draws: Draws, stop: &Arc<AtomicBool>) {
-    while !stop.load(Ordering::Relaxed) {
-        let to = desk.addresses[draws.below(desk.addresses.len())].clone();
-        let silence = if draws.chance(PATIENT_PART) { PATIENT } else { HASTY };
-        desk.read(&to, silence, false);
-        std::thread::sleep(ms(draws.between(READ_PACE_MS)));
-    }
+    std::thread::scope(|scope| {
+        while !stop.load(Ordering::Relaxed) {
+            let to = desk.addresses[draws.below(desk.addresses.len())].clone();
+            if draws.chance(PATIENT_PART) {
+                scope.spawn(move || desk.read(&to, PATIENT, false));
+            } else {
+                desk.read(&to, HASTY, false);
+            }
+            std::thread::sleep(ms(draws.between(READ_PACE_MS)));
+        }
+    });
 }
 
 /// As a duration.
