--- a/crates/replica/src/state.rs
+++ b/crates/replica/src/state.rs
@@ -260,7 +260,7 @@
     fn take(&mut self, version: u64, digest: &str, trials: &Value) {
         self.version = version;
         self.trials_of(trials);
-        self.orders.add(version, &digest);
+        self.orders.add(version, digest);
     }
 
     fn turn(&mut self, tenant: &str, order: TrialOrder, most: u32) {
