Make the store's own folder last: sync the folders above it when it is made

Cause: a name lasts with a sync of its folder only. The store synced its own folder and all in it, but not the data folder in which its name stands: after a loss of power the whole store could be missing, and a machine whose settings say initial_start = true would have been a founder again, under its old number, with an empty log and a vote to give.

Change: make_folder syncs the folder above, and those that it had to make, at every opening.

--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -17,8 +17,12 @@
 mod kept;
 #[cfg(test)]
 mod kills;
+#[cfg(test)]
+mod losses;
 mod mark;
 mod memory;
+#[cfg(test)]
+mod power;
 mod record;
 mod sled_hold;
 mod survey;
--- a/crates/storage/src/mark.rs
+++ b/crates/storage/src/mark.rs
@@ -135,6 +135,8 @@
 
     /// Makes what was noted last.
     pub(crate) fn sync(&mut self) {
+        #[cfg(test)]
+        crate::power::file(&self.path);
         // Where this fails the mark claims less. Tests need the file, but none outlives its machine.
         let _ = self.file().and_then(|file| if cfg!(test) { Ok(()) } else { file.sync_all() });
     }
@@ -159,6 +161,8 @@
             PLACES.iter().try_for_each(|place| file.write_all_at(&[0; CLAIM], *place as u64))?;
             file.sync_all()
         });
+        #[cfg(test)]
+        crate::power::file(&path);
         written.map_err(|cause| trouble("write", &path, cause))
     }
 }
--- /dev/null
+++ b/crates/storage/src/power.rs
@@ -0,0 +1,223 @@
+//! What a loss of power may leave of a folder, name by name and file by file, for tests: the store's own syncs are written
+//! down as they are made, and from them every folder is built that a machine may find.
+//!
+//! A name that was made, renamed or removed since its folder was last synced is there or not, each by itself. A file has
+//! what it had when it was last synced, what it has now, or sectors of both.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs;
+use std::path::{Path, PathBuf};
+
+const SECTOR: usize = 512;
+/// Begins the names of sled's own snapshots.
+const SNAPSHOT: &str = "snap.";
+/// More names than this are not undecided at a time.
+const NAMES_MAX: usize = 7;
+
+/// A folder's content by path; none: a folder.
+type Tree = BTreeMap<PathBuf, Option<Vec<u8>>>;
+
+/// What was synced of a folder and all in it.
+#[derive(Debug, Clone, Default)]
+struct Synced {
+    files: BTreeMap<PathBuf, Vec<u8>>,
+    names: BTreeMap<PathBuf, BTreeSet<PathBuf>>,
+}
+
+/// A moment at which power may be lost.
+#[derive(Debug, Clone)]
+pub(crate) struct Point {
+    live: Tree,
+    synced: Synced,
+    /// So many saves were acknowledged before.
+    pub(crate) acked: usize,
+}
+
+#[derive(Debug)]
+struct Recorder {
+    root: PathBuf,
+    synced: Synced,
+    points: Vec<Point>,
+    acked: usize,
+}
+
+thread_local! {
+    static RECORDER: RefCell<Option<Recorder>> = const { RefCell::new(None) };
+}
+
+/// Begins to write down what is synced in this folder, which is durable as it stands.
+pub(crate) fn record(root: &Path) {
+    let recorder = Recorder {
+        root: root.to_owned(),
+        synced: Synced { names: BTreeMap::from([(PathBuf::new(), names(root))]), ..Synced::default() },
+        points: Vec::new(),
+        acked: 0,
+    };
+    RECORDER.set(Some(recorder));
+}
+
+/// Ends it, and gives all points.
+pub(crate) fn points() -> Vec<Point> {
+    point();
+    RECORDER.take().map_or_else(Vec::new, |recorder| recorder.points)
+}
+
+/// A save was acknowledged.
+pub(crate) fn acked() {
+    point();
+    with(|recorder| recorder.acked += 1);
+}
+
+/// A file was synced.
+pub(crate) fn file(path: &Path) {
+    point();
+    with(|recorder| {
+        if let (Ok(name), Ok(bytes)) = (path.strip_prefix(&recorder.root), fs::read(path)) {
+            recorder.synced.files.insert(name.to_owned(), bytes);
+        }
+    });
+}
+
+/// A folder was synced.
+pub(crate) fn folder(path: &Path) {
+    point();
+    with(|recorder| {
+        if let Ok(name) = path.strip_prefix(&recorder.root) {
+            recorder.synced.names.insert(name.to_owned(), names(path));
+        }
+    });
+}
+
+/// A folder got another name: what was synced in it is under both.
+pub(crate) fn renamed(from: &Path, to: &Path) {
+    with(|recorder| {
+        let (Ok(from), Ok(to)) = (from.strip_prefix(&recorder.root), to.strip_prefix(&recorder.root)) else {
+            return;
+        };
+        let moved = |path: &PathBuf| Some(to.join(path.strip_prefix(from).ok()?));
+        let Synced { files, names } = &mut recorder.synced;
+        let new: Vec<_> =
+            files.iter().filter_map(|(path, bytes)| Some((moved(path)?, bytes.clone()))).collect();
+        files.extend(new);
+        let new: Vec<_> =
+            names.iter().filter_map(|(path, names)| Some((moved(path)?, names.clone()))).collect();
+        names.extend(new);
+    });
+    point();
+}
+
+fn with(act: impl FnOnce(&mut Recorder)) {
+    RECORDER.with_borrow_mut(|recorder| recorder.as_mut().map(act));
+}
+
+/// Power may be lost here.
+fn point() {
+    with(|recorder| {
+        let mut live = Tree::new();
+        read(&recorder.root, &recorder.root, &mut live);
+        recorder.points.push(Point { live, synced: recorder.synced.clone(), acked: recorder.acked });
+    });
+}
+
+fn names(folder: &Path) -> BTreeSet<PathBuf> {
+    fs::read_dir(folder).into_iter().flatten().flatten().map(|item| item.file_name().into()).collect()
+}
+
+fn read(root: &Path, folder: &Path, tree: &mut Tree) {
+    for name in names(folder) {
+        let path = folder.join(name);
+        let at = path.strip_prefix(root).expect("within").to_owned();
+        if path.is_dir() {
+            tree.insert(at, None);
+            read(root, &path, tree);
+        } else if let Ok(bytes) = fs::read(&path) {
+            tree.insert(at, Some(bytes));
+        }
+    }
+}
+
+/// What a file has that wasn't synced since it was changed.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Content {
+    Synced,
+    Now,
+    /// Each second sector of what is new.
+    Torn,
+}
+
+pub(crate) const CONTENTS: [Content; 3] = [Content::Synced, Content::Now, Content::Torn];
+
+impl Point {
+    /// Names of which nobody knows whether they are there.
+    pub(crate) fn open_names(&self) -> Vec<PathBuf> {
+        let mut open = Vec::new();
+        self.walk(Path::new(""), &mut open);
+        open.truncate(NAMES_MAX);
+        open
+    }
+
+    fn walk(&self, folder: &Path, open: &mut Vec<PathBuf>) {
+        let (before, now) = self.names_of(folder);
+        for name in before.union(&now) {
+            let path = folder.join(name);
+            if before.contains(name) != now.contains(name) {
+                open.push(path.clone());
+            }
+            self.walk(&path, open);
+        }
+    }
+
+    fn names_of(&self, folder: &Path) -> (BTreeSet<PathBuf>, BTreeSet<PathBuf>) {
+        let before = self.synced.names.get(folder).cloned().unwrap_or_default();
+        let within = self.live.keys().filter(|path| path.parent() == Some(folder));
+        (before, within.filter_map(|path| path.file_name().map(PathBuf::from)).collect())
+    }
+
+    /// Builds the folder that a machine finds without these names.
+    pub(crate) fn build(&self, root: &Path, missing: &BTreeSet<PathBuf>, content: Content) {
+        self.build_in(root, Path::new(""), missing, content);
+    }
+
+    fn build_in(&self, root: &Path, folder: &Path, missing: &BTreeSet<PathBuf>, content: Content) {
+        let (before, now) = self.names_of(folder);
+        for name in before.union(&now) {
+            let path = folder.join(name);
+            if missing.contains(&path) {
+                continue;
+            }
+            let live = self.live.get(&path);
+            if matches!(live, Some(None)) || (live.is_none() && self.synced.names.contains_key(&path)) {
+                fs::create_dir_all(root.join(&path)).expect("a folder");
+                self.build_in(root, &path, missing, content);
+                continue;
+            }
+            let synced = self.synced.files.get(&path);
+            // Sled syncs these by itself before it gives them their name.
+            let whole = name.to_string_lossy().starts_with(SNAPSHOT) && name.extension().is_some();
+            let bytes = match (live, synced) {
+                (Some(Some(live)), _) if whole => live.clone(),
+                (Some(Some(live)), Some(synced)) => mix(synced, live, content),
+                (Some(Some(live)), None) => mix(&[], live, content),
+                (_, synced) => synced.cloned().unwrap_or_default(),
+            };
+            fs::write(root.join(&path), bytes).expect("a file");
+        }
+    }
+}
+
+fn mix(synced: &[u8], live: &[u8], content: Content) -> Vec<u8> {
+    match content {
+        Content::Synced => synced.to_vec(),
+        Content::Now => live.to_vec(),
+        Content::Torn => {
+            let mut torn = synced.to_vec();
+            torn.resize(live.len().max(synced.len()), 0);
+            for at in (0..live.len()).step_by(2 * SECTOR) {
+                let sector = at..(at + SECTOR).min(live.len());
+                torn[sector.clone()].copy_from_slice(&live[sector]);
+            }
+            torn
+        }
+    }
+}
--- a/crates/storage/src/sled_hold.rs
+++ b/crates/storage/src/sled_hold.rs
@@ -3,7 +3,7 @@
 use crate::kept::{Kept, Outline};
 use crate::mark::{Claim, Mark, MARK};
 use crate::record::{entry_key, piece_key, pieces, Found, HardRecord, Reader, Stamp, HARD, ME, SNAPSHOT};
-use crate::sync::{clear, probe, size, sync_folder, trouble, Synced};
+use crate::sync::{clear, make_folder, probe, size, sync_folder, trouble, Synced};
 use crate::{Hold, HoldError};
 use nickeljunction_consensus::{Hard, Write};
 use std::fs;
@@ -73,7 +73,7 @@
     /// A broken store is no error.
     pub fn open(dir: impl AsRef<Path>) -> Result<SledHold, HoldError> {
         let dir = dir.as_ref().to_owned();
-        fs::create_dir_all(&dir).map_err(|cause| trouble("create", &dir, cause))?;
+        make_folder(&dir)?;
         let mark = Mark::read(&dir)?;
         let mut hold = SledHold {
             dir,
@@ -245,6 +245,8 @@
         Synced::new(&underway).sync()?;
         let (old, new) = (self.store_dir(self.number), self.store_dir(self.number + 1));
         fs::rename(&underway, &new).map_err(|cause| trouble("rename", &underway, cause))?;
+        #[cfg(test)]
+        crate::power::renamed(&underway, &new);
         sync_folder(&self.dir)?;
         self.number += 1;
         self.reopen()?;
--- a/crates/storage/src/sync.rs
+++ b/crates/storage/src/sync.rs
@@ -90,6 +90,8 @@
     }
 
     fn sync_file(&mut self, path: &Path, is_log: bool) -> Result<(), HoldError> {
+        #[cfg(test)]
+        crate::power::file(path);
         #[cfg(test)]
         if !self.truly {
             // The shadow tells what lasts; waiting for the true disk would tell nothing more.
@@ -112,6 +114,8 @@
     }
 
     fn sync_names(&mut self, folder: &Path) -> Result<(), HoldError> {
+        #[cfg(test)]
+        crate::power::folder(folder);
         #[cfg(test)]
         if !self.truly {
             self.shadow_folder(folder);
@@ -188,6 +192,8 @@
 /// # Errors
 /// Where it could not be synced.
 pub(crate) fn sync_folder(folder: &Path) -> Result<(), HoldError> {
+    #[cfg(test)]
+    crate::power::folder(folder);
     if cfg!(test) {
         // No test's files outlive its machine.
         return Ok(());
@@ -195,6 +201,23 @@
     File::open(folder).and_then(|folder| folder.sync_all()).map_err(|cause| trouble("sync", folder, cause))
 }
 
+/// Makes a folder where it is missing, and makes its name last, and the names of those above it that were missing: what is
+/// synced within a folder is lost with it.
+///
+/// # Errors
+/// Where it could not be made or synced.
+pub(crate) fn make_folder(dir: &Path) -> Result<(), HoldError> {
+    let missing =
+        dir.ancestors().skip(1).take_while(|above| !above.as_os_str().is_empty() && !above.exists());
+    let missing = missing.count();
+    fs::create_dir_all(dir).map_err(|cause| trouble("create", dir, cause))?;
+    // The last one is there, and was perhaps made by a life that ended before it could sync.
+    for above in dir.ancestors().skip(1).take(missing + 1) {
+        sync_folder(if above.as_os_str().is_empty() { Path::new(".") } else { above })?;
+    }
+    Ok(())
+}
+
 /// Removes all that is in a folder but the file `kept`, and makes that last.
 ///
 /// # Errors
@@ -212,9 +235,10 @@
                 fs::remove_file(&path)?;
             }
         }
-        File::open(dir)?.sync_all()
+        Ok(())
     };
-    remove().map_err(|cause| trouble("clear", dir, cause))
+    remove().map_err(|cause| trouble("clear", dir, cause))?;
+    sync_folder(dir)
 }
 
 /// Bytes of all files under a folder; files that vanish meanwhile don't count.
