Go on with the store that was written anew, whatever fails after its name stands

Cause: a rewrite renames the new store and then syncs the folder. Where that sync failed (a full disk) the member went on saving to the old store, while the next start takes the higher number: the new one lacked what was saved since, the mark told so, and a sound store with all that was acknowledged was thrown away.

Change: from the rename on the new store is the one in use; it is opened again, and its name synced, before anything is acknowledged.

--- a/crates/storage/src/losses.rs
+++ b/crates/storage/src/losses.rs
@@ -3,8 +3,9 @@
 
 use crate::kept::Kept;
 use crate::power::{self, Point, CONTENTS};
-use crate::tests::{temp, Writer};
+use crate::tests::{copy, temp, Writer};
 use crate::{Hold, SledHold};
+use nickeljunction_consensus::Write;
 use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
 
@@ -30,6 +31,14 @@
     power::acked();
 }
 
+impl Kept {
+    /// Index of the last entry.
+    fn last(&self) -> u64 {
+        let base = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        self.entries.last().map_or(base, |entry| entry.index)
+    }
+}
+
 impl Life {
     /// Folders that were tried, and what went wrong.
     fn try_all(&self) -> (usize, Vec<String>) {
@@ -101,3 +110,80 @@
     let (tried, wrong) = life.try_all();
     assert!(wrong.is_empty(), "{} of {tried}: {:#?}", wrong.len(), &wrong[..wrong.len().min(10)]);
 }
+
+/// A store that lost its end is given up; power is lost at any sync of that, and of the new one's first saves.
+#[test]
+fn power_lost_while_a_store_is_given_up_never_brings_it_back() {
+    let data = temp();
+    let dir = data.path().join("logbook");
+    let mut writer = Writer::new(13);
+    let mut hold = SledHold::open(&dir).unwrap();
+    let old = temp();
+    for number in 0..6 {
+        let write = writer.next();
+        hold.save(&write).unwrap();
+        writer.done(&write);
+        if number == 3 {
+            drop(hold);
+            copy(&dir.join("store.1"), &old.path().join("store.1"));
+            hold = SledHold::open(&dir).unwrap();
+        }
+    }
+    drop(hold);
+    std::fs::remove_dir_all(dir.join("store.1")).unwrap();
+    copy(&old.path().join("store.1"), &dir.join("store.1"));
+    power::record(data.path());
+    let mut models = vec![None];
+    let mut hold = SledHold::open(&dir).unwrap();
+    assert!(hold.given_up().is_some() && hold.was_lost());
+    let mut writer = Writer::new(14);
+    save(&mut hold, &mut writer, &mut models);
+    save(&mut hold, &mut writer, &mut models);
+    let life = Life { points: power::points(), models };
+    let (tried, wrong) = life.try_all();
+    assert!(wrong.is_empty(), "{} of {tried}: {:#?}", wrong.len(), &wrong[..wrong.len().min(10)]);
+    assert!(tried > 30);
+}
+
+/// A store's life on a disk that takes nothing for some syncs, from any of them on: each save is tried until it is taken.
+/// Nothing is thrown away, and what was acknowledged stays.
+#[test]
+fn a_disk_that_is_full_at_any_sync_loses_nothing() {
+    let mut lives = 0;
+    for bad in [1, 4] {
+        for well in 0.. {
+            let data = temp();
+            let dir = data.path().join("logbook");
+            power::fail_after(well, bad);
+            let mut writer = Writer::new(15);
+            let mut hold = (0..20).find_map(|_| SledHold::open(&dir).ok()).expect("it opens in the end");
+            for number in 0..4 {
+                hold.bound(if number == 2 { 1 } else { 1 << 30 });
+                let write = writer.next();
+                let mut taken = hold.save(&write).is_ok();
+                for ticket in 0..20 {
+                    // As a member does after a failure: all since what is safe, whether the disk has it or not.
+                    let last = writer.model.as_ref().map_or(0, Kept::last);
+                    let all = Write { ticket: 100 + ticket, truncate_from: Some(last + 1), ..write.clone() };
+                    taken = taken || hold.save(&all).is_ok();
+                }
+                assert!(taken, "save {number}, {bad} faults after {well}");
+                writer.done(&write);
+                let found = (0..20).find_map(|_| hold.load().ok()).expect("it is read in the end");
+                assert_eq!(found, writer.model, "save {number}, {bad} faults after {well}");
+            }
+            assert!(hold.given_up().is_none() && !hold.was_lost(), "{bad} faults after {well}");
+            drop(hold);
+            let all = power::failed();
+            power::fail_after(usize::MAX, 0);
+            let found = SledHold::open(&dir).unwrap().load().unwrap();
+            assert_eq!(found, writer.model, "{bad} faults after {well}");
+            lives += 1;
+            if !all {
+                break;
+            }
+        }
+    }
+    println!("{lives} lives");
+    assert!(lives > 40);
+}
--- a/crates/storage/src/power.rs
+++ b/crates/storage/src/power.rs
@@ -4,7 +4,7 @@
 //! A name that was made, renamed or removed since its folder was last synced is there or not, each by itself. A file has
 //! what it had when it was last synced, what it has now, or sectors of both.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs;
 use std::path::{Path, PathBuf};
@@ -48,12 +48,16 @@
 
 /// Begins to write down what is synced in this folder, which is durable as it stands.
 pub(crate) fn record(root: &Path) {
-    let recorder = Recorder {
-        root: root.to_owned(),
-        synced: Synced { names: BTreeMap::from([(PathBuf::new(), names(root))]), ..Synced::default() },
-        points: Vec::new(),
-        acked: 0,
-    };
+    let mut live = Tree::new();
+    read(root, root, &mut live);
+    let mut synced = Synced { names: BTreeMap::from([(PathBuf::new(), names(root))]), ..Synced::default() };
+    for (path, bytes) in live {
+        match bytes {
+            Some(bytes) => drop(synced.files.insert(path, bytes)),
+            None => drop(synced.names.insert(path.clone(), names(&root.join(path)))),
+        }
+    }
+    let recorder = Recorder { root: root.to_owned(), synced, points: Vec::new(), acked: 0 };
     RECORDER.set(Some(recorder));
 }
 
@@ -84,7 +88,15 @@
     point();
     with(|recorder| {
         if let Ok(name) = path.strip_prefix(&recorder.root) {
-            recorder.synced.names.insert(name.to_owned(), names(path));
+            let now = names(path);
+            // What is gone for good leaves nothing to whatever gets its name later.
+            for gone in
+                recorder.synced.names.get(name).into_iter().flatten().filter(|old| !now.contains(*old))
+            {
+                let gone = name.join(gone);
+                recorder.synced.files.retain(|file, _| !file.starts_with(&gone));
+            }
+            recorder.synced.names.insert(name.to_owned(), now);
         }
     });
 }
@@ -107,6 +119,39 @@
     point();
 }
 
+thread_local! {
+    /// So many syncs go well, and as many after them don't.
+    static FAULTS: Cell<(usize, usize)> = const { Cell::new((usize::MAX, 0)) };
+}
+
+/// After `well` more syncs the disk takes nothing for the next `bad` ones.
+pub(crate) fn fail_after(well: usize, bad: usize) {
+    FAULTS.set((well, bad));
+}
+
+/// Whether all faults have come.
+pub(crate) fn failed() -> bool {
+    FAULTS.get().1 == 0
+}
+
+/// What the disk says to the next sync.
+///
+/// # Errors
+/// It is full.
+pub(crate) fn ask() -> std::io::Result<()> {
+    match FAULTS.get() {
+        (0, 0) | (usize::MAX, _) => Ok(()),
+        (0, bad) => {
+            FAULTS.set((0, bad - 1));
+            Err(std::io::ErrorKind::StorageFull.into())
+        }
+        (well, bad) => {
+            FAULTS.set((well - 1, bad));
+            Ok(())
+        }
+    }
+}
+
 fn with(act: impl FnOnce(&mut Recorder)) {
     RECORDER.with_borrow_mut(|recorder| recorder.as_mut().map(act));
 }
--- a/crates/storage/src/sled_hold.rs
+++ b/crates/storage/src/sled_hold.rs
@@ -247,8 +247,9 @@
         fs::rename(&underway, &new).map_err(|cause| trouble("rename", &underway, cause))?;
         #[cfg(test)]
         crate::power::renamed(&underway, &new);
-        sync_folder(&self.dir)?;
+        // From here on it is the one that the next start finds, whatever fails: nothing may be saved to the old one.
         self.number += 1;
+        sync_folder(&self.dir)?;
         self.reopen()?;
         // Where this fails, the next start tries again.
         let _ = fs::remove_dir_all(old);
--- a/crates/storage/src/sync.rs
+++ b/crates/storage/src/sync.rs
@@ -90,6 +90,8 @@
     }
 
     fn sync_file(&mut self, path: &Path, is_log: bool) -> Result<(), HoldError> {
+        #[cfg(test)]
+        crate::power::ask().map_err(|cause| trouble("sync", path, cause))?;
         #[cfg(test)]
         crate::power::file(path);
         #[cfg(test)]
@@ -114,6 +116,8 @@
     }
 
     fn sync_names(&mut self, folder: &Path) -> Result<(), HoldError> {
+        #[cfg(test)]
+        crate::power::ask().map_err(|cause| trouble("sync", folder, cause))?;
         #[cfg(test)]
         crate::power::folder(folder);
         #[cfg(test)]
@@ -178,6 +182,8 @@
 pub(crate) fn probe(dir: &Path) -> Result<(), HoldError> {
     let path = dir.join("probe");
     let write = || -> io::Result<()> {
+        #[cfg(test)]
+        crate::power::ask()?;
         fs::write(&path, [1; 64 * 1024])?;
         File::open(&path)?.sync_all()
     };
@@ -192,6 +198,8 @@
 /// # Errors
 /// Where it could not be synced.
 pub(crate) fn sync_folder(folder: &Path) -> Result<(), HoldError> {
+    #[cfg(test)]
+    crate::power::ask().map_err(|cause| trouble("sync", folder, cause))?;
     #[cfg(test)]
     crate::power::folder(folder);
     if cfg!(test) {
