Name a guard's value once, as clippy wants where the model is not built

Cause: with the guards compiled in, three of them shadowed a value by itself, and one negated a comparison; the workspace's clippy builds the model and does not see it.

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -31,7 +31,7 @@
             Msg::Point { leader } => return self.on_point(&leader),
             _ => {}
         }
-        if !guard!(OldTermRefused, term >= self.hard.term, true) {
+        if guard!(OldTermRefused, term < self.hard.term, false) {
             return self.refuse_old(&from, msg);
         }
         if term > self.hard.term {
@@ -273,8 +273,7 @@
     fn on_vote(&mut self, from: &Member, last: u64, last_term: u64) {
         let free = guard!(OneVote, self.hard.vote.is_none_or(|vote| vote == from.id), true);
         let as_good = (last_term, last) >= (self.log.last_term(), self.log.last());
-        let as_good = guard!(LogAsGood, as_good, true);
-        if !free || !as_good || self.disk.sick() {
+        if !free || !guard!(LogAsGood, as_good, true) || self.disk.sick() {
             return self.say(from, Msg::Voted { yes: false });
         }
         self.role = Role::Following;
--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -170,8 +170,9 @@
         // One change at a time, and none before this term has an entry that is committed, and told to the program: it may
         // be the one by which operators keep a host away.
         let told = matches!(&self.role, Role::Leading(lead) if self.delivered >= lead.start);
-        let told = guard!(ChangeReady, told, true);
-        if !told || guard!(OneChange, self.log.members_since() > self.commit, false) {
+        if !guard!(ChangeReady, told, true)
+            || guard!(OneChange, self.log.members_since() > self.commit, false)
+        {
             return;
         }
         // Who ends and whose place is taken need not stay.
@@ -233,8 +234,8 @@
     fn with(&self, member: &Member) -> Option<Vec<Member>> {
         let members = self.log.members();
         // Who ends stays until another one has come.
-        let ends = self.ending.iter().filter(|(member, _)| self.is_here(member)).count().min(1);
-        let ends = guard!(EndTold, ends, 0);
+        let here = self.ending.iter().filter(|(member, _)| self.is_here(member)).count().min(1);
+        let ends = guard!(EndTold, here, 0);
         let room = if self.is_called(&member.host) { MEMBERS_MAX } else { self.tuning.most + ends };
         let next = match members.iter().find(|old| old.host == member.host) {
             // Its old self has to be silent: else two programs share a host, and the first one stays.
