--- a/crates/edge/tests/proxy.rs
+++ b/crates/edge/tests/proxy.rs
@@ -410,6 +410,37 @@
     });
 }
 
+/// An id whose address changes, with its connection idle and with it at work: another one listens there now.
+#[test]
+fn no_connection_to_an_old_address_is_used_again() {
+    run(async {
+        let done = Rc::new(Notify::new());
+        let work = done.clone();
+        let mut rig = Rig::new(&["n1", "n1", "n1"], roomy(), move |before, arrival| match before {
+            1 => vec![Act::Work(work.clone()), Act::Say(good(&arrival.id))],
+            _ => vec![Act::Say(good(&arrival.id))],
+        })
+        .await;
+        let addresses: Vec<String> = rig.lines.iter().map(|line| line.address.clone()).collect();
+        rig.lines.truncate(1);
+        rig.list(&[]);
+        assert_eq!(told(rig.ask("a", ONCE).await), fine("a"));
+        rig.lines[0].address = addresses[1].clone();
+        rig.list(&[]);
+        let (exchange, answer) = rig.exchange("b", ONCE);
+        rig.proxy.dispatch(exchange);
+        while rig.servers().len() < 2 {
+            tokio::task::yield_now().await;
+        }
+        rig.lines[0].address = addresses[2].clone();
+        rig.list(&[]);
+        done.notify_one();
+        assert_eq!(told(answer.await.expect("an answer")), fine("b"));
+        assert_eq!(told(rig.ask("c", ONCE).await), fine("c"));
+        assert_eq!(rig.servers(), ["s0", "s1", "s2"]);
+    });
+}
+
 #[test]
 fn the_budget_bounds_further_sends_while_every_server_fails() {
     run(async {
