--- a/crates/simulation/tests/cut_off.rs
+++ b/crates/simulation/tests/cut_off.rs
@@ -109,7 +109,9 @@
         8 => Question::Beat(format!("gone{number}"), beat(ServerState::Draining, number)),
         9 => Question::Leave("left".into()),
         10 => Question::Units(UnitsCall { life: 7 + number, seq: 1, ..UnitsCall::default() }),
-        _ => Question::Watch(Copy::new().ask(nickeljunction_messages::Caller::Gateway, "onlooker", 9, None, 0)),
+        _ => {
+            Question::Watch(Copy::new().ask(nickeljunction_messages::Caller::Gateway, "onlooker", 9, None, 0))
+        }
     }
 }
 
