--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -135,13 +135,16 @@
     /// False where it is no newer than the one before, or no such entry is known.
     pub(crate) fn compact(&mut self, index: u64, state: String) -> bool {
         let Some(term) = self.term(index).filter(|_| index > self.snapshot_index()) else { return false };
+        let whole = state.len();
         self.snapshot = Some(Snapshot { index, term, members: self.members_at(index), state });
         // Bounded in bytes too: documents may be large, and memory is dear.
         let mut held = 0;
         let mut base = index;
-        while base > index.saturating_sub(guard!(HeldBack, HELD_BACK, 0)).max(self.base) {
+        while base > self.base {
             held += self.get(base).map_or(0, Entry::size);
-            if held > HELD_BYTES {
+            let few = index - base < guard!(HeldBack, HELD_BACK, 0);
+            // A laggard is better taught by entries as long as they are less than the snapshot.
+            if held > HELD_BYTES || !few && held > whole {
                 break;
             }
             base -= 1;
--- a/crates/consensus/src/messages.rs
+++ b/crates/consensus/src/messages.rs
@@ -5,7 +5,7 @@
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 
-/// So many entries before a snapshot stay in memory, for members that lag a little.
+/// So many entries before a snapshot stay in memory at least, for members that lag a little.
 pub const HELD_BACK: u64 = 64;
 
 /// Numbers are short on the wire, and two of them are never drawn alike in the life of a core.
@@ -172,6 +172,18 @@
     pub msg: Msg,
 }
 
+impl Envelope {
+    /// About how many bytes it takes.
+    pub fn size(&self) -> usize {
+        let held = match &self.msg {
+            Msg::Append { entries, .. } => entries.iter().map(Entry::size).sum(),
+            Msg::Snap { snapshot, .. } => snapshot.state.len(),
+            _ => 0,
+        };
+        128 + held
+    }
+}
+
 /// What members say to each other.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Msg {
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -7,7 +7,10 @@
 use std::collections::VecDeque;
 
 /// Entries of one message, bytes; one entry goes out however large it is.
-const BATCH_BYTES: usize = 64 * 1024;
+const BATCH_BYTES: usize = 4 * 1024;
+/// Entries that may be on their way to a member at a time, bytes. What it says next, a heartbeat's answer too, comes after
+/// these: over a thin line (0.4 Mbit/s) they must take less than the shortest election time, by which leases end.
+const FLIGHT_BYTES: usize = 2 * BATCH_BYTES;
 /// Messages with entries that may be unanswered at a time, by member.
 const WINDOW: usize = 16;
 /// Rounds whose start is remembered.
@@ -41,8 +44,8 @@
     /// The newest round in which it said so.
     vouched: u64,
     mode: Mode,
-    /// Last entry of each message that is unanswered.
-    unanswered: VecDeque<u64>,
+    /// Last entry of each message that is unanswered, and its bytes.
+    unanswered: VecDeque<(u64, usize)>,
     /// The newest round that it answered, and when that was begun.
     round: u64,
     acked_at: Option<u64>,
@@ -98,11 +101,17 @@
         self.poke = true;
     }
 
+    /// More entries may be on their way to it.
+    fn may_send(&self) -> bool {
+        let bytes: usize = self.unanswered.iter().map(|(_, bytes)| bytes).sum();
+        self.unanswered.len() < WINDOW && bytes < FLIGHT_BYTES
+    }
+
     /// The messages that are due to it; `beat`: one at least, empty if need be.
     fn due(&mut self, log: &Log, commit: u64, round: u64, now: u64, beat: bool) -> Vec<Msg> {
         let mut due = Vec::new();
         if self.mode == Mode::Flow {
-            while self.next <= log.last() && self.unanswered.len() < WINDOW {
+            while self.next <= log.last() && self.may_send() {
                 let prev = self.next - 1;
                 let Some(prev_term) = log.term(prev) else {
                     self.mode = Mode::Snapshot(None);
@@ -111,7 +120,7 @@
                 };
                 let entries = log.some(self.next, log.last(), guard!(LargeBatches, BATCH_BYTES, 1));
                 self.next += entries.len() as u64;
-                self.unanswered.push_back(self.next - 1);
+                self.unanswered.push_back((self.next - 1, entries.iter().map(Entry::size).sum()));
                 due.push(Msg::Append { prev, prev_term, entries, commit, round });
             }
         }
@@ -137,7 +146,7 @@
     fn accepted(&mut self, index: u64, round: u64, base: u64) {
         self.matched = self.matched.max(index);
         self.vouched = self.vouched.max(round);
-        while self.unanswered.front().is_some_and(|last| *last <= self.matched) {
+        while self.unanswered.front().is_some_and(|(last, _)| *last <= self.matched) {
             self.unanswered.pop_front();
         }
         if self.mode == Mode::Probe || (matches!(self.mode, Mode::Snapshot(_)) && self.matched >= base) {
