--- a/crates/controller/src/peers.rs
+++ b/crates/controller/src/peers.rs
@@ -1,29 +1,26 @@
-//! Messages to other core members: a queue and one call at a time for each host.
+//! Messages to other core members: an outbox for each host, and one call at a time for each of its lanes.
 
 use hashbrown::HashMap;
 use nickeljunction_consensus::Envelope;
 use nickeljunction_messages::path;
 use nickeljunction_net::caller::Caller;
+use nickeljunction_replica::outbox::{Lane, Outbox};
 use std::cell::{Cell, RefCell};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
-use tokio::sync::mpsc;
-
-/// Messages that wait for one host at most. A lost one harms nothing; many old ones would only come late.
-const MOST_WAITING: usize = 64;
-/// A call without an answer by then has failed, ms: a host that is cut off must not hold what comes after for long.
-const CALL_MS: f64 = 300.0;
+use tokio::sync::Notify;
 
 struct Peer {
-    queue: mpsc::UnboundedSender<Envelope>,
-    waiting: Rc<Cell<usize>>,
+    outbox: RefCell<Outbox>,
+    /// Something waits, or a call is over.
+    news: Notify,
 }
 
 /// Queues by host.
 pub struct Peers {
     caller: Rc<Caller>,
     port: u16,
-    peers: RefCell<HashMap<String, Peer, ahash::RandomState>>,
+    peers: RefCell<HashMap<String, Rc<Peer>, ahash::RandomState>>,
     sent: Cell<u64>,
 }
 
@@ -46,37 +43,40 @@
                 log::warn!("event=bad_host host={host:?}");
                 return;
             };
-            let (queue, messages) = mpsc::unbounded_channel();
-            let waiting = Rc::new(Cell::new(0));
+            let peer = Rc::new(Peer { outbox: RefCell::default(), news: Notify::new() });
             let to = SocketAddr::new(ip, self.port);
-            tokio::task::spawn_local(deliver(self.caller.clone(), to, messages, waiting.clone()));
-            peers.insert(host.to_string(), Peer { queue, waiting });
+            for lane in Lane::ALL {
+                tokio::task::spawn_local(deliver(self.caller.clone(), to, peer.clone(), lane));
+            }
+            peers.insert(host.to_string(), peer);
         }
         let peer = &peers[host];
-        if peer.waiting.get() < MOST_WAITING && peer.queue.send(message).is_ok() {
-            peer.waiting.set(peer.waiting.get() + 1);
+        if peer.outbox.borrow_mut().push(message) {
+            peer.news.notify_waiters();
             self.sent.set(self.sent.get() + 1);
         }
     }
 }
 
-async fn deliver(
-    caller: Rc<Caller>,
-    to: SocketAddr,
-    mut messages: mpsc::UnboundedReceiver<Envelope>,
-    waiting: Rc<Cell<usize>>,
-) {
-    let mut batch = Vec::new();
-    while messages.recv_many(&mut batch, MOST_WAITING).await > 0 {
-        waiting.set(waiting.get().saturating_sub(batch.len()));
-        let body = serde_json::to_vec(&batch).unwrap_or_default();
-        batch.clear();
-        match caller.call(to, "POST", path::CONSENSUS, &[], &body, CALL_MS).await {
+async fn deliver(caller: Rc<Caller>, to: SocketAddr, peer: Rc<Peer>, lane: Lane) {
+    loop {
+        let news = peer.news.notified();
+        tokio::pin!(news);
+        news.as_mut().enable();
+        let next = peer.outbox.borrow_mut().next(lane);
+        let Some(batch) = next else {
+            news.await;
+            continue;
+        };
+        let body = serde_json::to_vec(&batch.messages).unwrap_or_default();
+        drop(batch.messages);
+        match caller.call(to, "POST", path::CONSENSUS, &[], &body, batch.patience_ms as f64).await {
             Ok(_) => {}
             Err(error) => {
                 log::debug!("event=peer_silent step=consensus peer={to} error={:?}", error.to_string());
                 caller.forget(to);
             }
         }
+        peer.outbox.borrow_mut().done(lane);
     }
 }
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -35,6 +35,7 @@
 mod machine;
 mod members;
 pub mod order_memory;
+pub mod outbox;
 pub mod state;
 
 pub use change::Change;
