--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -110,6 +110,12 @@
     /// The messages that are due to it; `beat`: one at least, empty if need be.
     fn due(&mut self, log: &Log, commit: u64, round: u64, now: u64, beat: bool) -> Vec<Msg> {
         let mut due = Vec::new();
+        // Looked at with a full window, too: where all of it was lost, no entry that is still there follows on what the
+        // member has, and an empty append would have nothing to be refused by.
+        if self.mode == Mode::Flow && log.term(self.next - 1).is_none() {
+            self.mode = Mode::Snapshot(None);
+            self.unanswered.clear();
+        }
         if self.mode == Mode::Flow {
             while self.next <= log.last() && self.may_send() {
                 let prev = self.next - 1;
--- a/crates/consensus/tests/cases.rs
+++ b/crates/consensus/tests/cases.rs
@@ -280,6 +280,26 @@
     });
 }
 
+/// A whole window of appends is lost within an election time, so that nobody takes the member for silent, and the leader
+/// forgets the entries in them before it learns of it.
+#[test]
+fn a_member_is_taught_by_a_snapshot_where_a_lost_window_is_forgotten() {
+    each(3, |harbour, leader| {
+        harbour.commit(500);
+        harbour.run(200);
+        let lagging = others(harbour, leader)[0];
+        harbour.cut(leader, lagging, true);
+        for _ in 0..120 {
+            harbour.propose_long(leader, 8 * 1024);
+            harbour.run(2);
+        }
+        harbour.cut(leader, lagging, false);
+        harbour.run(5_000);
+        check_all(harbour);
+        assert!(harbour.book(leader).everywhere(harbour.now, harbour.book(leader).commit()));
+    });
+}
+
 #[test]
 fn quiet_members_say_little_and_commits_take_one_round_trip() {
     each(3, |harbour, leader| {
--- a/crates/consensus/tests/cluster/mod.rs
+++ b/crates/consensus/tests/cluster/mod.rs
@@ -243,6 +243,12 @@
         self.propose_value(number, value)
     }
 
+    /// The same, with a value of at least so many bytes.
+    pub fn propose_long(&mut self, number: usize, bytes: usize) -> Option<String> {
+        let value = format!("v{}-{}", self.next_value, "x".repeat(bytes));
+        self.propose_value(number, value)
+    }
+
     fn propose_value(&mut self, number: usize, value: String) -> Option<String> {
         let now = self.now;
         let machine = &mut self.machines[number];
