--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -15,7 +15,7 @@
 pub use audit::{Acked, Audit, Said, Tide, Told};
 pub use gateway::Gateway;
 pub use member::Member;
-pub use operators::{Operators, Order, Server};
+pub use operators::{Lost, Operators, Order, Server};
 pub use pipe::Pipe;
 pub use simulation::{Plan, World};
 
--- a/crates/simulation/src/member.rs
+++ b/crates/simulation/src/member.rs
@@ -421,7 +421,7 @@
     }
 
     /// What is on the disk.
-    pub(crate) fn load(&mut self) -> Option<Restored> {
+    pub fn load(&mut self) -> Option<Restored> {
         self.disk.load().expect("a disk that can be read").map(Into::into)
     }
 }
--- a/crates/simulation/src/operators.rs
+++ b/crates/simulation/src/operators.rs
@@ -2,8 +2,10 @@
 
 use crate::member::HEARTBEAT_MS;
 use crate::{node_of, Answer, Node, Out, Packet, Question};
+use nickeljunction_history::{self as history, Call, Exchange, Kind, Status};
 use nickeljunction_messages::ServerState;
 use nickeljunction_registry::Beat;
+use std::collections::HashMap;
 
 /// A call without an answer is repeated elsewhere after so long, ms, and one sent on or without a clear answer after that.
 const ANSWER_MS: u64 = 3_000;
@@ -58,6 +60,15 @@
     next_at: u64,
 }
 
+/// What gets lost between operators and members, percent.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Lost {
+    /// Of the calls, before a member has them.
+    pub calls: u8,
+    /// Of the answers.
+    pub answers: u8,
+}
+
 /// All who call from outside.
 #[derive(Debug)]
 pub struct Operators {
@@ -67,12 +78,51 @@
     pub orders: Vec<Order>,
     /// By their number.
     pub servers: Vec<Server>,
+    /// All calls that change or read the configuration, with what came back.
+    pub history: Vec<Exchange>,
+    /// What gets lost of operators' calls.
+    pub lost: Lost,
+    /// What gets lost is chance.
+    pub rng: fastrand::Rng,
+    /// Where a call stands in the history.
+    places: HashMap<u64, usize>,
     calls: u64,
 }
 
+/// What a history says of a question; `None`: it is none of the configuration.
+fn call(operator: usize, question: &Question, sent_ms: u64) -> Option<Call> {
+    let (kind, base, version, digest) = match question {
+        Question::Get => (Kind::Read, 0, 0, ""),
+        Question::Put(base, version, digest, _) => (Kind::Put, *base, *version, &digest[..]),
+        Question::Patch(base, version, digest, _) => (Kind::Patch, *base, *version, &digest[..]),
+        _ => return None,
+    };
+    let digest = digest.to_owned();
+    Some(Call { operator: operator as u32, kind, base, version, digest, valid: true, sent_ms })
+}
+
+fn status(answer: &Answer) -> Status {
+    match answer {
+        Answer::State(version) => Status::Read(*version),
+        Answer::Done => Status::Taken,
+        Answer::Conflict => Status::Conflict,
+        _ => Status::Unclear,
+    }
+}
+
 impl Operators {
     pub(crate) fn new(node: Node, members: usize) -> Operators {
-        Operators { node, members, orders: Vec::new(), servers: Vec::new(), calls: 0 }
+        Operators {
+            node,
+            members,
+            orders: Vec::new(),
+            servers: Vec::new(),
+            history: Vec::new(),
+            lost: Lost::default(),
+            rng: fastrand::Rng::with_seed(node as u64),
+            places: HashMap::new(),
+            calls: 0,
+        }
     }
 
     /// An operator asks, at this member first.
@@ -116,6 +166,21 @@
         (server.acked, server.call, server.next_at) = (None, 0, now);
     }
 
+    /// Newest version that an answer has told of.
+    pub fn known(&self) -> u64 {
+        let told = self.history.iter().filter_map(|exchange| match exchange.answer?.status {
+            Status::Taken => Some(exchange.call.version),
+            Status::Read(version) => Some(version),
+            _ => None,
+        });
+        told.max().unwrap_or(0)
+    }
+
+    /// Orders that are repeated until they have a clear answer, and have none.
+    pub fn under_way(&self) -> usize {
+        self.orders.iter().filter(|order| order.answer.is_none() && !order.only).count()
+    }
+
     /// What a read's answer must show at least, where it is waited for.
     pub(crate) fn asked(&self, call: u64) -> Option<u64> {
         let order = self.orders.iter().find(|order| order.call == call && order.answer.is_none());
@@ -124,6 +189,13 @@
 
     pub(crate) fn heard(&mut self, now: u64, packet: Packet) {
         let Packet::Reply(call, answer) = packet else { return };
+        if let Some(place) = self.places.get(&call) {
+            if self.rng.u8(..100) < self.lost.answers {
+                return;
+            }
+            let told = history::Answer { status: status(&answer), at_ms: now };
+            self.history[*place].answer.get_or_insert(told);
+        }
         let members = self.members;
         let next =
             |to: Node, leader: Option<String>| leader.and_then(|l| node_of(&l)).unwrap_or((to + 1) % members);
@@ -162,7 +234,7 @@
     }
 
     pub(crate) fn turn(&mut self, now: u64, out: &mut Out) {
-        for order in self.orders.iter_mut().filter(|order| order.again_at <= now) {
+        for (number, order) in self.orders.iter_mut().enumerate().filter(|(_, order)| order.again_at <= now) {
             if order.call > 0 && order.only {
                 order.again_at = u64::MAX;
                 continue;
@@ -173,6 +245,13 @@
             }
             self.calls += 1;
             (order.call, order.again_at) = (self.calls, now + ANSWER_MS);
+            if let Some(call) = call(number, &order.question, now) {
+                self.places.insert(self.calls, self.history.len());
+                self.history.push(Exchange { call, answer: None });
+                if self.rng.u8(..100) < self.lost.calls {
+                    continue;
+                }
+            }
             out.posts.push((order.to, Packet::Ask(self.node, order.call, order.question.clone())));
         }
         for server in self.servers.iter_mut().filter(|server| server.up && server.next_at <= now) {
