Let gateways take every document that the core acknowledges

Cause: a control machine took documents of 8 MiB, a gateway answers of 4 MiB: a document of 4,270,559 bytes was acknowledged and reached 0 of 3 gateways (hollow). Change: answers of 16 MiB, documents of half of that, one figure.

--- a/crates/controller/src/serve.rs
+++ b/crates/controller/src/serve.rs
@@ -22,7 +22,8 @@
 use tokio::sync::mpsc;
 
 /// Longest document that operators may put, bytes.
-const MOST_DOCUMENT: usize = 8 << 20;
+/// A longer one could not be told to gateways.
+const MOST_DOCUMENT: usize = nickeljunction_net::caller::MOST_ANSWER / 2;
 /// Messages and counted adds are short; a snapshot is a document and a little.
 const MOST_INNER: usize = 16 << 20;
 /// Descriptors that are for the disk, for files outside of it, for calls to other members and for the program itself.
--- a/crates/net/src/caller.rs
+++ b/crates/net/src/caller.rs
@@ -24,8 +24,8 @@
 /// A connection comes up within this, ms, or is given up: the first packet to a dark machine, or to one whose queue was
 /// full, is sent again only after a second. Twice the longest way between regions and then some.
 const CONNECT_MS: f64 = 200.0;
-/// Longest body of an answer, bytes.
-const MOST_ANSWER: usize = 4 << 20;
+/// Longest body of an answer, bytes: a whole document with the registers beside it.
+pub const MOST_ANSWER: usize = 16 << 20;
 /// What a connection's read buffer holds, bytes.
 const READ_BYTES: usize = 4 * 1024;
 /// A body up to so long goes out in one write with its head, bytes.
--- a/crates/net/tests/calls.rs
+++ b/crates/net/tests/calls.rs
@@ -1,7 +1,7 @@
 //! Calls between a caller and a desk over loopback.
 
 use bytes::Bytes;
-use nickeljunction_net::caller::{CallError, Caller, Step};
+use nickeljunction_net::caller::{CallError, Caller, Step, MOST_ANSWER};
 use nickeljunction_net::clock::Clock;
 use nickeljunction_net::desk::{Answering, Call, Desk, Limits, Resource, Response};
 use nickeljunction_net::wheel::Wheel;
@@ -40,6 +40,7 @@
         Box::pin(async move {
             match call.path() {
                 "/office/peer" => Response::text(200, call.peer.to_string()),
+                "/office/long" => Response::json(200, vec![b'1'; MOST_ANSWER]),
                 "/office/echo" => Response::json(200, call.body.clone()).with("X-Query", call.query()),
                 "/office/moved" => Response::redirect("http://127.0.0.1:9/office/moved?x=1\r\nX-Bad: 1"),
                 "/office/hold" => {
@@ -115,6 +116,17 @@
     });
 }
 
+/// Twice the longest document that operators may put: an acknowledged one that no gateway takes would never be in force.
+#[test]
+fn an_answer_with_a_whole_document_of_the_longest_comes_through() {
+    const LONGEST_DOCUMENT: usize = 8 << 20;
+    assert!(MOST_ANSWER >= 2 * LONGEST_DOCUMENT);
+    run(|w| async move {
+        let long = w.caller.call(w.at, "GET", "/office/long", &[], b"", 5_000.0).await.expect("an answer");
+        assert_eq!((long.status, long.body.len()), (200, MOST_ANSWER));
+    });
+}
+
 #[test]
 fn calls_in_a_row_share_a_connection_and_one_that_died_idle_is_found_before_the_next() {
     run(|w| async move {
