--- a/crates/consensus/tests/cluster/mod.rs
+++ b/crates/consensus/tests/cluster/mod.rs
@@ -1,4 +1,4 @@
-//! A harbour of members on a clock of its own: a network that loses, doubles, delays and is cut, disks that lose what
+//! A cluster of members on a clock of its own: a network that loses, doubles, delays and is cut, disks that lose what
 //! wasn't synced, and checks on everything that comes out.
 
 #![allow(dead_code)] // Each test program uses a part of it.
@@ -81,7 +81,7 @@
     /// The same, with other times.
     pub fn tuned(members: usize, seed: u64, tuning: Tuning) -> Cluster {
         let hosts: Vec<String> = (0..members).map(host).collect();
-        let mut harbour = Cluster {
+        let mut cluster = Cluster {
             now: 1_000,
             rng: fastrand::Rng::with_seed(seed),
             machines: Vec::new(),
@@ -107,10 +107,10 @@
         let list: Vec<Member> =
             hosts.iter().map(|host| Member { id: first_id(host), host: host.clone() }).collect();
         for member in &list {
-            let number = harbour.add();
-            harbour.boot(number, Restored::first(member.clone(), list.clone()));
+            let number = cluster.add();
+            cluster.boot(number, Restored::first(member.clone(), list.clone()));
         }
-        harbour
+        cluster
     }
 
     /// A machine that isn't started yet.
--- a/crates/registry/tests/reference.rs
+++ b/crates/registry/tests/reference.rs
@@ -231,7 +231,7 @@
 }
 
 struct World {
-    harbour: Cluster,
+    cluster: Cluster,
     gateways: Vec<Gateway>,
     follower: Copy,
     /// Lives that went, by the follower's answers.
@@ -248,10 +248,10 @@
 
 impl World {
     fn new() -> World {
-        let harbour = Cluster::new();
+        let cluster = Cluster::new();
         World {
-            reference: Reference { began: harbour.now, ..Reference::default() },
-            harbour,
+            reference: Reference { began: cluster.now, ..Reference::default() },
+            cluster,
             gateways: vec![Gateway::default(); GATEWAYS.len()],
             follower: Copy::new(),
             follower_gone: BTreeSet::new(),
@@ -268,12 +268,12 @@
     }
 
     fn beat(&mut self, id: &str, told: &Beat) {
-        self.harbour.beat(id, told);
-        self.reference.beat(self.harbour.now, id, told);
+        self.cluster.beat(id, told);
+        self.reference.beat(self.cluster.now, id, told);
     }
 
     fn play(&mut self, step: &Step) -> Result<(), TestCaseError> {
-        let now = self.harbour.now;
+        let now = self.cluster.now;
         match *step {
             Step::Beat { server, address, drains, cold_ms } => {
                 self.servers[server].1 += 1;
@@ -294,7 +294,7 @@
             }
             Step::Leave(server) => {
                 let id = self.id(server);
-                self.harbour.register.leave(now, &id);
+                self.cluster.register.leave(now, &id);
                 self.reference.end(&id, End::Final);
                 self.servers[server].0 += 1;
             }
@@ -303,7 +303,7 @@
             Step::Ask { gateway, ready, held_ms } => self.ask(gateway, ready, held_ms)?,
             Step::Breaks(gateway) => {
                 let (name, life) = (GATEWAYS[gateway], self.gateways[gateway].life);
-                self.harbour.register.gateway_left(now, name, life);
+                self.cluster.register.gateway_left(now, name, life);
                 let known = self.reference.gateways.get_mut(name).filter(|known| known.2 == Some(life));
                 if let Some((until, ..)) = known {
                     *until = (*until).min(now + 1_000);
@@ -323,24 +323,24 @@
                 }
             }
             Step::Follow => {
-                let applied = self.harbour.tell(&mut self.follower, Caller::Core).unwrap_or_default();
+                let applied = self.cluster.tell(&mut self.follower, Caller::Core).unwrap_or_default();
                 let Applied { gone, .. } = applied;
                 let there = self.follower.catalog();
                 self.follower_gone.extend(gone.iter().map(|id| id.to_string()));
                 self.follower_gone.retain(|id| !there.servers.contains_key(id.as_str()));
-                self.harbour.tell(&mut self.reader, Caller::Core);
+                self.cluster.tell(&mut self.reader, Caller::Core);
                 prop_assert_eq!(
                     &*self.reader.catalog(),
-                    &*self.harbour.catalog(),
+                    &*self.cluster.catalog(),
                     "{} ms: what differs",
                     now
                 );
-                prop_assert_eq!(self.harbour.tell(&mut self.reader, Caller::Core), None);
+                prop_assert_eq!(self.cluster.tell(&mut self.reader, Caller::Core), None);
             }
             Step::Evacuate(zones) => {
                 let chosen = (0..3).filter(|bit| zones & (1 << bit) != 0).map(|bit| ZONES[bit].to_string());
                 let chosen: BTreeSet<String> = chosen.collect();
-                self.harbour.register.evacuated(now, chosen.clone());
+                self.cluster.register.evacuated(now, chosen.clone());
                 self.reference.evacuate(now, chosen);
             }
             Step::Configure => {
@@ -353,31 +353,31 @@
     }
 
     fn wait(&mut self, ms: u64) -> Result<(), TestCaseError> {
-        let end = self.harbour.now + ms;
-        while self.harbour.now < end {
-            self.harbour.wait(TICK_MS.min(end - self.harbour.now));
-            let now = self.harbour.now;
-            for id in std::mem::take(&mut self.harbour.expired) {
+        let end = self.cluster.now + ms;
+        while self.cluster.now < end {
+            self.cluster.wait(TICK_MS.min(end - self.cluster.now));
+            let now = self.cluster.now;
+            for id in std::mem::take(&mut self.cluster.expired) {
                 let life = self.reference.lives.get(&id);
                 let (heard, beat) = life.map_or((now, None), |life| (life.heard, life.beat));
                 prop_assert!(heard + tuning().silence_ms < now, "{} ms: {} beat at {}", now, id, heard);
                 self.reference.end(&id, End::Silent(beat));
             }
             self.check()?;
-            self.reference.check_times(now, &self.harbour.catalog().servers)?;
+            self.reference.check_times(now, &self.cluster.catalog().servers)?;
         }
         Ok(())
     }
 
     fn ask(&mut self, number: usize, ready: bool, held_ms: u64) -> Result<(), TestCaseError> {
-        let (now, name) = (self.harbour.now, GATEWAYS[number]);
+        let (now, name) = (self.cluster.now, GATEWAYS[number]);
         let gateway = &mut self.gateways[number];
         let told = Some(line(name, ZONES[number % 3], ready));
         let call = gateway.copy.ask(Caller::Gateway, name, gateway.life, told, 1_000);
-        self.harbour.register.called(now, &call);
+        self.cluster.register.called(now, &call);
         self.reference.gateways.insert(name.into(), (now + KEEPS_MS, ready, Some(call.life)));
-        let answer = self.harbour.register.answer(self.harbour.now, &call, 0);
-        let answer = answer.unwrap_or_else(|| self.harbour.register.nothing(0));
+        let answer = self.cluster.register.answer(self.cluster.now, &call, 0);
+        let answer = answer.unwrap_or_else(|| self.cluster.register.nothing(0));
         self.answers.push(answer.clone());
         let (before, turn) = (gateway.copy.catalog(), gateway.copy.term() < answer.term);
         prop_assert!(gateway.copy.apply(answer).is_ok(), "{} ms: refused by {}", now, name);
@@ -386,8 +386,8 @@
         let catalog = gateway.copy.catalog();
         prop_assert_eq!(catalog.version(), self.version);
         prop_assert_eq!(&*catalog.evacuated, &self.reference.zones);
-        let whole = !self.harbour.register.gathering();
-        let truth = self.harbour.catalog();
+        let whole = !self.cluster.register.gathering();
+        let truth = self.cluster.catalog();
         for (id, line) in catalog.servers.iter() {
             let drained = before.servers.get(id).is_some_and(|old| old.state == ServerState::Draining);
             let back = turn && drained && line.state == ServerState::InService;
@@ -420,11 +420,11 @@
         let doc = serde_json::json!({ "config_version": self.version });
         let digest = DocumentDigest::of(&doc);
         let line = ConfigLine { version: self.version, doc };
-        self.harbour.register.config(Rc::new(line), digest, Changes::default());
+        self.cluster.register.config(Rc::new(line), digest, Changes::default());
     }
 
     fn take_over(&mut self, copy: bool) {
-        let (now, zones) = (self.harbour.now, self.reference.zones.clone());
+        let (now, zones) = (self.cluster.now, self.reference.zones.clone());
         let copy = copy.then(|| self.follower.clone());
         let mut reference = Reference { began: now, ..Reference::default() };
         if let Some(copy) = &copy {
@@ -449,16 +449,16 @@
             let roster = catalog.roster.iter().map(|line| (line.name.clone(), (until, line.ready, None)));
             reference.gateways = roster.collect();
         }
-        self.harbour = Cluster::from(now, self.harbour.register.term() + 1, copy);
+        self.cluster = Cluster::from(now, self.cluster.register.term() + 1, copy);
         self.reference = reference;
         self.reader = Copy::new();
-        self.harbour.register.evacuated(now, zones.clone());
+        self.cluster.register.evacuated(now, zones.clone());
         self.reference.evacuate(now, zones);
         self.configure();
     }
 
     fn check(&self) -> Result<(), TestCaseError> {
-        let (now, catalog) = (self.harbour.now, self.harbour.catalog());
+        let (now, catalog) = (self.cluster.now, self.cluster.catalog());
         for line in catalog.servers.values() {
             self.reference.check_line(now, line)?;
         }
--- a/crates/registry/tests/servers.rs
+++ b/crates/registry/tests/servers.rs
@@ -13,195 +13,195 @@
 
 #[test]
 fn a_drain_holds_through_late_beats_and_a_crash() {
-    let mut harbour = Cluster::new();
-    harbour.crowd(3, "a1");
-    assert_eq!(harbour.beat("x", &beat("x:1", "a1", 1)), BeatKind::Came);
-    let told = harbour.register.beat(harbour.now, "x", &draining("x:1", "a1", 4));
+    let mut cluster = Cluster::new();
+    cluster.crowd(3, "a1");
+    assert_eq!(cluster.beat("x", &beat("x:1", "a1", 1)), BeatKind::Came);
+    let told = cluster.register.beat(cluster.now, "x", &draining("x:1", "a1", 4));
     assert_eq!(told.kind, BeatKind::Changed);
-    assert_eq!(harbour.beat("x", &beat("x:1", "a1", 3)), BeatKind::Late);
-    let again = harbour.register.beat(harbour.now, "x", &draining("x:1", "a1", 5));
+    assert_eq!(cluster.beat("x", &beat("x:1", "a1", 3)), BeatKind::Late);
+    let again = cluster.register.beat(cluster.now, "x", &draining("x:1", "a1", 5));
     assert_eq!((again.kind, again.at), (BeatKind::Same, told.at), "a repeat waits for the same change");
-    assert_eq!(harbour.state("x"), Some(ServerState::Draining));
-    harbour.wait(6_000);
-    assert_eq!(harbour.expired, ["x"]);
-    assert_eq!(harbour.beat("x", &beat("x:1", "a1", 3)), BeatKind::Late);
-    assert_eq!(harbour.state("x"), None);
-    assert_eq!(harbour.beat("x", &draining("x:1", "a1", 6)), BeatKind::Came, "it was only cut off");
+    assert_eq!(cluster.state("x"), Some(ServerState::Draining));
+    cluster.wait(6_000);
+    assert_eq!(cluster.expired, ["x"]);
+    assert_eq!(cluster.beat("x", &beat("x:1", "a1", 3)), BeatKind::Late);
+    assert_eq!(cluster.state("x"), None);
+    assert_eq!(cluster.beat("x", &draining("x:1", "a1", 6)), BeatKind::Came, "it was only cut off");
 }
 
 #[test]
 fn the_newest_word_counts_and_the_end_is_final() {
-    let mut harbour = Cluster::new();
-    harbour.beat("x", &draining("x:1", "a1", 7));
-    assert_eq!(harbour.beat("x", &beat("x:1", "a1", 9)), BeatKind::Changed);
-    assert_eq!(harbour.beat("x", &draining("x:1", "a1", 8)), BeatKind::Late);
-    assert_eq!(harbour.state("x"), Some(ServerState::InService));
-    harbour.register.leave(harbour.now, "x");
-    harbour.register.leave(harbour.now, "never-beat");
-    assert_eq!(harbour.beat("x", &beat("x:1", "a1", 10)), BeatKind::Ended);
-    assert_eq!(harbour.beat("never-beat", &beat("y:1", "a1", 1)), BeatKind::Ended);
-    assert_eq!(harbour.register.servers(), 0);
+    let mut cluster = Cluster::new();
+    cluster.beat("x", &draining("x:1", "a1", 7));
+    assert_eq!(cluster.beat("x", &beat("x:1", "a1", 9)), BeatKind::Changed);
+    assert_eq!(cluster.beat("x", &draining("x:1", "a1", 8)), BeatKind::Late);
+    assert_eq!(cluster.state("x"), Some(ServerState::InService));
+    cluster.register.leave(cluster.now, "x");
+    cluster.register.leave(cluster.now, "never-beat");
+    assert_eq!(cluster.beat("x", &beat("x:1", "a1", 10)), BeatKind::Ended);
+    assert_eq!(cluster.beat("never-beat", &beat("y:1", "a1", 1)), BeatKind::Ended);
+    assert_eq!(cluster.register.servers(), 0);
 }
 
 #[test]
 fn an_address_belongs_to_the_life_that_came_last() {
-    let mut harbour = Cluster::new();
-    harbour.crowd(3, "a1");
-    harbour.beat("old", &beat("p:1", "a1", 50));
-    harbour.wait(2_000);
+    let mut cluster = Cluster::new();
+    cluster.crowd(3, "a1");
+    cluster.beat("old", &beat("p:1", "a1", 50));
+    cluster.wait(2_000);
     let mut other = beat("p:1", "a1", 1);
     other.backend = "eligcheck".into();
-    assert_eq!(harbour.beat("new", &other), BeatKind::Came);
-    assert_eq!(harbour.state("old"), None);
-    assert_eq!(harbour.beat("old", &beat("p:1", "a1", 51)), BeatKind::Ended);
-    assert_eq!(harbour.catalog().servers["new"].backend, "eligcheck");
+    assert_eq!(cluster.beat("new", &other), BeatKind::Came);
+    assert_eq!(cluster.state("old"), None);
+    assert_eq!(cluster.beat("old", &beat("p:1", "a1", 51)), BeatKind::Ended);
+    assert_eq!(cluster.catalog().servers["new"].backend, "eligcheck");
     // The same where the older life had been withdrawn for its silence.
-    harbour.beat("gone", &beat("q:1", "a1", 5));
-    harbour.wait(6_000);
-    harbour.beat("next", &beat("q:1", "a1", 1));
-    assert_eq!(harbour.beat("gone", &beat("q:1", "a1", 6)), BeatKind::Ended);
-    assert_eq!(harbour.state("next"), Some(ServerState::InService));
+    cluster.beat("gone", &beat("q:1", "a1", 5));
+    cluster.wait(6_000);
+    cluster.beat("next", &beat("q:1", "a1", 1));
+    assert_eq!(cluster.beat("gone", &beat("q:1", "a1", 6)), BeatKind::Ended);
+    assert_eq!(cluster.state("next"), Some(ServerState::InService));
 }
 
 #[test]
 fn lives_are_not_withdrawn_together() {
-    let mut harbour = Cluster::new();
-    harbour.crowd(9, "a1");
-    harbour.wait(3_000);
-    let crowd = std::mem::take(&mut harbour.beating);
-    harbour.wait(10_000);
-    assert!(harbour.expired.is_empty(), "cut off, not they");
+    let mut cluster = Cluster::new();
+    cluster.crowd(9, "a1");
+    cluster.wait(3_000);
+    let crowd = std::mem::take(&mut cluster.beating);
+    cluster.wait(10_000);
+    assert!(cluster.expired.is_empty(), "cut off, not they");
     // Most are back: the others have as long as after a beat.
-    harbour.beating = crowd[..6].to_vec();
-    harbour.wait(3_000);
-    assert!(harbour.expired.is_empty());
-    harbour.beating = crowd[..8].to_vec();
-    harbour.wait(6_000);
-    assert_eq!(harbour.expired, ["s8"]);
-    harbour.beating.clear();
-    harbour.wait(25_000);
-    assert_eq!(harbour.register.servers(), 0, "not for ever");
+    cluster.beating = crowd[..6].to_vec();
+    cluster.wait(3_000);
+    assert!(cluster.expired.is_empty());
+    cluster.beating = crowd[..8].to_vec();
+    cluster.wait(6_000);
+    assert_eq!(cluster.expired, ["s8"]);
+    cluster.beating.clear();
+    cluster.wait(25_000);
+    assert_eq!(cluster.register.servers(), 0, "not for ever");
 }
 
 #[test]
 fn standing_still_is_not_their_silence() {
-    let mut harbour = Cluster::new();
-    harbour.crowd(4, "a1");
-    harbour.wait(1_000);
-    harbour.now += 9_000;
-    harbour.beat("s0", &beat("s0:1", "a1", 99));
-    harbour.beat("s1", &beat("s1:1", "a1", 99));
-    harbour.beat("s2", &beat("s2:1", "a1", 99));
-    assert!(harbour.register.tick(harbour.now).is_empty());
+    let mut cluster = Cluster::new();
+    cluster.crowd(4, "a1");
+    cluster.wait(1_000);
+    cluster.now += 9_000;
+    cluster.beat("s0", &beat("s0:1", "a1", 99));
+    cluster.beat("s1", &beat("s1:1", "a1", 99));
+    cluster.beat("s2", &beat("s2:1", "a1", 99));
+    assert!(cluster.register.tick(cluster.now).is_empty());
 }
 
 #[test]
 fn beats_that_tell_nothing_new_are_not_told() {
-    let mut harbour = Cluster::new();
-    harbour.calling = vec![("g", "a1")];
-    harbour.crowd(1, "a1");
-    harbour.wait(6_000);
-    harbour.beat("x", &cold("x:1", "a1", 1, 5_000));
-    assert_eq!(harbour.permit("x").as_deref(), Some("g"));
-    let seq = harbour.register.seq();
-    harbour.wait(1_500);
-    assert_eq!(harbour.beat("x", &cold("x:1", "a1", 2, 3_500)), BeatKind::Same);
-    assert_eq!(harbour.register.seq(), seq, "a countdown is no news");
-    harbour.wait(3_250);
-    assert!(harbour.permit("x").is_some());
-    harbour.wait(500);
-    assert_eq!(harbour.permit("x"), None, "warm by time");
-    assert_eq!(harbour.beat("x", &beat("x:1", "a1", 3)), BeatKind::Same);
-    assert_eq!(harbour.beat("x", &cold("x:1", "a1", 4, 2_000)), BeatKind::Changed, "cold again");
-    assert_eq!(harbour.beat("x", &beat("x:1", "a1", 5)), BeatKind::Changed, "0 is warm at once");
+    let mut cluster = Cluster::new();
+    cluster.calling = vec![("g", "a1")];
+    cluster.crowd(1, "a1");
+    cluster.wait(6_000);
+    cluster.beat("x", &cold("x:1", "a1", 1, 5_000));
+    assert_eq!(cluster.permit("x").as_deref(), Some("g"));
+    let seq = cluster.register.seq();
+    cluster.wait(1_500);
+    assert_eq!(cluster.beat("x", &cold("x:1", "a1", 2, 3_500)), BeatKind::Same);
+    assert_eq!(cluster.register.seq(), seq, "a countdown is no news");
+    cluster.wait(3_250);
+    assert!(cluster.permit("x").is_some());
+    cluster.wait(500);
+    assert_eq!(cluster.permit("x"), None, "warm by time");
+    assert_eq!(cluster.beat("x", &beat("x:1", "a1", 3)), BeatKind::Same);
+    assert_eq!(cluster.beat("x", &cold("x:1", "a1", 4, 2_000)), BeatKind::Changed, "cold again");
+    assert_eq!(cluster.beat("x", &beat("x:1", "a1", 5)), BeatKind::Changed, "0 is warm at once");
 }
 
 #[test]
 fn permits_go_to_near_gateways_and_spread() {
-    let mut harbour = Cluster::new();
-    harbour.calling = vec![("b", "b1"), ("g", "a1"), ("h", "a1"), ("i", "a2")];
-    harbour.wait(4_000);
+    let mut cluster = Cluster::new();
+    cluster.calling = vec![("b", "b1"), ("g", "a1"), ("h", "a1"), ("i", "a2")];
+    cluster.wait(4_000);
     for n in 0..6 {
-        harbour.beat(&format!("x{n}"), &cold(&format!("x{n}:1"), "a1", 1, 60_000));
+        cluster.beat(&format!("x{n}"), &cold(&format!("x{n}:1"), "a1", 1, 60_000));
     }
-    let mut holders: Vec<String> = (0..6).filter_map(|n| harbour.permit(&format!("x{n}"))).collect();
+    let mut holders: Vec<String> = (0..6).filter_map(|n| cluster.permit(&format!("x{n}"))).collect();
     holders.sort();
     assert_eq!(holders, ["g", "g", "g", "h", "h", "h"]);
-    harbour.calling = vec![("b", "b1")];
-    harbour.wait(8_000);
-    assert_eq!(harbour.permit("x0").as_deref(), Some("b"), "far ones are better than none");
-    harbour.calling = vec![("b", "b1"), ("g", "a1")];
-    harbour.wait(8_000);
-    assert_eq!(harbour.permit("x0").as_deref(), Some("b"), "it stays while that gateway lives");
+    cluster.calling = vec![("b", "b1")];
+    cluster.wait(8_000);
+    assert_eq!(cluster.permit("x0").as_deref(), Some("b"), "far ones are better than none");
+    cluster.calling = vec![("b", "b1"), ("g", "a1")];
+    cluster.wait(8_000);
+    assert_eq!(cluster.permit("x0").as_deref(), Some("b"), "it stays while that gateway lives");
 }
 
 #[test]
 fn a_permit_moves_through_a_time_in_which_nobody_has_it() {
-    let mut harbour = Cluster::new();
-    harbour.calling = vec![("g", "a1"), ("h", "a2")];
-    harbour.wait(4_000);
-    harbour.beat("x", &cold("x:1", "a1", 1, 60_000));
-    assert_eq!(harbour.permit("x").as_deref(), Some("g"));
+    let mut cluster = Cluster::new();
+    cluster.calling = vec![("g", "a1"), ("h", "a2")];
+    cluster.wait(4_000);
+    cluster.beat("x", &cold("x:1", "a1", 1, 60_000));
+    assert_eq!(cluster.permit("x").as_deref(), Some("g"));
     // A connection that breaks and comes back moves nothing.
-    harbour.register.gateway_left(harbour.now, "g", 1);
-    harbour.wait(250);
-    assert_eq!(harbour.permit("x").as_deref(), Some("g"));
+    cluster.register.gateway_left(cluster.now, "g", 1);
+    cluster.wait(250);
+    assert_eq!(cluster.permit("x").as_deref(), Some("g"));
     // One that says it leaves loses it at once.
-    harbour.calling = vec![("h", "a2")];
-    harbour.register.called(harbour.now, &hello("g", "a1", 1, false));
-    harbour.wait(250);
-    assert_eq!(harbour.permit("x").as_deref(), Some(""));
-    harbour.wait(2_750);
-    assert_eq!(harbour.permit("x").as_deref(), Some(""));
-    harbour.wait(500);
-    assert_eq!(harbour.permit("x").as_deref(), Some("h"));
+    cluster.calling = vec![("h", "a2")];
+    cluster.register.called(cluster.now, &hello("g", "a1", 1, false));
+    cluster.wait(250);
+    assert_eq!(cluster.permit("x").as_deref(), Some(""));
+    cluster.wait(2_750);
+    assert_eq!(cluster.permit("x").as_deref(), Some(""));
+    cluster.wait(500);
+    assert_eq!(cluster.permit("x").as_deref(), Some("h"));
 }
 
 #[test]
 fn a_life_that_comes_back_has_no_second_permit() {
-    let mut harbour = Cluster::new();
-    harbour.calling = vec![("g", "a1"), ("h", "a2")];
-    harbour.crowd(3, "a2");
-    harbour.wait(4_000);
-    harbour.beat("x", &cold("x:1", "a1", 1, 60_000));
-    harbour.wait(5_250);
-    assert_eq!(harbour.expired, ["x"]);
-    harbour.calling = vec![("h", "a2")];
-    harbour.register.called(harbour.now, &hello("g", "a1", 1, false));
-    harbour.beat("x", &cold("x:1", "a1", 2, 60_000));
+    let mut cluster = Cluster::new();
+    cluster.calling = vec![("g", "a1"), ("h", "a2")];
+    cluster.crowd(3, "a2");
+    cluster.wait(4_000);
+    cluster.beat("x", &cold("x:1", "a1", 1, 60_000));
+    cluster.wait(5_250);
+    assert_eq!(cluster.expired, ["x"]);
+    cluster.calling = vec![("h", "a2")];
+    cluster.register.called(cluster.now, &hello("g", "a1", 1, false));
+    cluster.beat("x", &cold("x:1", "a1", 2, 60_000));
     assert_eq!(
-        harbour.permit("x").as_deref(),
+        cluster.permit("x").as_deref(),
         Some(""),
         "the first holder may not have heard of the withdrawal"
     );
-    harbour.wait(3_250);
-    assert_eq!(harbour.permit("x").as_deref(), Some("h"));
+    cluster.wait(3_250);
+    assert_eq!(cluster.permit("x").as_deref(), Some("h"));
 }
 
 #[test]
 fn after_an_evacuation_each_server_is_held_until_it_has_beaten() {
-    let mut harbour = Cluster::new();
-    harbour.calling = vec![("g", "a1")];
-    harbour.wait(4_000);
-    harbour.beat("x", &beat("x:1", "a1", 1));
-    harbour.beat("y", &beat("y:1", "a1", 1));
-    harbour.beat("z", &beat("z:1", "b1", 1));
-    harbour.register.evacuated(harbour.now, zones(["a1", "b1"]));
-    harbour.wait(1_000);
-    let mut gateway = harbour.copy();
+    let mut cluster = Cluster::new();
+    cluster.calling = vec![("g", "a1")];
+    cluster.wait(4_000);
+    cluster.beat("x", &beat("x:1", "a1", 1));
+    cluster.beat("y", &beat("y:1", "a1", 1));
+    cluster.beat("z", &beat("z:1", "b1", 1));
+    cluster.register.evacuated(cluster.now, zones(["a1", "b1"]));
+    cluster.wait(1_000);
+    let mut gateway = cluster.copy();
     assert_eq!(*gateway.catalog().evacuated, zones(["a1", "b1"]));
-    harbour.register.evacuated(harbour.now, zones(["b1"]));
-    harbour.tell(&mut gateway, Caller::Gateway).expect("news");
+    cluster.register.evacuated(cluster.now, zones(["b1"]));
+    cluster.tell(&mut gateway, Caller::Gateway).expect("news");
     let permit = |id: &str| gateway.catalog().servers[id].cold.clone();
     assert_eq!(*gateway.catalog().evacuated, zones(["b1"]));
     assert_eq!((permit("x"), permit("z")), (Some(String::new()), None), "barred with the withdrawal");
-    harbour.now += 100;
-    harbour.beat("x", &beat("x:1", "a1", 2));
-    assert_eq!(harbour.permit("x").as_deref(), Some(""), "may have been sent before it turned cold");
-    harbour.wait(900);
-    harbour.beat("x", &beat("x:1", "a1", 3));
-    harbour.beat("y", &cold("y:1", "a1", 2, 3_000));
-    assert_eq!((harbour.permit("x"), harbour.permit("y").as_deref()), (None, Some("g")));
+    cluster.now += 100;
+    cluster.beat("x", &beat("x:1", "a1", 2));
+    assert_eq!(cluster.permit("x").as_deref(), Some(""), "may have been sent before it turned cold");
+    cluster.wait(900);
+    cluster.beat("x", &beat("x:1", "a1", 3));
+    cluster.beat("y", &cold("y:1", "a1", 2, 3_000));
+    assert_eq!((cluster.permit("x"), cluster.permit("y").as_deref()), (None, Some("g")));
 }
 
 #[test]
@@ -288,17 +288,17 @@
 
 #[test]
 fn operators_see_how_many_of_each_service_are_in_which_state() {
-    let mut harbour = Cluster::new();
-    harbour.beat("w1", &beat("w:1", "a1", 1));
-    harbour.beat("w2", &beat("w:2", "a1", 1));
-    harbour.beat("c", &cold("c:1", "a1", 1, 9_000));
-    harbour.beat("d", &draining("d:1", "a1", 1));
+    let mut cluster = Cluster::new();
+    cluster.beat("w1", &beat("w:1", "a1", 1));
+    cluster.beat("w2", &beat("w:2", "a1", 1));
+    cluster.beat("c", &cold("c:1", "a1", 1, 9_000));
+    cluster.beat("d", &draining("d:1", "a1", 1));
     let mut last = cold("l:1", "b1", 1, 9_000);
     (last.backend, last.state) = ("eligcheck".into(), ServerState::Draining);
-    harbour.beat("l", &last);
-    let tally = harbour.register.tally();
+    cluster.beat("l", &last);
+    let tally = cluster.register.tally();
     assert_eq!(tally["bookdesk"], [("in_service", 2), ("cold", 1), ("draining", 1)].into());
     assert_eq!(tally["eligcheck"], [("draining", 1)].into(), "one that leaves is not warming up");
-    harbour.register.leave(harbour.now, "l");
-    assert!(!harbour.register.tally().contains_key("eligcheck"));
+    cluster.register.leave(cluster.now, "l");
+    assert!(!cluster.register.tally().contains_key("eligcheck"));
 }
--- a/crates/registry/tests/watching.rs
+++ b/crates/registry/tests/watching.rs
@@ -13,87 +13,87 @@
 
 #[test]
 fn a_gateway_is_ready_while_it_calls() {
-    let mut harbour = Cluster::new();
+    let mut cluster = Cluster::new();
     let ready =
-        |harbour: &Cluster| harbour.register.roster().iter().map(|line| line.ready).collect::<Vec<_>>();
-    harbour.register.called(harbour.now, &hello("g", "a1", 1, true));
-    harbour.wait(2_000);
-    assert_eq!(ready(&harbour), [true], "its call is held for a second, the next one may be under way");
-    harbour.wait(500);
-    assert_eq!((ready(&harbour), harbour.register.gateways()), (vec![false], 1));
-    harbour.wait(5_000);
-    assert_eq!((ready(&harbour), harbour.register.gateways()), (vec![false], 0));
-    harbour.wait(20_000);
-    assert!(ready(&harbour).is_empty());
-    harbour.register.called(harbour.now, &hello("g", "a1", 1, true));
-    harbour.register.gateway_left(harbour.now, "g", 1);
-    assert_eq!((ready(&harbour), harbour.register.gateways()), (vec![false], 1), "it may come back");
+        |cluster: &Cluster| cluster.register.roster().iter().map(|line| line.ready).collect::<Vec<_>>();
+    cluster.register.called(cluster.now, &hello("g", "a1", 1, true));
+    cluster.wait(2_000);
+    assert_eq!(ready(&cluster), [true], "its call is held for a second, the next one may be under way");
+    cluster.wait(500);
+    assert_eq!((ready(&cluster), cluster.register.gateways()), (vec![false], 1));
+    cluster.wait(5_000);
+    assert_eq!((ready(&cluster), cluster.register.gateways()), (vec![false], 0));
+    cluster.wait(20_000);
+    assert!(ready(&cluster).is_empty());
+    cluster.register.called(cluster.now, &hello("g", "a1", 1, true));
+    cluster.register.gateway_left(cluster.now, "g", 1);
+    assert_eq!((ready(&cluster), cluster.register.gateways()), (vec![false], 1), "it may come back");
 }
 
 #[test]
 fn operators_see_who_is_away_who_is_silent_and_who_has_which_version() {
-    let mut harbour = Cluster::new();
+    let mut cluster = Cluster::new();
     let call = |version| WatchCall { version, ..hello("g", "a1", 1, true) };
-    let standing = |harbour: &Cluster| {
-        let gateway = harbour.register.gateway_standings(harbour.now).remove(0);
+    let standing = |cluster: &Cluster| {
+        let gateway = cluster.register.gateway_standings(cluster.now).remove(0);
         (gateway.version, gateway.away_ms, gateway.line.ready)
     };
-    harbour.register.called(harbour.now, &call(3));
-    assert_eq!(standing(&harbour), (Some(3), None, true));
-    harbour.register.called(harbour.now, &call(5));
-    harbour.register.gateway_left(harbour.now, "g", 1);
-    harbour.wait(1_000);
-    assert_eq!(standing(&harbour), (Some(5), Some(1_000), false));
-    harbour.register.called(harbour.now, &call(5));
-    assert_eq!(standing(&harbour), (Some(5), None, true));
+    cluster.register.called(cluster.now, &call(3));
+    assert_eq!(standing(&cluster), (Some(3), None, true));
+    cluster.register.called(cluster.now, &call(5));
+    cluster.register.gateway_left(cluster.now, "g", 1);
+    cluster.wait(1_000);
+    assert_eq!(standing(&cluster), (Some(5), Some(1_000), false));
+    cluster.register.called(cluster.now, &call(5));
+    assert_eq!(standing(&cluster), (Some(5), None, true));
 
-    let silent = |harbour: &Cluster| {
-        let lives = harbour.register.server_standings(harbour.now);
+    let silent = |cluster: &Cluster| {
+        let lives = cluster.register.server_standings(cluster.now);
         lives.iter().map(|life| life.silent_ms).collect::<Vec<_>>()
     };
-    harbour.register.beat(harbour.now, "s", &beat("s:1", "a1", 1));
-    harbour.wait(HEARTBEAT_MS * 2);
-    assert_eq!(silent(&harbour), [None], "one beat may be lost");
-    harbour.wait(HEARTBEAT_MS);
-    assert_eq!(silent(&harbour), [Some(HEARTBEAT_MS * 3)]);
-    harbour.register.beat(harbour.now, "s", &beat("s:1", "a1", 2));
-    assert_eq!(silent(&harbour), [None]);
+    cluster.register.beat(cluster.now, "s", &beat("s:1", "a1", 1));
+    cluster.wait(HEARTBEAT_MS * 2);
+    assert_eq!(silent(&cluster), [None], "one beat may be lost");
+    cluster.wait(HEARTBEAT_MS);
+    assert_eq!(silent(&cluster), [Some(HEARTBEAT_MS * 3)]);
+    cluster.register.beat(cluster.now, "s", &beat("s:1", "a1", 2));
+    assert_eq!(silent(&cluster), [None]);
 }
 
 #[test]
 fn trials_are_told_where_one_changed_with_the_moment_from_which_they_hold_and_never_lead_back() {
-    let mut harbour = Cluster::new();
-    harbour.register.trials(Vec::new());
+    let mut cluster = Cluster::new();
+    cluster.register.trials(Vec::new());
     let mut copy = Copy::new();
     let ask = |copy: &Copy| copy.ask(Caller::Gateway, "g", 1, None, 1_000);
-    let first = harbour.register.answer(harbour.now, &ask(&copy), 0).expect("the first");
+    let first = cluster.register.answer(cluster.now, &ask(&copy), 0).expect("the first");
     assert!(!serde_json::to_string(&first).expect("plain data").contains("trials"), "none has ever changed");
     copy.apply(first).expect("the first");
     let tide = |step, stage, holds| Tide { tenant: "t".into(), step, stage, holds };
-    let (seq, holds) = (harbour.register.seq(), harbour.now + 300);
-    harbour.register.trials(vec![tide(4, 1, holds)]);
-    assert!(harbour.register.seq() > seq, "held calls look again");
-    harbour.wait(100);
-    let early = harbour.register.answer(harbour.now, &ask(&copy), 0).expect("news");
-    harbour.register.trials(vec![tide(5, 2, holds)]);
-    let news = harbour.register.answer(harbour.now, &ask(&copy), 0).expect("news");
+    let (seq, holds) = (cluster.register.seq(), cluster.now + 300);
+    cluster.register.trials(vec![tide(4, 1, holds)]);
+    assert!(cluster.register.seq() > seq, "held calls look again");
+    cluster.wait(100);
+    let early = cluster.register.answer(cluster.now, &ask(&copy), 0).expect("news");
+    cluster.register.trials(vec![tide(5, 2, holds)]);
+    let news = cluster.register.answer(cluster.now, &ask(&copy), 0).expect("news");
     let line = |step, stage, in_ms| TrialLine { tenant: "t".into(), step, stage, in_ms };
     assert_eq!(copy.apply(news).expect("newer").trials, [line(5, 2, 200)]);
-    assert!(harbour.register.answer(harbour.now, &ask(&copy), 0).is_none(), "all is told");
+    assert!(cluster.register.answer(cluster.now, &ask(&copy), 0).is_none(), "all is told");
     // A new leader that lags behind, and the same step once more.
     let of_another = WatchAnswer { term: early.term + 1, ..early };
     assert_eq!(copy.apply(of_another).expect("a new leader").trials, []);
     assert_eq!(copy.catalog().trials.get("t"), Some(&(5, 2)));
     assert_eq!(copy.whole().trials, Some(vec![line(5, 2, 0)]));
-    harbour.wait(300);
-    let late = harbour.register.answer(harbour.now, &ask(&Copy::new()), 0).and_then(|answer| answer.trials);
+    cluster.wait(300);
+    let late = cluster.register.answer(cluster.now, &ask(&Copy::new()), 0).and_then(|answer| answer.trials);
     assert_eq!(late, Some(vec![line(5, 2, 0)]), "who hears late has it at once");
 }
 
 #[test]
 fn a_replaced_life_says_nothing_more() {
-    let mut harbour = Cluster::new();
-    let register = &mut harbour.register;
+    let mut cluster = Cluster::new();
+    let register = &mut cluster.register;
     assert_eq!(register.called(1_000, &hello("g", "a1", 9, true)), Seen::Known);
     let silent = Copy::new().ask(Caller::Gateway, "g", 4, None, 1_000);
     assert_eq!(register.called(1_000, &silent), Seen::NoLine);
@@ -106,46 +106,46 @@
 
 #[test]
 fn only_core_members_are_woken_by_the_roster() {
-    let mut harbour = Cluster::new();
-    harbour.register.called(harbour.now, &hello("g", "a1", 1, false));
+    let mut cluster = Cluster::new();
+    cluster.register.called(cluster.now, &hello("g", "a1", 1, false));
     let (mut gateway, mut follower) = (Copy::new(), Copy::new());
-    harbour.tell(&mut gateway, Caller::Gateway);
-    harbour.tell(&mut follower, Caller::Core);
-    harbour.register.called(harbour.now, &hello("g", "a1", 1, true));
-    assert_eq!(harbour.tell(&mut gateway, Caller::Gateway), None);
-    assert!(harbour.tell(&mut follower, Caller::Core).is_some_and(|applied| applied.roster));
-    assert_eq!(harbour.tell(&mut follower, Caller::Core), None);
+    cluster.tell(&mut gateway, Caller::Gateway);
+    cluster.tell(&mut follower, Caller::Core);
+    cluster.register.called(cluster.now, &hello("g", "a1", 1, true));
+    assert_eq!(cluster.tell(&mut gateway, Caller::Gateway), None);
+    assert!(cluster.tell(&mut follower, Caller::Core).is_some_and(|applied| applied.roster));
+    assert_eq!(cluster.tell(&mut follower, Caller::Core), None);
 }
 
 #[test]
 fn a_change_has_come_round_when_watchers_call_with_its_number() {
-    let mut harbour = Cluster::new();
-    harbour.register.called(harbour.now, &hello("g", "a1", 1, true));
-    let at = harbour.register.beat(harbour.now, "x", &draining("x:1", "a1", 1)).at;
+    let mut cluster = Cluster::new();
+    cluster.register.called(cluster.now, &hello("g", "a1", 1, true));
+    let at = cluster.register.beat(cluster.now, "x", &draining("x:1", "a1", 1)).at;
     let mut copy = Copy::new();
-    harbour.tell(&mut copy, Caller::Core);
-    let reach = harbour.register.reach(harbour.now, at);
+    cluster.tell(&mut copy, Caller::Core);
+    let reach = cluster.register.reach(cluster.now, at);
     assert_eq!((reach.core, reach.gateways, reach.gateways_there), (0, 0, 1));
-    harbour.register.called(harbour.now, &copy.ask(Caller::Core, "core-2", 1, None, 1_000));
-    harbour.register.called(harbour.now, &copy.ask(Caller::Gateway, "g", 1, None, 1_000));
-    let reach = harbour.register.reach(harbour.now, at);
+    cluster.register.called(cluster.now, &copy.ask(Caller::Core, "core-2", 1, None, 1_000));
+    cluster.register.called(cluster.now, &copy.ask(Caller::Gateway, "g", 1, None, 1_000));
+    let reach = cluster.register.reach(cluster.now, at);
     assert_eq!((reach.core, reach.gateways, reach.gateways_there), (1, 1, 1));
-    assert_eq!(harbour.register.reach(harbour.now, harbour.register.seq() + 1).core, 0);
+    assert_eq!(cluster.register.reach(cluster.now, cluster.register.seq() + 1).core, 0);
 }
 
 #[test]
 fn who_lags_far_behind_reads_the_whole() {
-    let mut harbour = Cluster::new();
-    harbour.crowd(2, "a1");
-    harbour.wait(6_000);
-    let mut copy = harbour.copy();
+    let mut cluster = Cluster::new();
+    cluster.crowd(2, "a1");
+    cluster.wait(6_000);
+    let mut copy = cluster.copy();
     for n in 0..1_100 {
-        harbour.beat(&format!("x{n}"), &beat("x:1", "a1", 1));
+        cluster.beat(&format!("x{n}"), &beat("x:1", "a1", 1));
     }
     let call = copy.ask(Caller::Core, "watcher", 7, None, 0);
-    assert!(harbour.register.answer(harbour.now, &call, 0).is_some_and(|answer| answer.whole));
-    harbour.tell(&mut copy, Caller::Core);
-    assert_eq!(copy.catalog(), harbour.catalog());
+    assert!(cluster.register.answer(cluster.now, &call, 0).is_some_and(|answer| answer.whole));
+    cluster.tell(&mut copy, Caller::Core);
+    assert_eq!(copy.catalog(), cluster.catalog());
 }
 
 #[test]
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -1,4 +1,4 @@
-//! The whole harbour in virtual time, for tests alone: core members' machines (`nickeljunction_replica`, all that
+//! The whole cluster in virtual time, for tests alone: core members' machines (`nickeljunction_replica`, all that
 //! `controller` decides) and gateways' (copy, allowance, lease, search), driven as the programs drive them, with scripted
 //! operators and servers between links and disks that fail when told to.
 //!
--- a/crates/simulation/tests/cases.rs
+++ b/crates/simulation/tests/cases.rs
@@ -1,11 +1,11 @@
-//! The hard cases of the whole harbour, one by one; each over some seeds, which a failure names.
+//! The hard cases of the whole cluster, one by one; each over some seeds, which a failure names.
 
 use nickeljunction_simulation::{host, Answer, Plan, Question, World, WINDOW_MS};
 
 const SEEDS: u64 = 12;
 const THREE: Plan = Plan { members: 3, seeds: 3, gateways: 3, strict: false };
 
-/// Plays a case for some seeds, each with a harbour in service at version 1 or above.
+/// Plays a case for some seeds, each with a cluster in service at version 1 or above.
 fn over(plan: Plan, case: impl Fn(&mut World)) {
     for seed in 0..SEEDS {
         let mut world = World::new(plan, seed);
--- a/crates/simulation/tests/storms.rs
+++ b/crates/simulation/tests/storms.rs
@@ -1,4 +1,4 @@
-//! Storms over whole harbours: 30 s of faults drawn by chance, then calm. `STORM=seed` plays one again.
+//! Storms over whole clusters: 30 s of faults drawn by chance, then calm. `STORM=seed` plays one again.
 
 use nickeljunction_replica::Wish;
 use nickeljunction_simulation::{host, Plan, Question, World, WINDOW_MS};
--- a/crates/simulation/tests/tides.rs
+++ b/crates/simulation/tests/tides.rs
@@ -1,4 +1,4 @@
-//! Trials that lapse and are restored, in the whole harbour: each case over some seeds, which a failure names.
+//! Trials that lapse and are restored, in the whole cluster: each case over some seeds, which a failure names.
 
 use nickeljunction_simulation::{Plan, World};
 
@@ -8,7 +8,7 @@
 const STAGES: u32 = 4;
 const STAGE_MS: u64 = 2_000;
 
-/// Plays a case for some seeds, each with a harbour in service.
+/// Plays a case for some seeds, each with a cluster in service.
 fn over(case: impl Fn(&mut World)) {
     for seed in 0..SEEDS {
         let mut world = World::new(NINE, seed);
