Take the program's clock from the runtime, so that tests can hold it

Cause: tests of shutdowns over seconds had to sleep, since the clock read the system's own steady clock. Change: `Clock` counts by the runtime's instant, which is the same outside of tests and can be paused in them.

--- a/crates/net/src/clock.rs
+++ b/crates/net/src/clock.rs
@@ -4,7 +4,8 @@
 //! the counter's names agree among gateways, which share nothing else. Stepping the system's clock later
 //! does not move this one.
 
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::Instant;
 
 /// Parts of a millisecond that the clock tells.
 const PARTS: f64 = 1024.0;
