Begin nothing in a shutdown that can't end before the process does

Cause: a gateway told to leave takes connections till its end and began every request at its full deadline; at 5.35 s of 6 s what was open was cut: slot-read sent 4.87 s after SIGTERM was cut 0.57 s later. Change: edge::shutdown holds the schedule (no I/O). A request is taken on only if its aim fits before the last moment for servers, else refused at once; a send needs half of that; servers are told to stop 350 ms before the last answers are due; edge::drain stops accepting then, waits again for what came meanwhile, and tells what is still open 504. front::lifecycle is a file of its own.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -40,6 +40,8 @@
     pub(crate) backend: Rc<str>,
     pub(crate) repeat: Repeat,
     pub(crate) max_attempts: u32,
+    /// Full worth is earned within this time, ms.
+    pub(crate) aim_ms: f64,
     /// When its client stops waiting, ms of the program's clock.
     pub(crate) deadline: f64,
     /// Its unit is good for a first byte until then, ms of the program's clock.
@@ -70,6 +72,7 @@
             backend: exchange.backend,
             repeat: exchange.repeat,
             max_attempts: exchange.max_attempts,
+            aim_ms: exchange.aim_ms,
             deadline: exchange.arrived + exchange.patience_ms,
             unit_until: exchange.unit_until,
             reply: RefCell::new(Some(exchange.reply)),
@@ -212,15 +215,9 @@
 }
 
 /// Sends a request to the server of this id, once. Dropping the future gives the attempt up and closes its connection.
-/// The server is told that `margin_ms` less is left than there is.
-pub(crate) async fn attempt(
-    pool: &Rc<Pool>,
-    id: &str,
-    load: &Load,
-    now: impl Fn() -> f64,
-    margin_ms: f64,
-) -> Ended {
-    match exchange(pool, id, load, || load.deadline - now() - margin_ms).await {
+/// The server is told how many ms are left as the request is written.
+pub(crate) async fn attempt(pool: &Rc<Pool>, id: &str, load: &Load, left_ms: impl Fn() -> f64) -> Ended {
+    match exchange(pool, id, load, left_ms).await {
         Ok(ended) => ended,
         Err(error) => {
             log::debug!("event=send_failed server={id} attempt={} error=\"{error}\"", load.attempt_id);
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -1,5 +1,6 @@
 //! The clients' side of a gateway: takes connections, reads requests, admits them, hands them on and answers them.
 
+mod lifecycle;
 mod terminal;
 
 use crate::beyond::Beyond;
@@ -15,13 +16,14 @@
 use nickeljunction_net::wheel::Wheel;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::task::Waker;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{oneshot, Notify};
+use tokio::sync::oneshot;
+
+pub use lifecycle::Lifecycle;
+use terminal::Terminal;
 
 /// How long bytes sent to a client may stay without an acknowledgement before the kernel gives the connection up.
 const UNHEARD: Duration = Duration::from_secs(10);
@@ -29,155 +31,15 @@
 const LISTENER_PAUSE_MS: f64 = 20.0;
 /// Read buffer that all connections share, bytes: an idle one holds none of its own.
 const SCRATCH: usize = 16 * 1024;
-/// How long idle connections are kept after the order to leave unless [`Lifecycle::set_idle_grace`] says otherwise, ms.
-const IDLE_GRACE_MS: f64 = 500.0;
 /// Pause told where no configuration has come yet, ms.
 const CONFIGURATION_PAUSE_MS: f64 = 200.0;
 /// Pause told where no region may serve a request, ms: only a new configuration changes that.
 const HOMELESS_PAUSE_MS: f64 = 1_000.0;
 
-const KEYS_STALE: &str = "out of touch with the core, keys can not be checked";
-
-/// One connection, as the others and the program see it.
-#[derive(Default)]
-struct Card {
-    /// Since when it has been idle, ms of the program's clock; `None`: it is not.
-    idle_since: Cell<Option<f64>>,
-    /// It is to end as soon as it is idle: its descriptor is needed.
-    evicted: Cell<bool>,
-    waker: RefCell<Option<Waker>>,
-}
-
-impl Card {
-    fn wake(&self) {
-        if let Some(waker) = self.waker.borrow_mut().take() {
-            waker.wake();
-        }
-    }
-}
-
-/// The connections of a front from the program's start to its end.
-pub struct Lifecycle {
-    leaving_since: Cell<Option<f64>>,
-    idle_grace_ms: Cell<f64>,
-    deaf: Cell<bool>,
-    deafened: Notify,
-    next: Cell<u64>,
-    cards: RefCell<BTreeMap<u64, Rc<Card>>>,
-    busy: Cell<usize>,
-    /// A connection has ended; the last one has.
-    ended: Notify,
-    emptied: Notify,
-}
-
-impl Default for Lifecycle {
-    fn default() -> Lifecycle {
-        Lifecycle {
-            leaving_since: Cell::new(None),
-            idle_grace_ms: Cell::new(IDLE_GRACE_MS),
-            deaf: Cell::new(false),
-            deafened: Notify::new(),
-            next: Cell::new(0),
-            cards: RefCell::default(),
-            busy: Cell::new(0),
-            ended: Notify::new(),
-            emptied: Notify::new(),
-        }
-    }
-}
-
-impl Lifecycle {
-    /// How long idle connections are kept after the order to leave, ms: a request that is on its way to one is still
-    /// served. 500 unless set.
-    pub fn set_idle_grace(&self, ms: f64) {
-        self.idle_grace_ms.set(ms);
-    }
-
-    /// The order to leave, at `now` ms of the program's clock: from now on the last answer of each connection closes it,
-    /// and connections that stay idle are closed. New ones are still taken, for one request each.
-    pub fn leave(&self, now: f64) {
-        self.leaving_since.set(self.leaving_since.get().or(Some(now)));
-        let cards: Vec<_> = self.cards.borrow().values().cloned().collect();
-        cards.iter().for_each(|card| card.wake());
-    }
-
-    /// The order to leave has come.
-    pub fn leaving(&self) -> bool {
-        self.leaving_since.get().is_some()
-    }
-
-    /// Takes no more connections.
-    pub fn stop_accepting(&self) {
-        self.deaf.set(true);
-        self.deafened.notify_one();
-    }
-
-    /// Connections that are open.
-    pub fn open_connections(&self) -> usize {
-        self.cards.borrow().len()
-    }
-
-    /// Connections with a request that has begun to come and is not yet answered.
-    pub fn busy(&self) -> usize {
-        self.busy.get()
-    }
-
-    /// Ready once no connection is open.
-    pub async fn empty(&self) {
-        while self.open_connections() > 0 {
-            self.emptied.notified().await;
-        }
-    }
+/// Pause told by a gateway that ends: the client's next connection goes to another one.
+const ELSEWHERE_PAUSE_MS: f64 = 50.0;
 
-    /// The connection that has been idle longest is to end; `false`: none is idle.
-    fn evict(&self) -> bool {
-        let cards = self.cards.borrow();
-        let idle = cards.values().filter(|card| !card.evicted.get());
-        let idle = idle.filter_map(|card| card.idle_since.get().map(|since| (since, card)));
-        let Some((_, card)) = idle.min_by(|one, other| one.0.total_cmp(&other.0)) else { return false };
-        card.evicted.set(true);
-        card.wake();
-        true
-    }
-}
-
-/// A connection's entry in the lifecycle; dropping it strikes it off.
-struct Entry {
-    lifecycle: Rc<Lifecycle>,
-    number: u64,
-    card: Rc<Card>,
-}
-
-impl Entry {
-    fn new(lifecycle: Rc<Lifecycle>, now: f64) -> Entry {
-        let number = lifecycle.next.replace(lifecycle.next.get() + 1);
-        let card = Rc::new(Card::default());
-        card.idle_since.set(Some(now));
-        lifecycle.cards.borrow_mut().insert(number, card.clone());
-        Entry { lifecycle, number, card }
-    }
-
-    /// Since when the connection has been idle, ms; `None`: it is busy.
-    fn set_idle(&self, since: Option<f64>) {
-        let busy = &self.lifecycle.busy;
-        match (self.card.idle_since.replace(since).is_some(), since.is_some()) {
-            (true, false) => busy.set(busy.get() + 1),
-            (false, true) => busy.set(busy.get() - 1),
-            _ => {}
-        }
-    }
-}
-
-impl Drop for Entry {
-    fn drop(&mut self) {
-        self.set_idle(Some(0.0));
-        self.lifecycle.cards.borrow_mut().remove(&self.number);
-        self.lifecycle.ended.notify_one();
-        if self.lifecycle.open_connections() == 0 {
-            self.lifecycle.emptied.notify_one();
-        }
-    }
-}
+const KEYS_STALE: &str = "out of touch with the core, keys can not be checked";
 
 /// What a front has done since its start, for logs.
 #[derive(Debug, Default)]
@@ -200,6 +62,10 @@
     pub refused: Cell<u64>,
     /// Of these, those that the core was out of touch for.
     pub stale: Cell<u64>,
+    /// Of these, those that came too late before the gateway's end.
+    pub too_late: Cell<u64>,
+    /// Told at the gateway's end that no answer had come (504, counted as late, too).
+    pub cut_by_end: Cell<u64>,
     /// Failed at a server (502).
     pub failed: Cell<u64>,
     /// Not answered in time (504).
@@ -256,6 +122,8 @@
             ("no_key", &self.no_key),
             ("over_quota", &self.over_quota),
             ("refused", &self.refused),
+            ("too_late", &self.too_late),
+            ("cut_by_end", &self.cut_by_end),
             ("failed", &self.failed),
             ("late", &self.late),
             ("improper", &self.improper),
@@ -321,10 +189,10 @@
     /// Takes clients' connections until [`Lifecycle::stop_accepting`], each in a task of its own (within a `LocalSet`).
     /// A connection without a place in the budget waits in the listener's queue while the longest idle one is closed.
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
-        while !self.lifecycle.deaf.get() {
+        while self.lifecycle.is_accepting() {
             let taken = tokio::select! {
                 biased;
-                () = self.lifecycle.deafened.notified() => continue,
+                () = self.lifecycle.stopped_accepting() => continue,
                 // A server's connection finds no place.
                 () = self.budget.squeeze.notified() => {
                     self.lifecycle.evict();
@@ -339,9 +207,10 @@
             // What can't be tuned has ended already, which reading it will tell.
             let _ = stream.set_nodelay(true);
             let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(UNHEARD));
-            let attended = self.clone().attend(stream);
+            // Known from here on, not only from its task's first turn: a shutdown waits for it.
+            let terminal = self.clone().terminal(stream);
             tokio::task::spawn_local(async move {
-                attended.await;
+                terminal.run().await;
                 drop(slot);
             });
         }
@@ -353,7 +222,7 @@
                 Some(slot) => break slot,
                 None => {
                     self.lifecycle.evict();
-                    let _ = self.wheel.timeout(LISTENER_PAUSE_MS, self.lifecycle.ended.notified()).await;
+                    let _ = self.wheel.timeout(LISTENER_PAUSE_MS, self.lifecycle.one_closed()).await;
                 }
             }
         };
@@ -363,8 +232,12 @@
 
     /// Serves one client's connection to its end.
     pub async fn attend<S: AsyncRead + AsyncWrite + Unpin>(self: Rc<Self>, io: S) {
+        self.terminal(io).run().await;
+    }
+
+    fn terminal<S: AsyncRead + AsyncWrite + Unpin>(self: Rc<Self>, io: S) -> Terminal<S> {
         count(&self.counts.connections);
-        terminal::Terminal::new(self, io).run().await;
+        Terminal::new(self, io)
     }
 
     /// A request of repeatable kind, as far as known: it may be handed on while others before it are unanswered.
@@ -411,7 +284,19 @@
         if patience_ms <= 0.0 {
             return Err(Own::refusal(503, "no time left on arrival", 0.0));
         }
-        Ok(Ask { attempt_id, route, tenant, homes, arrived, deadline_ms: left, patience_ms })
+        self.in_time(Ask { attempt_id, route, tenant, homes, arrived, deadline_ms: left, patience_ms })
+    }
+
+    /// Once the order to leave has come: the request with no more time than is left, or its refusal where it could not be
+    /// expected to end before the process does.
+    fn in_time(&self, ask: Ask) -> Result<Ask, Own> {
+        let Some(shutdown) = self.lifecycle.shutdown() else { return Ok(ask) };
+        if !shutdown.admits_request(self.wheel.now(), ask.route.aim_ms) {
+            count(&self.counts.too_late);
+            return Err(Own::refusal(503, "this gateway is about to end", ELSEWHERE_PAUSE_MS));
+        }
+        let patience_ms = shutdown.bound_patience(ask.arrived, ask.patience_ms);
+        Ok(Ask { patience_ms, ..ask })
     }
 
     /// The holder of the key that a request carries.
@@ -440,6 +325,11 @@
         if let Err(own) = self.slow(&ask).await {
             return Reply::Own(own);
         }
+        // The order to leave may have come since its head was read.
+        let ask = match self.in_time(ask) {
+            Ok(ask) => ask,
+            Err(own) => return Reply::Own(own),
+        };
         let unit_until = match self.admit(&ask).await {
             Ok(until) => until,
             Err(own) => return Reply::Own(own),
@@ -525,26 +415,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn the_longest_idle_connection_makes_room_and_a_busy_one_never() {
-        let lifecycle = Rc::new(Lifecycle::default());
-        let entries: Vec<_> = (0..4).map(|at| Entry::new(lifecycle.clone(), f64::from(at))).collect();
-        entries[0].set_idle(None);
-        entries[1].set_idle(None);
-        entries[1].set_idle(Some(9.0));
-        assert_eq!((lifecycle.busy(), lifecycle.open_connections()), (1, 4));
-        let evicted = || entries.iter().map(|entry| entry.card.evicted.get()).collect::<Vec<_>>();
-        for wanted in [[false, false, true, false], [false, false, true, true], [false, true, true, true]] {
-            assert!(lifecycle.evict());
-            assert_eq!(evicted(), wanted);
-        }
-        assert!(!lifecycle.evict());
-        drop(entries);
-        assert_eq!((lifecycle.busy(), lifecycle.open_connections()), (0, 0));
-    }
-}
--- a/crates/edge/src/front/terminal.rs
+++ b/crates/edge/src/front/terminal.rs
@@ -1,6 +1,7 @@
 //! One client's connection: requests in, answers out in the same order, some of them at work at once.
 
-use super::{count, Ask, Entry, Front};
+use super::lifecycle::Entry;
+use super::{count, Ask, Front};
 use crate::exchange::{Body, Part, Stream, MOST_WHOLE};
 use crate::reply::{put_own, put_served, Follows, Hop, Own, Reply};
 use bytes::{Buf, Bytes, BytesMut};
@@ -191,13 +192,7 @@
     // ---- waiting
 
     fn poll_event(&mut self, context: &mut Context<'_>) -> Poll<Event> {
-        let card = &self.entry.card;
-        {
-            let mut waker = card.waker.borrow_mut();
-            if !waker.as_ref().is_some_and(|waker| waker.will_wake(context.waker())) {
-                *waker = Some(context.waker().clone());
-            }
-        }
+        self.entry.connection.set_waker(context.waker());
         self.poll_work(context);
         if self.queue.front().is_some_and(|first| first.reply.is_some()) {
             return Poll::Ready(Event::Answer);
@@ -219,7 +214,7 @@
             return Poll::Ready(if there { Event::Stirred } else { Event::Gone });
         }
         // After the last look at the socket: a request that has come in time is served.
-        if self.entry.card.evicted.get() && self.idle() {
+        if self.entry.connection.is_evicted() && self.idle() {
             return Poll::Ready(Event::Gone);
         }
         let leaving = self.front.lifecycle.leaving();
@@ -229,13 +224,17 @@
         self.poll_alarm(context)
     }
 
-    /// Moves the requests at work on.
+    /// Moves the requests at work on; at the program's end those that have no answer yet are told so.
     fn poll_work(&mut self, context: &mut Context<'_>) {
+        let ended = self.front.lifecycle.is_ended();
         for waiting in &mut self.queue {
-            if let Some(work) = &mut waiting.work {
-                if let Poll::Ready(reply) = work.as_mut().poll(context) {
-                    (waiting.work, waiting.reply) = (None, Some(reply));
-                }
+            let Some(work) = &mut waiting.work else { continue };
+            if let Poll::Ready(reply) = work.as_mut().poll(context) {
+                (waiting.work, waiting.reply) = (None, Some(reply));
+            } else if ended {
+                count(&self.front.counts.cut_by_end);
+                let late = Own::new(504, "the gateway ended before a server had answered");
+                (waiting.work, waiting.reply) = (None, Some(Reply::Own(late)));
             }
         }
     }
@@ -277,9 +276,7 @@
         let lifecycle = &self.front.lifecycle;
         match &self.reading {
             Reading::Head if self.idle() => {
-                let left = lifecycle.leaving_since.get().map(|left| left.max(self.idle_since));
-                let grace = left.map_or(f64::INFINITY, |left| left + lifecycle.idle_grace_ms.get());
-                (self.idle_since + self.idle_ms).min(grace)
+                (self.idle_since + self.idle_ms).min(lifecycle.idle_until(self.idle_since))
             }
             Reading::Head if self.begun => self.moved + bounds.head_ms,
             Reading::Whole(whole) => {
@@ -564,7 +561,7 @@
         }
         let leaving = self.front.lifecycle.leaving();
         // Those behind that are at work have been passed on: they are answered first, whatever ends the connection.
-        let ends = leaving || self.entry.card.evicted.get() || matches!(self.reading, Reading::Over);
+        let ends = leaving || self.entry.connection.is_evicted() || matches!(self.reading, Reading::Over);
         let close = ends && self.queue.is_empty();
         self.idle_ms = self.front.table.get().bounds.idle_ms;
         let hop = Hop { close, minor, to_head, idle_ms: self.idle_ms };
@@ -680,7 +677,7 @@
     /// After the last answer: closes its own direction, and waits for the client to close the other.
     async fn linger(mut self) {
         self.entry.set_idle(Some(self.front.wheel.now()));
-        self.entry.card.evicted.set(true);
+        self.entry.connection.evict();
         (self.from, self.alarm) = (BytesMut::new(), None);
         let front = self.front.clone();
         let drained = async {
--- a/crates/edge/src/proxy.rs
+++ b/crates/edge/src/proxy.rs
@@ -10,6 +10,7 @@
 use crate::exchange::{Admission, Dispatch, Exchange, Served};
 use crate::exchange_state::{Sends, Withheld};
 use crate::pool::Pool;
+use crate::shutdown::Shutdown;
 use crate::upstream::{near, own_slots, spills, usable, weight, Place, Upstream};
 use nickeljunction_core::facade::{
     Class, Facade, Group, Intake, Outcome, Plan, RegionEntry, RegionState, Repeat, RequestKey, RoutedTask,
@@ -55,8 +56,8 @@
     counts: Cell<Counts>,
     /// A cold server's permit has been used since the tables were last told.
     cold_used: Cell<bool>,
-    /// The order to leave has come.
-    leaving: Cell<bool>,
+    /// The schedule of the shutdown, once the order to leave has come.
+    shutdown: Cell<Option<Shutdown>>,
     /// Who has units for further sends; nobody counts them before it is set.
     units: RefCell<Option<Weak<dyn Admission>>>,
 }
@@ -80,6 +81,15 @@
         self.wheel.now() as u64
     }
 
+    /// How long a server may work on a request from now on, ms.
+    fn left_ms(&self, load: &Load) -> f64 {
+        let deadline = match self.shutdown.get() {
+            Some(shutdown) => shutdown.bound_deadline(load.deadline),
+            None => load.deadline,
+        };
+        deadline - self.wheel.now() - self.tuning.margin_ms
+    }
+
     fn count(&self, change: impl FnOnce(&mut Counts)) {
         let mut counts = self.counts.get();
         change(&mut counts);
@@ -98,6 +108,9 @@
         if !load.has_body() {
             return Err("body is gone");
         }
+        if self.shutdown.get().is_some_and(|shutdown| !shutdown.admits_send(self.wheel.now(), load.aim_ms)) {
+            return Err("this gateway is about to end");
+        }
         let mut book = self.book.borrow_mut();
         let book = &mut *book;
         let Some(upstream) = book.upstreams.get(server) else { return Err("server is gone") };
@@ -175,7 +188,7 @@
         let handle = tokio::task::spawn_local(send).abort_handle();
         // After the order to leave all go on: what the client gets in the end may be an answer of one's own. What must not
         // run twice has no other send that may have reached a server.
-        if !self.shared.leaving.get() || load.repeat == Repeat::Once {
+        if self.shared.shutdown.get().is_none() || load.repeat == Repeat::Once {
             load.cut_kept();
         }
         self.out.insert((task.request, task.attempt), (handle, load.clone()));
@@ -271,8 +284,8 @@
     pub fn new(wheel: Wheel, budget: Rc<Budget>, here: Place, seed: u64, tuning: Tuning) -> Rc<Proxy> {
         let pool = Pool::new(wheel.clone(), budget);
         let (book, counts, cold_used) = (RefCell::default(), Cell::default(), Cell::default());
-        let (leaving, units) = (Cell::new(false), RefCell::new(None));
-        let shared = Rc::new(Shared { pool, wheel, tuning, here, book, counts, cold_used, leaving, units });
+        let (shutdown, units) = (Cell::new(None), RefCell::new(None));
+        let shared = Rc::new(Shared { pool, wheel, tuning, here, book, counts, cold_used, shutdown, units });
         Rc::new_cyclic(|me| Proxy {
             me: me.clone(),
             shared,
@@ -291,9 +304,10 @@
         *self.shared.units.borrow_mut() = Some(units);
     }
 
-    /// The order to leave: from now on no send is broken off for lack of time while its client waits, not even for another send.
-    pub fn leave(&self) {
-        self.shared.leaving.set(true);
+    /// The order to leave: from now on no send is broken off for lack of time while its client waits, not even for another
+    /// send; none begins that can't be expected to end in time, and servers are told to stop before the process does.
+    pub fn leave(&self, shutdown: Shutdown) {
+        self.shared.shutdown.set(Some(shutdown));
     }
 
     /// Takes the whole list of servers, the zones that are evacuated, and the region of each zone.
@@ -645,8 +659,7 @@
         let key = task.request;
         let wheel = self.shared.wheel.clone();
         let ended = {
-            let margin_ms = self.shared.tuning.margin_ms;
-            let sending = attempt(&self.shared.pool, &task.region, &load, || wheel.now(), margin_ms);
+            let sending = attempt(&self.shared.pool, &task.region, &load, || self.shared.left_ms(&load));
             tokio::pin!(sending);
             tokio::select! {
                 biased;
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -1,11 +1,13 @@
 //! Brings the parts up and down.
 
+use crate::drain::drain;
 use crate::exchange::Admission;
 use crate::front::{Front, Lifecycle};
 use crate::link::{Link, Own};
 use crate::metrics::Sources;
 use crate::proxy::{Proxy, Tuning};
 use crate::resolve::Resolve;
+use crate::shutdown::Shutdown;
 use crate::table::{Swap, Table};
 use crate::upstream::Place;
 use nickeljunction_net::budget::Budget;
@@ -30,12 +32,6 @@
 const MOST_ASKING: usize = 256;
 /// Of the machine's descriptors so many are for files and the system's own connections.
 const OTHER_DESCRIPTORS: u32 = 232;
-/// After the order to leave, at least so long before the end, ms: clients that were sent here still come.
-const LEAVE_LEAST_MS: f64 = 1_500.0;
-/// Time of `grace_s` that is left for the end itself, ms.
-const LEAVE_SPARE_MS: f64 = 500.0;
-/// For giving units back, ms.
-const GIVE_BACK_MS: f64 = 150.0;
 /// Between two rounds of counts in the log, ms.
 const NOTE_MS: f64 = 5_000.0;
 
@@ -151,16 +147,12 @@
     log::info!("event=serving name={} front={}", settings.node_name, addresses.frontend);
 
     wait_for_stop(&settings, &link).await?;
-    let told = wheel.now();
+    let shutdown = Shutdown::begin(wheel.now(), bounds.grace_s * 1_000.0);
     log::info!("event=leaving name={} open={}", settings.node_name, lifecycle.open_connections());
     link.leave();
-    leaving.leave();
-    lifecycle.leave(told);
-    wheel.sleep_until(told + LEAVE_LEAST_MS).await;
-    let left = told + bounds.grace_s * 1_000.0 - LEAVE_SPARE_MS - GIVE_BACK_MS - wheel.now();
-    wheel.timeout(left, lifecycle.empty()).await;
-    lifecycle.stop_accepting();
-    wheel.timeout(GIVE_BACK_MS, link.give_back()).await;
+    leaving.leave(shutdown);
+    lifecycle.leave(shutdown);
+    drain(&wheel, &lifecycle, shutdown, link.give_back()).await;
     log::info!("event=left name={} open={}", settings.node_name, lifecycle.open_connections());
     Ok(())
 }
--- /dev/null
+++ b/crates/edge/src/shutdown.rs
@@ -0,0 +1,111 @@
+//! The schedule of an orderly shutdown, without I/O: until when servers may work for this process, when the last answer must
+//! be out, and whether a request or a send that would begin now can still end in time.
+//!
+//! ```text
+//! SIGTERM                                       work_until   answers_until   grace_s
+//!    |--- new requests, by what they need -----------|              |            |
+//!    |--- servers at work -------------------------->|- answers --->|- the end ->|
+//! ```
+//!
+//! Whoever begins work asks first: [`Shutdown::admits_request`] before a request is taken on, [`Shutdown::admits_send`] before
+//! it goes to a server, and [`Shutdown::bound_deadline`] for the time that the server is told. A server stops at that time by
+//! itself and says so, so that no answer is due when the process ends.
+
+/// Time of the grace that is left for the end itself: giving units back, the last bytes to clients, ms.
+const END_MS: f64 = 650.0;
+/// The way of a server's last answer and of its relay to the client, ms.
+const ANSWER_WAY_MS: f64 = 350.0;
+/// At most this part of the time for work is asked for a request, however long its route lets it take: it can be served
+/// within that by nearly any server, and is told to stop if it can't.
+const NEED_MOST: f64 = 0.5;
+/// A send needs this part of what its request needed: some of that time has gone by, and most work is shorter.
+const SEND_NEEDS: f64 = 0.5;
+
+/// When the parts of an orderly shutdown end, ms of the program's clock.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Shutdown {
+    /// When the order came.
+    pub began: f64,
+    /// The last moment at which a server may be at work on a request that went to it after the order.
+    pub work_until: f64,
+    /// When every answer must be on its way.
+    pub answers_until: f64,
+}
+
+impl Shutdown {
+    /// A shutdown that begins now and may take so long, ms, before the process is killed.
+    pub fn begin(now: f64, grace_ms: f64) -> Shutdown {
+        let answers_until = now + (grace_ms - END_MS).max(0.0);
+        let work_until = (answers_until - ANSWER_WAY_MS).max(now);
+        Shutdown { began: now, work_until, answers_until }
+    }
+
+    /// May a request be taken on that is worth most when answered within `aim_ms`?
+    pub fn admits_request(&self, now: f64, aim_ms: f64) -> bool {
+        now + self.need_ms(aim_ms) <= self.work_until
+    }
+
+    /// May such a request go to a server now, for the first time or once more?
+    pub fn admits_send(&self, now: f64, aim_ms: f64) -> bool {
+        now + self.need_ms(aim_ms) * SEND_NEEDS <= self.work_until
+    }
+
+    /// The time at which a server is told to stop, for a request whose client stops waiting at `deadline`.
+    pub fn bound_deadline(&self, deadline: f64) -> f64 {
+        deadline.min(self.work_until)
+    }
+
+    /// How long a request that has waited since `arrived` may be held, where its client would wait `patience_ms`.
+    pub fn bound_patience(&self, arrived: f64, patience_ms: f64) -> f64 {
+        patience_ms.min(self.answers_until - arrived)
+    }
+
+    fn need_ms(&self, aim_ms: f64) -> f64 {
+        aim_ms.min((self.work_until - self.began) * NEED_MOST)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GRACE_MS: f64 = 6_000.0;
+
+    #[test]
+    fn what_begins_can_end_and_what_is_told_to_servers_ends_before_the_process() {
+        for began in [0.0, 12_345.0] {
+            let shutdown = Shutdown::begin(began, GRACE_MS);
+            assert_eq!((shutdown.work_until, shutdown.answers_until), (began + 5_000.0, began + 5_350.0));
+            for aim_ms in [1.0, 400.0, 800.0, 1_200.0, 2_000.0, 30_000.0] {
+                let times = (0..6_000).map(|after| began + f64::from(after));
+                let admitted: Vec<f64> = times.filter(|now| shutdown.admits_request(*now, aim_ms)).collect();
+                let last = admitted.last().copied().unwrap_or(f64::NEG_INFINITY);
+                assert!(last + aim_ms.min(2_500.0) <= shutdown.work_until, "aim {aim_ms}: {last}");
+                // All of the time before that is used, and a request that was taken on can be sent.
+                assert_eq!(last, shutdown.work_until - aim_ms.min(2_500.0));
+                assert!(shutdown.admits_send(last + aim_ms.min(2_500.0) / 2.0, aim_ms));
+                assert!(!shutdown.admits_send(shutdown.work_until, aim_ms));
+            }
+        }
+    }
+
+    #[test]
+    fn no_deadline_lies_after_the_end_and_shorter_ones_stay() {
+        let shutdown = Shutdown::begin(1_000.0, GRACE_MS);
+        assert_eq!(shutdown.bound_deadline(3_000.0), 3_000.0);
+        assert_eq!(shutdown.bound_deadline(9_000.0), shutdown.work_until);
+        assert_eq!(shutdown.bound_patience(2_000.0, 500.0), 500.0);
+        assert_eq!(2_000.0 + shutdown.bound_patience(2_000.0, 60_000.0), shutdown.answers_until);
+        assert!(shutdown.work_until < shutdown.answers_until);
+        assert!(shutdown.answers_until < 1_000.0 + GRACE_MS);
+    }
+
+    #[test]
+    fn without_grace_nothing_begins() {
+        for grace_ms in [0.0, 500.0, 900.0] {
+            let shutdown = Shutdown::begin(7.0, grace_ms);
+            assert!(shutdown.work_until <= shutdown.answers_until);
+            assert!(!shutdown.admits_request(8.0, 1.0) && !shutdown.admits_send(8.0, 1.0), "{grace_ms}");
+        }
+    }
+}
--- a/crates/edge/tests/front.rs
+++ b/crates/edge/tests/front.rs
@@ -8,6 +8,7 @@
     Admission, Admitted, Body, Dispatch, Exchange, Part, Served, ServedBody, Stream,
 };
 use nickeljunction_edge::front::{Front, Lifecycle};
+use nickeljunction_edge::shutdown::Shutdown;
 use nickeljunction_edge::table::{Swap, Table};
 use nickeljunction_http::Headers;
 use nickeljunction_messages::TrialLine;
@@ -22,6 +23,9 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
 use tokio::sync::mpsc;
 
+/// From the order to leave to the end of the process, ms.
+const GRACE_MS: f64 = 6_000.0;
+
 /// The servers' side: keeps what it is given, by its id.
 #[derive(Default)]
 struct Proxy(RefCell<Vec<Exchange>>);
@@ -273,7 +277,7 @@
         let sent = [get("/i/", "1"), get("/i/", "2"), post("/n/", "3", ""), get("/i/", "4")].concat();
         send(&mut client, &sent).await;
         world.dispatched(&["1", "2"]).await;
-        world.lifecycle.leave(world.wheel.now());
+        world.lifecycle.leave(Shutdown::begin(world.wheel.now(), GRACE_MS));
         world.serve("2");
         world.serve("1");
         let first = read(&mut client).await.0;
@@ -296,6 +300,74 @@
     });
 }
 
+/// What a client is told that may come back elsewhere.
+fn refused(text: &str) -> bool {
+    text.starts_with("HTTP/1.1 503 ")
+        && text.contains("Retry-After: 0.050\r\n")
+        && text.contains("Connection: close\r\n")
+}
+
+#[test]
+fn a_request_that_could_not_end_before_the_process_is_refused_and_goes_no_further() {
+    run(async {
+        let world = World::new("");
+        // Its head is read before the order, its body after it.
+        let mut early = world.client();
+        send(&mut early, "POST /n/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 0\r\nContent-Length: 2\r\n\r\na")
+            .await;
+        settle().await;
+        world.lifecycle.leave(Shutdown::begin(world.wheel.now(), 0.0));
+        send(&mut early, "b").await;
+        let text = rest(&mut early).await;
+        assert!(refused(&text), "{text}");
+        for request in [get("/i/", "1"), post("/n/", "2", "body"), keyed("GET", "/w/", "3")] {
+            let mut client = world.client();
+            send(&mut client, &request).await;
+            let text = rest(&mut client).await;
+            assert!(refused(&text), "{request}: {text}");
+        }
+        assert_eq!(world.proxy.ids(), [""; 0]);
+        assert!(world.desk.asked.borrow().is_empty(), "units were taken for what can't be sent");
+        let counts = world.front.counts();
+        assert_eq!((counts.too_late.get(), counts.refused.get()), (4, 4));
+    });
+}
+
+#[test]
+fn a_request_begun_after_the_order_has_no_more_time_than_the_process() {
+    run(async {
+        let world = World::new("");
+        let shutdown = Shutdown::begin(world.wheel.now(), 1_800.0);
+        world.lifecycle.leave(shutdown);
+        let mut client = world.client();
+        send(&mut client, &get("/i/", "1")).await;
+        world.dispatched(&["1"]).await;
+        let exchange = world.proxy.take("1");
+        assert!((exchange.arrived + exchange.patience_ms - shutdown.answers_until).abs() < 1e-6);
+    });
+}
+
+#[test]
+fn at_the_end_what_has_no_answer_is_told_so() {
+    run(async {
+        let world = World::new("");
+        let mut client = world.client();
+        send(&mut client, &[get("/i/", "1"), get("/i/", "2")].concat()).await;
+        world.dispatched(&["1", "2"]).await;
+        world.lifecycle.leave(Shutdown::begin(world.wheel.now(), GRACE_MS));
+        world.serve("2");
+        settle().await;
+        world.lifecycle.end();
+        let (first, _) = read(&mut client).await;
+        assert!(first.starts_with("HTTP/1.1 504 ") && first.contains("X-Attempt-Id: 1\r\n"), "{first}");
+        let second = rest(&mut client).await;
+        assert!(second.starts_with("HTTP/1.1 200 ") && second.ends_with("body of 2"), "{second}");
+        drop(client);
+        world.lifecycle.empty().await;
+        assert_eq!(world.front.counts().cut_by_end.get(), 1);
+    });
+}
+
 /// A stream for an answer, with its sender.
 fn streamed(length: Option<u64>) -> (mpsc::Sender<Part>, Served) {
     let (to, parts) = mpsc::channel(2);
@@ -692,7 +764,7 @@
         }
         settle().await;
         assert_eq!(world.desk.ebb.standings()[0].waiting, 64);
-        world.lifecycle.leave(world.wheel.now());
+        world.lifecycle.leave(Shutdown::begin(world.wheel.now(), GRACE_MS));
         world.desk.ebb.leave();
         settle().await;
         assert_eq!((world.desk.ebb.standings()[0].waiting, world.proxy.ids().len()), (0, 64));
--- a/crates/edge/tests/pipeline.rs
+++ b/crates/edge/tests/pipeline.rs
@@ -7,6 +7,7 @@
     Admission, Admitted, Dispatch, Exchange, Part, Served, ServedBody, Stream,
 };
 use nickeljunction_edge::front::{Front, Lifecycle};
+use nickeljunction_edge::shutdown::Shutdown;
 use nickeljunction_edge::table::{Swap, Table};
 use nickeljunction_http::stream::{read_answer_head, BodyReader};
 use nickeljunction_http::{Chunk, Headers};
@@ -253,6 +254,8 @@
     });
 }
 
+/// From the order to leave to the end of the process, ms.
+const GRACE_MS: f64 = 6_000.0;
 const ASKS: [Ask; 5] = [Ask::Get, Ask::Head, Ask::Post, Ask::Get, Ask::Post];
 
 /// The bytes of all of [`ASKS`], and where each of them ends.
@@ -304,7 +307,7 @@
                     settle().await;
                 }
                 let before = if answered { world.servers.given.borrow().len() } else { 0 };
-                world.lifecycle.leave(world.wheel.now());
+                world.lifecycle.leave(Shutdown::begin(world.wheel.now(), GRACE_MS));
                 settle().await;
                 // What the client still sends may find the connection closed.
                 let _ = client.write_all(&all.as_bytes()[at..]).await;
--- a/crates/edge/tests/proxy.rs
+++ b/crates/edge/tests/proxy.rs
@@ -8,6 +8,7 @@
 };
 use nickeljunction_edge::figures::{Backend, Tuning};
 use nickeljunction_edge::proxy::Proxy;
+use nickeljunction_edge::shutdown::Shutdown;
 use nickeljunction_edge::upstream::Place;
 use nickeljunction_http::stream::{read_request_head, BodyReader};
 use nickeljunction_http::{Chunk, Headers};
@@ -15,7 +16,7 @@
 use nickeljunction_net::budget::Budget;
 use nickeljunction_net::clock::Clock;
 use nickeljunction_net::wheel::Wheel;
-use std::cell::RefCell;
+use std::cell::{OnceCell, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
 use std::pin::Pin;
@@ -24,6 +25,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, Notify};
 
+/// From the order to leave to the end of the process, ms.
+const GRACE_MS: f64 = 6_000.0;
+
 /// A request as a server got it.
 #[derive(Debug, Clone)]
 struct Arrival {
@@ -585,7 +589,7 @@
         assert_eq!(told(answer.await.expect("exactly one answer")), fine("known"));
     }
     if leave {
-        rig.proxy.leave();
+        rig.proxy.leave(Shutdown::begin(rig.wheel.now(), GRACE_MS));
     }
     let (exchange, mut answer) = exchange("a");
     rig.proxy.dispatch(exchange);
@@ -611,3 +615,44 @@
     let tuning = Tuning { retry_ratio: 0.0, retry_slack: 0, ..roomy() };
     run(async move { assert_eq!(given_up(tuning, false).await, fine("a")) });
 }
+
+/// The time that a server was told, ms.
+fn time_told(arrival: &Arrival) -> f64 {
+    arrival.headers.get("x-deadline-remaining").expect("a time").parse().expect("a number")
+}
+
+#[test]
+fn after_the_order_to_leave_servers_are_told_to_stop_before_the_process_ends() {
+    run(async {
+        let rig = Rig::new(&["n1"], roomy(), |_, arrival| vec![Act::Say(good(&arrival.id))]).await;
+        assert_eq!(told(rig.ask("before", ONCE).await), fine("before"));
+        rig.proxy.leave(Shutdown::begin(rig.wheel.now(), GRACE_MS));
+        assert_eq!(told(rig.ask("after", ONCE).await), fine("after"));
+        let arrivals = rig.arrivals.borrow();
+        assert!(time_told(&arrivals[0]) > 9_000.0);
+        let most = GRACE_MS - 1_000.0 - roomy().margin_ms;
+        assert!(time_told(&arrivals[1]) <= most, "{} of {most}", time_told(&arrivals[1]));
+    });
+}
+
+#[test]
+fn nothing_is_sent_that_could_not_end_before_the_process() {
+    run(async {
+        // The first server turns it away, and the order comes just then: the next send would come too late.
+        let proxy: Rc<OnceCell<(Rc<Proxy>, Wheel)>> = Rc::default();
+        let known = proxy.clone();
+        let rig = Rig::new(&["n1", "n2"], roomy(), move |_, arrival| {
+            let (proxy, wheel) = known.get().expect("made");
+            proxy.leave(Shutdown::begin(wheel.now(), 0.0));
+            vec![Act::Say(away(&arrival.id, 503))]
+        })
+        .await;
+        assert!(proxy.set((rig.proxy.clone(), rig.wheel.clone())).is_ok());
+        for (id, repeat) in [("once", ONCE), ("safe", SAFE)] {
+            assert_eq!(told(rig.ask(id, repeat).await), (1, String::new()), "{id}: told that it has not run");
+        }
+        // The second came after the order: no server had it.
+        assert_eq!(rig.arrivals.borrow().len(), 1);
+        rig.proxy.idle().await;
+    });
+}
--- a/crates/edge/tests/stories.rs
+++ b/crates/edge/tests/stories.rs
@@ -7,6 +7,7 @@
 use nickeljunction_edge::exchange::{Body, Dispatch, Exchange, Served, ServedBody};
 use nickeljunction_edge::figures::{Backend, Tuning};
 use nickeljunction_edge::proxy::Proxy;
+use nickeljunction_edge::shutdown::Shutdown;
 use nickeljunction_edge::upstream::Place;
 use nickeljunction_http::stream::read_request_head;
 use nickeljunction_messages::{ServerLine, ServerState};
@@ -23,6 +24,8 @@
 use tokio::task::{spawn_local, JoinSet, LocalSet};
 
 /// Requests of a story, and servers.
+/// From the order to leave to the end of the process, ms.
+const GRACE_MS: f64 = 6_000.0;
 const REQUESTS: usize = 16;
 const SERVERS: usize = 3;
 /// Most servers that a request may be sent to.
@@ -276,7 +279,7 @@
     }
     if leaves_at.is_finite() {
         wheel.sleep(leaves_at).await;
-        proxy.leave();
+        proxy.leave(Shutdown::begin(wheel.now(), GRACE_MS));
     }
     let mut ends = Vec::new();
     while let Some(end) = clients.join_next().await {
