Acknowledge no drain that only the leader knows of

Cause: an acknowledgement of a drain or of a server's end waited 250 ms for a follower and the gateways, and was then given all the same: a leader that went right after it took the word along, and its successor sent on to the server until its beats were missed. Change: a majority of the members must have it; without one after 700 ms the answer is 503 and the server goes on to another member. Measured: no_drain_is_acknowledged_that_only_the_leader_knows; with the guard out it says 'acknowledged after 250 ms, known to nobody else'.

--- a/crates/replica/src/leader.rs
+++ b/crates/replica/src/leader.rs
@@ -14,9 +14,12 @@
 
 /// Longest hold of a watch call, ms.
 const MOST_HOLD_MS: u64 = 5_000;
-/// How long an acknowledgement waits for a follower to know the change, ms: a server that is told that it may leave
-/// must not be sent to by a successor who never heard of it. A server takes another one after a second.
+/// How long an acknowledgement waits for the gateways that are there to know the change, ms.
 const ROUND_MS: u64 = 250;
+/// How long it waits for a majority of the members to know it, ms: a server that is told that it may leave must not be sent to
+/// by a successor who never heard of it, so without them there is no acknowledgement. A server takes another member after a
+/// second.
+const MAJORITY_MS: u64 = 700;
 /// Watch calls that say what their sender has don't count as changes: a round looks again so soon, ms.
 const LOOK_MS: u64 = 10;
 
@@ -77,13 +80,21 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Round {
     seq: u64,
-    until: u64,
+    /// Gateways are waited for until then.
+    gateways_until: u64,
+    /// A majority of the members is waited for until then.
+    members_until: u64,
 }
 
 impl Round {
+    fn new(seq: u64, now: u64) -> Round {
+        Round { seq, gateways_until: now + ROUND_MS, members_until: now + MAJORITY_MS }
+    }
+
     /// When it is to look again, where nothing changes before.
     pub fn look_at(&self, now: u64) -> u64 {
-        self.until.min(now + LOOK_MS)
+        let next = if now < self.gateways_until { self.gateways_until } else { self.members_until };
+        next.clamp(now + 1, now + LOOK_MS)
     }
 }
 
@@ -289,7 +300,7 @@
             });
         }
         let drains = beat.state == ServerState::Draining;
-        Ok(drains.then_some(Round { seq: outcome.at, until: now + ROUND_MS }))
+        Ok(drains.then(|| Round::new(outcome.at, now)))
     }
 
     /// A server says that it is gone. It is acknowledged after a round.
@@ -299,16 +310,20 @@
     pub fn gone(&mut self, now: u64, id: &str) -> Result<Round, Elsewhere> {
         let seq = self.with_lead(now, |lead, _| lead.register.leave(now, id))?;
         self.out.events.push(Event::ServerGone { life: id.into() });
-        Ok(Round { seq, until: now + ROUND_MS })
+        Ok(Round::new(seq, now))
     }
 
-    /// Whether a round is over: a follower and all gateways that are there have the change, or it has taken too long.
+    /// Whether a round is over: a majority of the members has the change, and all gateways that are there have it or were
+    /// waited for long enough.
     ///
     /// # Errors
-    /// As all here.
+    /// As all here, and where no majority has it in time: whoever leads next might never hear of it.
     pub fn come_round(&mut self, now: u64, round: &Round) -> Result<bool, Elsewhere> {
         let reach = self.with_lead(now, |lead, _| lead.register.reach(now, round.seq))?;
-        let core = reach.core > 0 || self.book.members().len() < 2;
-        Ok(now >= round.until || core && reach.gateways >= reach.gateways_there)
+        let majority_without_me = self.book.members().len() / 2;
+        if reach.core < majority_without_me {
+            return if now >= round.members_until { Err(self.elsewhere()) } else { Ok(false) };
+        }
+        Ok(reach.gateways >= reach.gateways_there || now >= round.gateways_until)
     }
 }
--- a/crates/replica/tests/member.rs
+++ b/crates/replica/tests/member.rs
@@ -210,6 +210,42 @@
     assert!(house.come_round(now, &round).is_err(), "not even for want of time");
 }
 
+/// A follower's call that has all up to this number.
+fn follow(name: &str, life: u64, term: u64, seq: u64) -> WatchCall {
+    WatchCall { who: Caller::Core, name: name.into(), line: None, term, seq, ..watch(life) }
+}
+
+#[test]
+fn no_drain_is_acknowledged_that_only_the_leader_knows() {
+    for ends in [false, true] {
+        let mut core = Core::new(21);
+        let leader = core.leader();
+        let term = core.houses[leader].book().term();
+        assert_eq!(core.at(leader, |house, now| house.beat(now, "i-1", &beat())), Ok(None));
+        let round = core.at(leader, |house, now| match ends {
+            true => house.gone(now, "i-1"),
+            false => {
+                let draining = Beat { state: ServerState::Draining, call_seq: 2, ..beat() };
+                house.beat(now, "i-1", &draining).map(|round| round.expect("a drain"))
+            }
+        });
+        let round = round.expect("it leads");
+        let (begun, mut refused) = (core.now, None);
+        while refused.is_none() && core.now < begun + 2_000 {
+            core.run(10);
+            match core.at(leader, |house, now| house.come_round(now, &round)) {
+                Ok(over) => assert!(!over, "acknowledged after {} ms, known to nobody else", core.now - begun),
+                Err(elsewhere) => refused = Some((core.now - begun, elsewhere.leader)),
+            }
+        }
+        assert_eq!(refused, Some((700, None)), "a server goes on after a second");
+        // One other member of three that has it is enough.
+        let all = core.houses[leader].leads().expect("it leads").0.seq();
+        core.at(leader, |house, now| house.called(now, &follow("core-x", 90, term, all))).expect("it leads");
+        assert_eq!(core.at(leader, |house, now| house.come_round(now, &round)), Ok(true));
+    }
+}
+
 #[test]
 fn a_gateway_is_there_until_the_last_of_its_calls_breaks() {
     let mut core = Core::new(9);
