--- a/crates/replica/tests/member.rs
+++ b/crates/replica/tests/member.rs
@@ -234,7 +234,9 @@
         while refused.is_none() && core.now < begun + 2_000 {
             core.run(10);
             match core.at(leader, |house, now| house.come_round(now, &round)) {
-                Ok(over) => assert!(!over, "acknowledged after {} ms, known to nobody else", core.now - begun),
+                Ok(over) => {
+                    assert!(!over, "acknowledged after {} ms, known to nobody else", core.now - begun)
+                }
                 Err(elsewhere) => refused = Some((core.now - begun, elsewhere.leader)),
             }
         }
--- a/crates/simulation/src/member.rs
+++ b/crates/simulation/src/member.rs
@@ -47,6 +47,7 @@
 /// One core machine and its process.
 pub struct Member {
     node: Node,
+    tuning: Tuning,
     /// Its disk, which outlives the process.
     pub disk: MemoryHold,
     /// A write takes 1 to so many ms.
@@ -70,9 +71,10 @@
 }
 
 impl Member {
-    pub(crate) fn new(node: Node, seed: u64) -> Member {
+    pub(crate) fn new(node: Node, tuning: Tuning, seed: u64) -> Member {
         Member {
             node,
+            tuning,
             disk: MemoryHold::new(),
             disk_ms: 3,
             hint: None,
@@ -104,7 +106,7 @@
             heartbeat_ms: HEARTBEAT_MS,
         };
         let seed = self.rng.u64(..);
-        let mut house = Replica::new(Rc::new(place), restored, Tuning::default(), seed, now);
+        let mut house = Replica::new(Rc::new(place), restored, self.tuning, seed, now);
         let fresh = |(at, _): &(u64, Copy)| now - at <= replica::HINT_GOOD_MS;
         if let Some((_, copy)) = self.hint.take().filter(fresh) {
             house.remember(copy);
@@ -116,7 +118,7 @@
     /// The process ends; what it had asked the disk to write is there, synced or not.
     pub(crate) fn end(&mut self) {
         let (disk, hint, rng) = (self.disk.clone(), self.hint.take(), self.rng.fork());
-        *self = Member { disk, disk_ms: self.disk_ms, hint, rng, ..Member::new(self.node, 0) };
+        *self = Member { disk, disk_ms: self.disk_ms, hint, rng, ..Member::new(self.node, self.tuning, 0) };
     }
 
     /// Its process runs.
--- a/crates/simulation/src/simulation.rs
+++ b/crates/simulation/src/simulation.rs
@@ -41,6 +41,8 @@
     pub audit: Audit,
     /// Hosts of the seeds.
     pub seeds: Vec<String>,
+    /// Core machines that are gone for good, or have not come yet.
+    pub absent: BTreeSet<Node>,
     /// Nothing gets through from one to the other.
     pub cuts: BTreeSet<(Node, Node)>,
     /// Percent of packets lost, and delayed by far.
@@ -60,11 +62,20 @@
 }
 
 impl World {
-    /// The first start of the whole system.
+    /// The first start of the whole system, with the agreement's usual figures.
     pub fn new(plan: Plan, seed: u64) -> World {
+        World::tuned(plan, Tuning::default(), seed)
+    }
+
+    /// The first start of a system whose core is to bear the loss of so many machines at once, as `serve::run` has it.
+    pub fn bearing(plan: Plan, losses: usize, seed: u64) -> World {
+        World::tuned(plan, Tuning::bearing(losses), seed)
+    }
+
+    fn tuned(plan: Plan, tuning: Tuning, seed: u64) -> World {
         let mut rng = fastrand::Rng::with_seed(seed);
         let seeds: Vec<String> = (0..plan.seeds).map(host).collect();
-        let members = (0..plan.members).map(|node| Member::new(node, rng.u64(..))).collect();
+        let members = (0..plan.members).map(|node| Member::new(node, tuning, rng.u64(..))).collect();
         let now = 10_000;
         let gateways = (plan.members..plan.members + plan.gateways)
             .map(|node| Gateway::new(node, now, &seeds, plan.strict, &mut rng))
@@ -77,6 +88,7 @@
             people: Operators::new(plan.members + plan.gateways, plan.members),
             audit: Audit::new(seed, plan.strict),
             seeds: seeds.clone(),
+            absent: BTreeSet::new(),
             cuts: BTreeSet::new(),
             loss: 0,
             late: 0,
@@ -270,6 +282,19 @@
         self.members[node].hint = None;
     }
 
+    /// Takes a core machine away for good.
+    pub fn remove(&mut self, node: Node) {
+        self.wipe(node);
+        self.absent.insert(node);
+    }
+
+    /// An empty core machine comes, under an address of its own.
+    pub fn add(&mut self, node: Node) {
+        self.absent.remove(&node);
+        self.wipe(node);
+        self.start(node);
+    }
+
     /// Starts a core member again; see `serve::open`.
     pub fn start(&mut self, node: Node) {
         let id = draw_id(self.rng.u64(..));
@@ -339,7 +364,7 @@
             member.disk_ms = 3;
             member.disk.fail(false);
             member.disk.hang(false);
-            if !member.up() {
+            if !member.up() && !self.absent.contains(&node) {
                 self.start(node);
             }
         }
@@ -380,11 +405,11 @@
         self.sure_leader().unwrap_or(0)
     }
 
-    /// The core machines that operators don't keep away, by the last order that was agreed on.
+    /// The core machines that are there and that operators don't keep away, by the last order that was agreed on.
     pub fn wanted(&self) -> Vec<Node> {
         let (_, order) = self.audit.state.core();
         let away = |node: &Node| order.away.iter().any(|away| away.host == host(*node));
-        (0..self.members.len()).filter(|node| !away(node)).collect()
+        (0..self.members.len()).filter(|node| !away(node) && !self.absent.contains(node)).collect()
     }
 
     /// The core has settled on what was ordered: its members are all machines that aren't kept away, with their numbers of
