--- a/crates/edge/src/front/terminal.rs
+++ b/crates/edge/src/front/terminal.rs
@@ -70,6 +70,8 @@
 
 /// A request that is to be answered.
 struct Waiting {
+    /// Its answer may break off, and the connection with it.
+    large_answer: bool,
     work: Option<Pin<Box<dyn Future<Output = Reply>>>>,
     reply: Option<Reply>,
     attempt_id: Option<String>,
@@ -380,8 +382,12 @@
         }
     }
 
-    /// It may be at work while others before it are: repeatable, and its body, if any, short and on its way.
+    /// It may be at work while others before it are: repeatable, its body, if any, short and on its way, and none before it
+    /// whose answer may break the connection off, so that its own could never be given.
     fn may_go_ahead(&self, head: &RequestHead) -> bool {
+        if self.queue.iter().any(|waiting| waiting.large_answer) {
+            return false;
+        }
         let short = matches!(head.framing, Framing::Length(length) if length <= MOST_WHOLE);
         short && !head.expects_continue() && self.front.repeats(head)
     }
@@ -428,7 +434,7 @@
     /// Queues an answer of the gateway itself.
     fn own(&mut self, own: Own, attempt_id: Option<String>, to_head: bool, minor: u8) {
         let reply = Some(Reply::Own(own));
-        self.queue.push_back(Waiting { work: None, reply, attempt_id, to_head, minor });
+        self.queue.push_back(Waiting { large_answer: false, work: None, reply, attempt_id, to_head, minor });
     }
 
     /// Sets a request to work; the next state.
@@ -436,8 +442,9 @@
         let next = after(head.keep_alive);
         let (to_head, minor) = (head.method == "HEAD", head.minor);
         let attempt_id = Some(ask.attempt_id.clone());
+        let large_answer = ask.route.large_answers;
         let work = Some(Box::pin(self.front.clone().pass_on(head, ask, body)) as Pin<Box<_>>);
-        self.queue.push_back(Waiting { work, reply: None, attempt_id, to_head, minor });
+        self.queue.push_back(Waiting { large_answer, work, reply: None, attempt_id, to_head, minor });
         next
     }
 
--- a/crates/edge/tests/front.rs
+++ b/crates/edge/tests/front.rs
@@ -1,200 +1,14 @@
-//! The clients' side over connections in memory, with a scripted servers' side and scripted admission.
+//! The clients' side: order of answers, bodies, keys, admission, and what ends a connection.
+
+mod front_world;
 
 use bytes::Bytes;
+use front_world::*;
 use nickeljunction_core::facade::Repeat;
 use nickeljunction_core::life::Answer;
-use nickeljunction_edge::ebb::Ebb;
-use nickeljunction_edge::exchange::{
-    Admission, Admitted, Body, Dispatch, Exchange, Part, Served, ServedBody, Stream,
-};
-use nickeljunction_edge::front::{Front, Lifecycle};
-use nickeljunction_edge::shutdown::Shutdown;
-use nickeljunction_edge::table::{Swap, Table};
-use nickeljunction_http::Headers;
+use nickeljunction_edge::exchange::{Admission, Admitted, Body, Exchange, Part, Served};
 use nickeljunction_messages::TrialLine;
-use nickeljunction_net::budget::Budget;
-use nickeljunction_net::clock::Clock;
-use nickeljunction_net::wheel::Wheel;
-use nickeljunction_schema::Document;
-use std::cell::{Cell, RefCell};
-use std::future::Future;
-use std::pin::Pin;
-use std::rc::Rc;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
-use tokio::sync::mpsc;
-
-/// From the order to leave to the end of the process, ms.
-const GRACE_MS: f64 = 6_000.0;
-
-/// The servers' side: keeps what it is given, by its id.
-#[derive(Default)]
-struct Proxy(RefCell<Vec<Exchange>>);
-
-impl Dispatch for Proxy {
-    fn dispatch(&self, exchange: Exchange) {
-        self.0.borrow_mut().push(exchange);
-    }
-}
-
-impl Proxy {
-    fn ids(&self) -> Vec<String> {
-        self.0.borrow().iter().map(|exchange| exchange.attempt_id.clone()).collect()
-    }
-
-    fn take(&self, id: &str) -> Exchange {
-        let mut exchanges = self.0.borrow_mut();
-        let at = exchanges.iter().position(|exchange| exchange.attempt_id == id).expect("dispatched");
-        exchanges.remove(at)
-    }
-}
-
-/// Admission that says the same to all.
-struct Desk {
-    says: Cell<Admitted>,
-    stale: Cell<Option<f64>>,
-    asked: RefCell<Vec<String>>,
-    ebb: Ebb,
-}
-
-impl Admission for Desk {
-    fn admit<'a>(&'a self, tenant: &'a str) -> Pin<Box<dyn Future<Output = Admitted> + 'a>> {
-        self.asked.borrow_mut().push(tenant.to_string());
-        Box::pin(async { self.says.get() })
-    }
-
-    fn also(&self, _: &str) -> bool {
-        true
-    }
-
-    fn stale(&self) -> Option<f64> {
-        self.stale.get()
-    }
-
-    fn ebb(&self) -> Option<&Ebb> {
-        self.ebb.active().then_some(&self.ebb)
-    }
-}
-
-struct World {
-    front: Rc<Front>,
-    proxy: Rc<Proxy>,
-    desk: Rc<Desk>,
-    lifecycle: Rc<Lifecycle>,
-    wheel: Wheel,
-    document: Document,
-}
-
-impl World {
-    fn new(limits: &str) -> World {
-        let text = format!(
-            r#"{{"config_version":3,"limits":{{{limits}}},"backends":{{"a":{{}},"b":{{}}}},"routes":{{
-            "i":{{"hostname":"h","path_prefix":"/i/","route_type":"idempotent","timeout_s":2,"backend":"a","no_auth":true}},
-            "n":{{"hostname":"h","path_prefix":"/n/","route_type":"non_idempotent","timeout_s":2,"backend":"b","no_auth":true}},
-            "w":{{"hostname":"h","path_prefix":"/w/","route_type":"idempotent","timeout_s":60,"backend":"a","gives_way":1}},
-            "k":{{"hostname":"h","path_prefix":"/k/","timeout_s":2,"backend":"b","home_regions":["r"]}}}},
-            "trials":{{"t":{{"stages":[{{"for_s":9,"wait_s":500000}}]}}}},
-            "tenants":{{"t":{{"api_keys":["good"]}},"far":{{"api_keys":["away"],"home_regions":["q"]}}}}}}"#
-        );
-        let document = Document::read(text.as_bytes()).expect("valid");
-        let table = Table::of(document.config());
-        let wheel = Wheel::new(Clock::start());
-        tokio::task::spawn_local(wheel.clone().run());
-        let proxy = Rc::new(Proxy::default());
-        let (says, stale) = (Cell::new(Admitted::Until(f64::INFINITY)), Cell::new(None));
-        let ebb = Ebb::new(wheel.clone());
-        let desk = Rc::new(Desk { says, stale, asked: RefCell::default(), ebb });
-        let lifecycle = Rc::new(Lifecycle::default());
-        let front = Front::new(
-            wheel.clone(),
-            Rc::new(Swap::new(table)),
-            desk.clone(),
-            proxy.clone(),
-            lifecycle.clone(),
-            Budget::new(100),
-            7,
-        );
-        World { front, proxy, desk, lifecycle, wheel, document }
-    }
-
-    fn client(&self) -> DuplexStream {
-        let (client, io) = tokio::io::duplex(8 * 1024);
-        tokio::task::spawn_local(self.front.clone().attend(io));
-        client
-    }
-
-    /// Lets everything run until these are at the servers' side.
-    async fn dispatched(&self, ids: &[&str]) {
-        settle().await;
-        assert_eq!(self.proxy.ids(), ids);
-    }
-
-    fn answer(&self, id: &str, answer: Answer<Served>) {
-        assert!(self.proxy.take(id).reply.send(answer).is_ok(), "{id}: nobody waits");
-    }
-
-    fn serve(&self, id: &str) {
-        self.answer(id, Answer::Served(whole(200, id)));
-    }
-}
-
-/// Gives every task its turn, many times over: nothing here waits for anything else.
-async fn settle() {
-    for _ in 0..200 {
-        tokio::task::yield_now().await;
-    }
-}
-
-fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().expect("runtime");
-    let local = tokio::task::LocalSet::new();
-    let bounded = async { tokio::time::timeout(std::time::Duration::from_secs(20), test).await };
-    local.block_on(&runtime, bounded).expect("hangs");
-}
-
-fn headers(text: &str) -> Headers {
-    let text = format!("HTTP/1.1 200 OK\r\n{text}Content-Length: 0\r\n\r\n");
-    let mut from = bytes::BytesMut::from(&text[..]);
-    let head = nickeljunction_http::stream::read_answer_head(&mut from, 4096, false);
-    head.expect("well formed").expect("whole").headers
-}
-
-fn whole(status: u16, id: &str) -> Served {
-    let lines = format!("X-Attempt-Id: {id}\r\nX-Response-Seal: s.{id}\r\nConnection: close\r\n");
-    let body = ServedBody::Whole(Bytes::from(format!("body of {id}")));
-    Served { status, headers: headers(&lines), body }
-}
-
-/// Reads one answer with a length: its head and its body.
-async fn read(client: &mut DuplexStream) -> (String, String) {
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        head.push(client.read_u8().await.unwrap_or_else(|_| panic!("{}", String::from_utf8_lossy(&head))));
-    }
-    let head = String::from_utf8(head).expect("text");
-    let length = head.lines().find_map(|line| line.strip_prefix("Content-Length: "));
-    let mut body = vec![0; length.map_or(0, |length| length.parse().expect("a number"))];
-    client.read_exact(&mut body).await.expect("whole");
-    (head, String::from_utf8(body).expect("text"))
-}
-
-async fn rest(client: &mut DuplexStream) -> String {
-    let mut text = Vec::new();
-    client.read_to_end(&mut text).await.expect("an end");
-    String::from_utf8(text).expect("text")
-}
-
-fn get(path: &str, id: &str) -> String {
-    format!("GET {path} HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: {id}\r\n\r\n")
-}
-
-fn post(path: &str, id: &str, body: &str) -> String {
-    let length = body.len();
-    format!("POST {path} HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: {id}\r\nContent-Length: {length}\r\n\r\n{body}")
-}
-
-async fn send(client: &mut DuplexStream, text: &str) {
-    client.write_all(text.as_bytes()).await.expect("sent");
-}
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 #[test]
 fn answers_go_in_the_order_of_their_requests_however_these_finish() {
@@ -246,6 +60,34 @@
     });
 }
 
+#[test]
+fn nothing_is_passed_on_behind_an_answer_that_may_break_the_connection() {
+    run(async {
+        let world = World::new("");
+        let mut client = world.client();
+        send(&mut client, &[get("/i/", "1"), get("/d/", "2"), get("/i/", "3")].concat()).await;
+        world.dispatched(&["1", "2"]).await;
+        world.serve("1");
+        let (parts, served) = streamed(Some(9));
+        world.answer("2", Answer::Served(served));
+        parts.send(Part::Data(Bytes::from_static(b"half"))).await.expect("wanted");
+        settle().await;
+        assert_eq!(world.proxy.ids(), [""; 0], "behind an answer under way");
+        drop(parts);
+        let text = rest(&mut client).await;
+        assert!(text.ends_with("half"), "{text}");
+        settle().await;
+        assert_eq!(world.proxy.ids(), [""; 0], "taken, and never to be answered");
+        // Behind a whole one it goes on.
+        let mut client = world.client();
+        send(&mut client, &[get("/d/", "4"), get("/i/", "5")].concat()).await;
+        world.dispatched(&["4"]).await;
+        world.serve("4");
+        assert_eq!(read(&mut client).await.1, "body of 4");
+        world.dispatched(&["5"]).await;
+    });
+}
+
 #[test]
 fn what_must_not_run_twice_waits_for_all_before_it() {
     run(async {
@@ -269,112 +111,6 @@
     });
 }
 
-#[test]
-fn at_the_order_to_leave_all_that_were_passed_on_are_answered_and_the_last_one_closes() {
-    run(async {
-        let world = World::new("");
-        let mut client = world.client();
-        let sent = [get("/i/", "1"), get("/i/", "2"), post("/n/", "3", ""), get("/i/", "4")].concat();
-        send(&mut client, &sent).await;
-        world.dispatched(&["1", "2"]).await;
-        world.lifecycle.leave(Shutdown::begin(world.wheel.now(), GRACE_MS));
-        world.serve("2");
-        world.serve("1");
-        let first = read(&mut client).await.0;
-        assert!(!first.contains("Connection: close"), "{first}");
-        let text = rest(&mut client).await;
-        assert!(text.contains("Connection: close\r\n") && text.ends_with("body of 2"), "{text}");
-        drop(client);
-        world.lifecycle.empty().await;
-        assert!(world.proxy.ids().is_empty(), "taken behind a closing answer: {:?}", world.proxy.ids());
-        // One that comes now is served once.
-        let mut late = world.client();
-        send(&mut late, &[get("/i/", "5"), get("/i/", "6")].concat()).await;
-        world.dispatched(&["5"]).await;
-        world.serve("5");
-        assert!(rest(&mut late).await.contains("Connection: close\r\n"));
-        assert!(world.proxy.ids().is_empty());
-        // One that stays idle is closed.
-        world.lifecycle.set_idle_grace(1.0);
-        assert_eq!(rest(&mut world.client()).await, "");
-    });
-}
-
-/// What a client is told that may come back elsewhere.
-fn refused(text: &str) -> bool {
-    text.starts_with("HTTP/1.1 503 ")
-        && text.contains("Retry-After: 0.050\r\n")
-        && text.contains("Connection: close\r\n")
-}
-
-#[test]
-fn a_request_that_could_not_end_before_the_process_is_refused_and_goes_no_further() {
-    run(async {
-        let world = World::new("");
-        // Its head is read before the order, its body after it.
-        let mut early = world.client();
-        send(&mut early, "POST /n/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 0\r\nContent-Length: 2\r\n\r\na")
-            .await;
-        settle().await;
-        world.lifecycle.leave(Shutdown::begin(world.wheel.now(), 0.0));
-        send(&mut early, "b").await;
-        let text = rest(&mut early).await;
-        assert!(refused(&text), "{text}");
-        for request in [get("/i/", "1"), post("/n/", "2", "body"), keyed("GET", "/w/", "3")] {
-            let mut client = world.client();
-            send(&mut client, &request).await;
-            let text = rest(&mut client).await;
-            assert!(refused(&text), "{request}: {text}");
-        }
-        assert_eq!(world.proxy.ids(), [""; 0]);
-        assert!(world.desk.asked.borrow().is_empty(), "units were taken for what can't be sent");
-        let counts = world.front.counts();
-        assert_eq!((counts.too_late.get(), counts.refused.get()), (4, 4));
-    });
-}
-
-#[test]
-fn a_request_begun_after_the_order_has_no_more_time_than_the_process() {
-    run(async {
-        let world = World::new("");
-        let shutdown = Shutdown::begin(world.wheel.now(), 1_800.0);
-        world.lifecycle.leave(shutdown);
-        let mut client = world.client();
-        send(&mut client, &get("/i/", "1")).await;
-        world.dispatched(&["1"]).await;
-        let exchange = world.proxy.take("1");
-        assert!((exchange.arrived + exchange.patience_ms - shutdown.answers_until).abs() < 1e-6);
-    });
-}
-
-#[test]
-fn at_the_end_what_has_no_answer_is_told_so() {
-    run(async {
-        let world = World::new("");
-        let mut client = world.client();
-        send(&mut client, &[get("/i/", "1"), get("/i/", "2")].concat()).await;
-        world.dispatched(&["1", "2"]).await;
-        world.lifecycle.leave(Shutdown::begin(world.wheel.now(), GRACE_MS));
-        world.serve("2");
-        settle().await;
-        world.lifecycle.end();
-        let (first, _) = read(&mut client).await;
-        assert!(first.starts_with("HTTP/1.1 504 ") && first.contains("X-Attempt-Id: 1\r\n"), "{first}");
-        let second = rest(&mut client).await;
-        assert!(second.starts_with("HTTP/1.1 200 ") && second.ends_with("body of 2"), "{second}");
-        drop(client);
-        world.lifecycle.empty().await;
-        assert_eq!(world.front.counts().cut_by_end.get(), 1);
-    });
-}
-
-/// A stream for an answer, with its sender.
-fn streamed(length: Option<u64>) -> (mpsc::Sender<Part>, Served) {
-    let (to, parts) = mpsc::channel(2);
-    let body = ServedBody::Streamed(Stream { length, parts });
-    (to, Served { status: 200, headers: headers("X-Response-Seal: s\r\n"), body })
-}
-
 #[test]
 fn a_streamed_answer_goes_through_whole_or_ends_as_visibly_broken() {
     run(async {
@@ -705,11 +441,6 @@
 }
 
 /// With a key.
-fn keyed(method: &str, path: &str, id: &str) -> String {
-    let length = if method == "POST" { "Content-Length: 0\r\n" } else { "" };
-    format!("{method} {path} HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: {id}\r\nAuthorization: Bearer good\r\n{length}\r\n")
-}
-
 #[test]
 fn a_lapsed_tenants_requests_wait_in_a_bounded_queue_and_its_bookings_do_not() {
     run(async {
@@ -750,36 +481,6 @@
     });
 }
 
-#[test]
-fn a_full_queue_goes_on_at_the_order_to_leave() {
-    run(async {
-        let world = World::new("");
-        let line = TrialLine { tenant: "t".into(), step: 1, stage: 1, in_ms: 0 };
-        world.desk.ebb.told(&[line], Some(world.document.config()));
-        let mut clients = Vec::new();
-        for id in 0..64 {
-            let mut client = world.client();
-            send(&mut client, &keyed("GET", "/w/", &id.to_string())).await;
-            clients.push(client);
-        }
-        settle().await;
-        assert_eq!(world.desk.ebb.standings()[0].waiting, 64);
-        world.lifecycle.leave(Shutdown::begin(world.wheel.now(), GRACE_MS));
-        world.desk.ebb.leave();
-        settle().await;
-        assert_eq!((world.desk.ebb.standings()[0].waiting, world.proxy.ids().len()), (0, 64));
-        for (id, client) in clients.iter_mut().enumerate() {
-            world.serve(&id.to_string());
-            let (head, _) = read(client).await;
-            assert!(head.starts_with("HTTP/1.1 200 ") && head.contains("Connection: close"), "{head}");
-        }
-        // Who comes now isn't held either.
-        let mut late = world.client();
-        send(&mut late, &keyed("GET", "/w/", "late")).await;
-        world.dispatched(&["late"]).await;
-    });
-}
-
 #[test]
 fn bookings_at_every_stage_are_sent_once_and_answered_once_whatever_servers_do() {
     run(async {
--- /dev/null
+++ b/crates/edge/tests/leaving.rs
@@ -0,0 +1,139 @@
+//! A front after the order to leave: what is begun, what is refused, and what those at work are told.
+
+mod front_world;
+
+use front_world::*;
+use nickeljunction_edge::shutdown::Shutdown;
+use nickeljunction_messages::TrialLine;
+
+/// From the order to leave to the end of the process, ms.
+const GRACE_MS: f64 = 6_000.0;
+
+/// What a client is told that may come back elsewhere.
+fn refused(text: &str) -> bool {
+    text.starts_with("HTTP/1.1 503 ")
+        && text.contains("Retry-After: 0.050\r\n")
+        && text.contains("Connection: close\r\n")
+}
+
+#[test]
+fn at_the_order_to_leave_all_that_were_passed_on_are_answered_and_the_last_one_closes() {
+    run(async {
+        let world = World::new("");
+        let mut client = world.client();
+        let sent = [get("/i/", "1"), get("/i/", "2"), post("/n/", "3", ""), get("/i/", "4")].concat();
+        send(&mut client, &sent).await;
+        world.dispatched(&["1", "2"]).await;
+        world.lifecycle.leave(Shutdown::begin(world.wheel.now(), GRACE_MS));
+        world.serve("2");
+        world.serve("1");
+        let first = read(&mut client).await.0;
+        assert!(!first.contains("Connection: close"), "{first}");
+        let text = rest(&mut client).await;
+        assert!(text.contains("Connection: close\r\n") && text.ends_with("body of 2"), "{text}");
+        drop(client);
+        world.lifecycle.empty().await;
+        assert!(world.proxy.ids().is_empty(), "taken behind a closing answer: {:?}", world.proxy.ids());
+        // One that comes now is served once.
+        let mut late = world.client();
+        send(&mut late, &[get("/i/", "5"), get("/i/", "6")].concat()).await;
+        world.dispatched(&["5"]).await;
+        world.serve("5");
+        assert!(rest(&mut late).await.contains("Connection: close\r\n"));
+        assert!(world.proxy.ids().is_empty());
+        // One that stays idle is closed.
+        world.lifecycle.set_idle_grace(1.0);
+        assert_eq!(rest(&mut world.client()).await, "");
+    });
+}
+
+#[test]
+fn a_request_that_could_not_end_before_the_process_is_refused_and_goes_no_further() {
+    run(async {
+        let world = World::new("");
+        // Its head is read before the order, its body after it.
+        let mut early = world.client();
+        send(&mut early, "POST /n/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 0\r\nContent-Length: 2\r\n\r\na")
+            .await;
+        settle().await;
+        world.lifecycle.leave(Shutdown::begin(world.wheel.now(), 0.0));
+        send(&mut early, "b").await;
+        let text = rest(&mut early).await;
+        assert!(refused(&text), "{text}");
+        for request in [get("/i/", "1"), post("/n/", "2", "body"), keyed("GET", "/w/", "3")] {
+            let mut client = world.client();
+            send(&mut client, &request).await;
+            let text = rest(&mut client).await;
+            assert!(refused(&text), "{request}: {text}");
+        }
+        assert_eq!(world.proxy.ids(), [""; 0]);
+        assert!(world.desk.asked.borrow().is_empty(), "units were taken for what can't be sent");
+        let counts = world.front.counts();
+        assert_eq!((counts.too_late.get(), counts.refused.get()), (4, 4));
+    });
+}
+
+#[test]
+fn a_request_begun_after_the_order_has_no_more_time_than_the_process() {
+    run(async {
+        let world = World::new("");
+        let shutdown = Shutdown::begin(world.wheel.now(), 1_800.0);
+        world.lifecycle.leave(shutdown);
+        let mut client = world.client();
+        send(&mut client, &get("/i/", "1")).await;
+        world.dispatched(&["1"]).await;
+        let exchange = world.proxy.take("1");
+        assert!((exchange.arrived + exchange.patience_ms - shutdown.answers_until).abs() < 1e-6);
+    });
+}
+
+#[test]
+fn at_the_end_what_has_no_answer_is_told_so() {
+    run(async {
+        let world = World::new("");
+        let mut client = world.client();
+        send(&mut client, &[get("/i/", "1"), get("/i/", "2")].concat()).await;
+        world.dispatched(&["1", "2"]).await;
+        world.lifecycle.leave(Shutdown::begin(world.wheel.now(), GRACE_MS));
+        world.serve("2");
+        settle().await;
+        world.lifecycle.end();
+        let (first, _) = read(&mut client).await;
+        assert!(first.starts_with("HTTP/1.1 504 ") && first.contains("X-Attempt-Id: 1\r\n"), "{first}");
+        let second = rest(&mut client).await;
+        assert!(second.starts_with("HTTP/1.1 200 ") && second.ends_with("body of 2"), "{second}");
+        drop(client);
+        world.lifecycle.empty().await;
+        assert_eq!(world.front.counts().cut_by_end.get(), 1);
+    });
+}
+
+#[test]
+fn a_full_queue_goes_on_at_the_order_to_leave() {
+    run(async {
+        let world = World::new("");
+        let line = TrialLine { tenant: "t".into(), step: 1, stage: 1, in_ms: 0 };
+        world.desk.ebb.told(&[line], Some(world.document.config()));
+        let mut clients = Vec::new();
+        for id in 0..64 {
+            let mut client = world.client();
+            send(&mut client, &keyed("GET", "/w/", &id.to_string())).await;
+            clients.push(client);
+        }
+        settle().await;
+        assert_eq!(world.desk.ebb.standings()[0].waiting, 64);
+        world.lifecycle.leave(Shutdown::begin(world.wheel.now(), GRACE_MS));
+        world.desk.ebb.leave();
+        settle().await;
+        assert_eq!((world.desk.ebb.standings()[0].waiting, world.proxy.ids().len()), (0, 64));
+        for (id, client) in clients.iter_mut().enumerate() {
+            world.serve(&id.to_string());
+            let (head, _) = read(client).await;
+            assert!(head.starts_with("HTTP/1.1 200 ") && head.contains("Connection: close"), "{head}");
+        }
+        // Who comes now isn't held either.
+        let mut late = world.client();
+        send(&mut late, &keyed("GET", "/w/", "late")).await;
+        world.dispatched(&["late"]).await;
+    });
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,7 +1,7 @@
 //! The configuration as an immutable table, compiled once a version: which route, tenant and homes a request has.
 //! Gateways go by it, and `njctl explain` tells of it.
 
-use nickeljunction_schema::{Config, Limits};
+use nickeljunction_schema::{Config, Limits, RouteType};
 use std::borrow::Cow;
 use std::rc::Rc;
 
@@ -38,6 +38,8 @@
     pub name: Box<str>,
     /// A try may run more than once.
     pub repeatable: bool,
+    /// Answers are large: they are passed on as they come, and break off where their server's do.
+    pub large_answers: bool,
     /// Longest time that a request is held, ms.
     pub timeout_ms: f64,
     /// Full worth is earned within this time, ms.
@@ -145,6 +147,7 @@
             let compiled = Rc::new(Route {
                 name: name.as_str().into(),
                 repeatable: route.route_type().repeatable(),
+                large_answers: route.route_type() == RouteType::Download,
                 timeout_ms: route.timeout_ms(),
                 aim_ms: route.aim_ms(),
                 max_attempts: route.max_attempts().max(1),
