--- a/crates/controller/src/main.rs
+++ b/crates/controller/src/main.rs
@@ -11,7 +11,7 @@
     if let ControllerCmd::Store(order) = flags.subcommand {
         return store::run(order.subcommand);
     }
-    let at = match figures::address("controller", flags.figures.as_deref()) {
+    let at = match figures::place("controller", flags.figures.as_deref()) {
         Ok(at) => at,
         Err(code) => return code,
     };
--- a/crates/controller/src/serve.rs
+++ b/crates/controller/src/serve.rs
@@ -17,7 +17,6 @@
 use nickeljunction_schema::{CoreAddresses, Settings, SettingsError};
 use nickeljunction_storage::{Hold, HoldError, SledHold};
 use quick_error::quick_error;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::mpsc;
 
@@ -122,11 +121,11 @@
     opened
 }
 
-/// Serves until SIGTERM; figures at this address, where one is given.
+/// Serves until SIGTERM; figures at this place, where one is given.
 ///
 /// # Errors
 /// See [`ServeError`].
-pub async fn run(settings: Settings, figures_at: Option<SocketAddr>) -> Result<(), ServeError> {
+pub async fn run(settings: Settings, figures_at: Option<figures::Place>) -> Result<(), ServeError> {
     let addresses = settings.core_checked()?;
     let mut dice = fastrand::Rng::new();
     let wheel = Wheel::new(Clock::start());
@@ -172,8 +171,8 @@
         (listen("control", addresses.control).await?, Rc::new(control)),
         (listen("inner calls", addresses.inner).await?, Rc::new(inner_desk)),
     ];
-    if let Some(address) = figures_at {
-        figures::offer(&wheel, address, driver.figures()).await?;
+    if let Some(place) = figures_at {
+        figures::offer_at(&wheel, place, addresses.ip, driver.figures()).await?;
     }
     let open_desks: Vec<Rc<Desk>> = desks.iter().map(|(_, desk)| desk.clone()).collect();
     let mut serving = tokio::task::JoinSet::new();
--- a/crates/edge/src/cli.rs
+++ b/crates/edge/src/cli.rs
@@ -14,7 +14,7 @@
         optional --log-level level: String
         /// Reads and checks the settings, names what is wrong, and ends.
         optional --check
-        /// IP:PORT where figures are to be had (GET /metrics); without it, nowhere.
+        /// IP:PORT, or a PORT of this machine, where figures are to be had (GET /metrics); without it, nowhere.
         optional --figures address: String
     }
 }
--- a/crates/edge/src/main.rs
+++ b/crates/edge/src/main.rs
@@ -7,7 +7,7 @@
 
 fn main() -> ExitCode {
     let flags = Edge::from_env_or_exit();
-    let at = match figures::address("edge", flags.figures.as_deref()) {
+    let at = match figures::place("edge", flags.figures.as_deref()) {
         Ok(at) => at,
         Err(code) => return code,
     };
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -72,11 +72,11 @@
     seeds.iter().map(|seed| seed.ip().to_string()).collect()
 }
 
-/// Serves until SIGTERM; figures at this address, where one is given.
+/// Serves until SIGTERM; figures at this place, where one is given.
 ///
 /// # Errors
 /// See [`ServeError`].
-pub async fn run(settings: Settings, figures_at: Option<SocketAddr>) -> Result<(), ServeError> {
+pub async fn run(settings: Settings, figures_at: Option<figures::Place>) -> Result<(), ServeError> {
     let addresses = settings.edge_checked()?;
     let mut dice = fastrand::Rng::new();
     let wheel = Wheel::new(Clock::start());
@@ -124,17 +124,18 @@
     let readiness = listen("readiness", addresses.readiness).await?;
     let desk = Desk::new(wheel.clone(), Limits { connections: 16, ..Limits::default() })
         .route(READINESS, Rc::new(Readiness(link.clone())));
-    if let Some(address) = figures_at {
-        let (front, lifecycle) = (front.clone(), lifecycle.clone());
-        let sources = Sources { front, lifecycle, proxy: proxy.clone(), link: link.clone() };
-        figures::offer(&wheel, address, sources.writer()).await?;
-    }
     if let Some(address) = addresses.directory {
         let resolve = Resolve::new(link.clone(), dice.u64(..), TTL_S.min(bounds.ttl_max_s));
         let desk = Desk::new(wheel.clone(), Limits { connections: MOST_ASKING, ..Limits::default() });
         let desk = desk.route(RESOLVE, Rc::new(resolve));
         tokio::task::spawn_local(Rc::new(desk).serve(listen("directory", address).await?));
     }
+    // Last of all that listens: its port is fixed, the others are the day's.
+    if let Some(place) = figures_at {
+        let (front, lifecycle) = (front.clone(), lifecycle.clone());
+        let sources = Sources { front, lifecycle, proxy: proxy.clone(), link: link.clone() };
+        figures::offer_at(&wheel, place, addresses.ip, sources.writer()).await?;
+    }
     tokio::task::spawn_local(wheel.clone().run());
     tokio::task::spawn_local(proxy.clone().run());
     tokio::task::spawn_local(Rc::new(desk).serve(readiness));
--- a/crates/net/src/figures.rs
+++ b/crates/net/src/figures.rs
@@ -5,7 +5,7 @@
 use crate::start::{listen, StartError};
 use crate::wheel::Wheel;
 use std::fmt::Write;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::process::ExitCode;
 use std::rc::Rc;
 
@@ -122,14 +122,48 @@
     Ok(address)
 }
 
-/// The address that the command line names; the exit code 2 where it is none, with the option on standard error.
+/// Where figures are to be had, as the command line says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Place {
+    /// At this address.
+    Address(SocketAddr),
+    /// At this port of the machine's own address.
+    Port(u16),
+}
+
+impl std::str::FromStr for Place {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Place, ()> {
+        let port = text.parse().ok().filter(|port| *port > 0).map(Place::Port);
+        port.or_else(|| text.parse().ok().map(Place::Address)).ok_or(())
+    }
+}
+
+/// Offers figures where the command line says, on a machine of this address. A port that is written once for all machines
+/// may be taken on one of them: that is logged, and the program serves without.
+///
+/// # Errors
+/// An address of the operators' own is taken.
+pub async fn offer_at(wheel: &Wheel, place: Place, own: IpAddr, writer: Writer) -> Result<(), StartError> {
+    let offered = match place {
+        Place::Address(address) => return offer(wheel, address, writer).await.map(drop),
+        Place::Port(port) => offer(wheel, SocketAddr::new(own, port), writer).await,
+    };
+    if let Err(error) = offered {
+        log::error!("event=figures_not_offered error={:?}", error.to_string());
+    }
+    Ok(())
+}
+
+/// The place that the command line names; the exit code 2 where it is none, with the option on standard error.
 ///
 /// # Errors
 /// The exit code.
-pub fn address(program: &str, told: Option<&str>) -> Result<Option<SocketAddr>, ExitCode> {
+pub fn place(program: &str, told: Option<&str>) -> Result<Option<Place>, ExitCode> {
     let Some(told) = told else { return Ok(None) };
-    told.parse().map(Some).map_err(|_| {
-        eprintln!("{program}: --figures: wants IP:PORT, got {told:?}");
+    told.parse().map(Some).map_err(|()| {
+        eprintln!("{program}: --figures: wants IP:PORT or PORT, got {told:?}");
         ExitCode::from(2)
     })
 }
@@ -203,6 +237,29 @@
         assert!(well_formed("# HELP a x\n# TYPE a gauge\na one\n").is_err());
     }
 
+    #[test]
+    fn a_place_is_an_address_or_a_port() {
+        assert_eq!("9464".parse(), Ok(Place::Port(9_464)));
+        assert_eq!("127.0.0.1:0".parse(), Ok(Place::Address(SocketAddr::from(([127, 0, 0, 1], 0)))));
+        for bad in ["", "0", "65536", "-1", "here", "9464/metrics", "10.0.0.1"] {
+            assert_eq!(bad.parse::<Place>(), Err(()), "{bad}");
+        }
+    }
+
+    #[test]
+    fn a_taken_port_of_the_machine_ends_nothing_and_a_taken_address_does() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("runtime");
+        let test = async {
+            let taken = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let address = taken.local_addr().expect("bound");
+            let wheel = Wheel::new(crate::clock::Clock::start());
+            let offered = |place| offer_at(&wheel, place, address.ip(), Rc::new(|_: &mut Page| {}));
+            assert!(offered(Place::Port(address.port())).await.is_ok());
+            assert!(offered(Place::Address(address)).await.is_err());
+        };
+        tokio::task::LocalSet::new().block_on(&runtime, test);
+    }
+
     #[test]
     fn a_collector_gets_the_page_and_others_an_answer() {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("runtime");
@@ -231,8 +288,8 @@
 
     #[test]
     fn an_address_that_is_none_ends_the_program() {
-        assert_eq!(address("edge", Some("127.0.0.1:0")).map_err(|_| ()), Ok("127.0.0.1:0".parse().ok()));
-        assert_eq!(address("edge", None).map_err(|_| ()), Ok(None));
-        assert!(address("edge", Some("here")).is_err());
+        assert_eq!(place("edge", Some("127.0.0.1:0")).map_err(|_| ()), Ok("127.0.0.1:0".parse().ok()));
+        assert_eq!(place("edge", None).map_err(|_| ()), Ok(None));
+        assert!(place("edge", Some("here")).is_err());
     }
 }
