--- a/crates/edge/tests/front_world/mod.rs
+++ b/crates/edge/tests/front_world/mod.rs
@@ -87,6 +87,7 @@
             r#"{{"config_version":3,"limits":{{{limits}}},"backends":{{"a":{{}},"b":{{}}}},"routes":{{
             "i":{{"hostname":"h","path_prefix":"/i/","route_type":"idempotent","timeout_s":2,"backend":"a","no_auth":true}},
             "n":{{"hostname":"h","path_prefix":"/n/","route_type":"non_idempotent","timeout_s":2,"backend":"b","no_auth":true}},
+            "d":{{"hostname":"h","path_prefix":"/d/","route_type":"download","timeout_s":2,"backend":"a","no_auth":true}},
             "w":{{"hostname":"h","path_prefix":"/w/","route_type":"idempotent","timeout_s":60,"backend":"a","gives_way":1}},
             "k":{{"hostname":"h","path_prefix":"/k/","timeout_s":2,"backend":"b","home_regions":["r"]}}}},
             "trials":{{"t":{{"stages":[{{"for_s":9,"wait_s":500000}}]}}}},
