Put departures of servers on the agreed log before they are acknowledged

Cause: the register of servers is memory. A drain, or a server's DELETE, was acknowledged when a majority of followers had it in their copies; a successor that was not of that majority, or one that starts from notes on its disk after all of the core was dark, named the server as serving again, and gateways sent to it.

Change: replica::departures. A departure is an entry on the log, one under way at a time, what comes meanwhile with the next one; it is acknowledged once committed and out to the gateways. A leader applies the log's departures to its register before it answers anyone. The count of followers' copies (registry's Reach::core) is gone with its only use; the test that asked for one other member's copy asks for its disk now.

--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -9,7 +9,7 @@
 //!
 //! # Driving a register
 //!
-//! After a take-over call [`Register::new`], then at once [`Register::evacuated`], [`Register::trials`],
+//! After a take-over call [`Register::new`], then at once [`Register::departed`], [`Register::evacuated`], [`Register::trials`],
 //! [`Register::config`] and [`Register::core`] with what the agreed log says, and only then answer watch calls. Call [`Register::tick`] every
 //! 100 to 500 ms. After any call check the held watch calls again if [`Register::seq`] rose.
 
--- a/crates/registry/src/register.rs
+++ b/crates/registry/src/register.rs
@@ -6,7 +6,7 @@
 use crate::servers::{Beat, BeatKind, BeatOutcome, ServerStanding, Servers};
 use crate::tally::{tally, Tally};
 use nickeljunction_messages::{
-    Caller, ConfigChange, ConfigLine, GatewayLine, TrialLine, WatchAnswer, WatchCall,
+    Caller, ConfigChange, ConfigLine, GatewayLine, ServerState, TrialLine, WatchAnswer, WatchCall,
 };
 use nickeljunction_schema::DocumentDigest;
 use std::cell::RefCell;
@@ -97,21 +97,12 @@
 /// How far a change has come round, by the watch calls that followed it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Reach {
-    /// Other core members that have it: one of them would start from it as a successor.
-    pub core: usize,
     /// Gateways that have it.
     pub gateways: usize,
     /// Gateways that are there now.
     pub gateways_there: usize,
 }
 
-/// What a follower has, by its last call.
-#[derive(Debug)]
-struct Follower {
-    has: u64,
-    until: u64,
-}
-
 /// Something published: what it is, and the number of its last change. `None`: not told yet.
 type Told<T> = Option<(T, u64)>;
 
@@ -178,7 +169,6 @@
     numbers: Numbering,
     servers: Servers,
     gateways: Gateways,
-    followers: BTreeMap<String, Follower>,
     evacuated: Told<BTreeSet<String>>,
     /// The copy's evacuated zones, until the log's are told.
     before: BTreeSet<String>,
@@ -212,7 +202,6 @@
             numbers,
             servers,
             gateways,
-            followers: BTreeMap::new(),
             evacuated: None,
             before: BTreeSet::clone(&catalog.evacuated),
             core: None,
@@ -239,6 +228,17 @@
         self.gathering.is_some()
     }
 
+    /// Servers that left by the agreed log, whatever the copy said of them: those that drain, each with the number of the
+    /// call that said so, and those that ended. To be told right after [`Register::new`].
+    pub fn departed(&mut self, now: u64, draining: &BTreeMap<String, u64>, ended: &BTreeSet<String>) {
+        self.servers.departed(now, &self.tuning, draining, ended, &mut self.numbers);
+    }
+
+    /// State of the server of this id; `None`: it is not in the table.
+    pub fn server_state(&self, id: &str) -> Option<ServerState> {
+        self.servers.state(id)
+    }
+
     /// A server says that it lives. Whatever the outcome, the call is to be acknowledged; one that says `draining` only
     /// when [`BeatOutcome::at`] has come round, see [`Register::reach`].
     pub fn beat(&mut self, now: u64, id: &str, beat: &Beat) -> BeatOutcome {
@@ -266,7 +266,6 @@
             self.servers.stood_still(now, pause);
         }
         self.gateways.refresh(now, &self.tuning, &mut self.numbers);
-        self.followers.retain(|_, follower| now < follower.until);
         let expired = self.servers.expire(now, &self.tuning, &mut self.numbers);
         self.servers.warm(now, &self.tuning, &self.gateways, &mut self.numbers);
         let over = |wait: &Gathering| now >= wait.last || now >= wait.end && self.servers.count() > 0;
@@ -282,11 +281,7 @@
         let has = if call.term == self.term { call.seq } else { 0 };
         match call.who {
             Caller::Gateway => self.gateways.called(now, &self.tuning, call, has, &mut self.numbers),
-            Caller::Core => {
-                let until = now + call.wait_ms + self.tuning.gateway_slack_ms;
-                self.followers.insert(call.name.clone(), Follower { has, until });
-                Seen::Core
-            }
+            Caller::Core => Seen::Core,
         }
     }
 
@@ -371,10 +366,8 @@
 
     /// How far the change of number `seq` has come round; for changes of servers and evacuations.
     pub fn reach(&self, now: u64, seq: u64) -> Reach {
-        let core =
-            self.followers.values().filter(|follower| now < follower.until && follower.has >= seq).count();
         let (gateways, gateways_there) = self.gateways.reached(now, seq);
-        Reach { core, gateways, gateways_there }
+        Reach { gateways, gateways_there }
     }
 
     /// What the caller lacks; `None`: nothing, and the call is to be held. `age_ms`: so long ago a majority agreed that
--- a/crates/registry/src/servers.rs
+++ b/crates/registry/src/servers.rs
@@ -9,8 +9,8 @@
 /// Ids of lives gone that are told as differences; who lags further behind reads the whole table.
 const MOST_GONE: usize = 1_024;
 
-/// Ended lives that are remembered. Those that end first are forgotten first.
-const MOST_PAST: usize = 1_024;
+/// Ended lives that are remembered, as many as the agreed log tells at most. Those that end first are forgotten first.
+const MOST_PAST: usize = 4_096;
 
 /// What a server's beat tells.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -198,6 +198,44 @@
         servers
     }
 
+    /// See [`crate::Register::departed`].
+    pub(crate) fn departed(
+        &mut self,
+        now: u64,
+        tuning: &Tuning,
+        draining: &BTreeMap<String, u64>,
+        ended: &BTreeSet<String>,
+        numbers: &mut Numbering,
+    ) {
+        for (id, call_seq) in draining {
+            let Some(life) = self.lives.get_mut(id) else {
+                // Whoever still goes by it is told that it is gone, until its next beat.
+                self.forget(now, tuning, id, End::Silent(Some(*call_seq)), String::new(), self.permits_from);
+                self.tell_gone(id, numbers);
+                continue;
+            };
+            life.call_seq = life.call_seq.max(Some(*call_seq));
+            if life.line.state != ServerState::Draining {
+                life.line.state = ServerState::Draining;
+                life.changed = numbers.next();
+                self.changed = life.changed;
+            }
+        }
+        for id in ended {
+            if self.lives.contains_key(id) {
+                self.withdraw(now, tuning, id, End::Certain, numbers);
+            } else {
+                self.forget(now, tuning, id, End::Certain, String::new(), 0);
+                self.tell_gone(id, numbers);
+            }
+        }
+    }
+
+    /// State of the life of this id; `None`: it is not in the table.
+    pub(crate) fn state(&self, id: &str) -> Option<ServerState> {
+        self.lives.get(id).map(|life| life.line.state)
+    }
+
     /// See [`crate::Register::beat`].
     pub(crate) fn beat(
         &mut self,
@@ -335,6 +373,11 @@
             None => life.permit.free_at,
         };
         self.forget(now, tuning, id, end, life.line.address, free_at);
+        self.tell_gone(id, numbers);
+    }
+
+    /// A life is not in the table any more: who follows is told.
+    fn tell_gone(&mut self, id: &str, numbers: &mut Numbering) {
         self.changed = numbers.next();
         self.gone.push_back((self.changed, id.to_string()));
         if self.gone.len() > MOST_GONE {
--- a/crates/registry/tests/servers.rs
+++ b/crates/registry/tests/servers.rs
@@ -4,8 +4,8 @@
 
 use common::*;
 use nickeljunction_messages::{Caller, ServerState};
-use nickeljunction_registry::{BeatKind, Copy};
-use std::collections::BTreeSet;
+use nickeljunction_registry::{BeatKind, Copy, Register};
+use std::collections::{BTreeMap, BTreeSet};
 
 fn zones<const N: usize>(names: [&str; N]) -> BTreeSet<String> {
     names.map(String::from).into()
@@ -302,3 +302,51 @@
     cluster.register.leave(cluster.now, "l");
     assert!(!cluster.register.tally().contains_key("eligcheck"));
 }
+
+/// A register that is whole, with the servers `stays`, `drains` and `ends`.
+fn with_three_servers() -> Cluster {
+    let mut cluster = Cluster::new();
+    for call_seq in 1..=3 {
+        for id in ["stays", "drains", "ends"] {
+            cluster.beat(id, &beat(&format!("{id}:1"), "a1", call_seq));
+        }
+        cluster.wait(2_000);
+    }
+    cluster
+}
+
+#[test]
+fn a_new_leader_goes_by_the_log_whatever_its_copy_says() {
+    let copy = with_three_servers().copy();
+    let now = 50_000;
+    let leaving = BTreeMap::from([("drains".to_owned(), 4), ("unknown".to_owned(), 4)]);
+    let ended = BTreeSet::from(["ends".to_owned(), "never heard of".to_owned()]);
+    let mut register = Register::new(now, tuning(), 9, Some(copy));
+    register.departed(now, &leaving, &ended);
+    let states = ["stays", "drains", "ends", "unknown"].map(|id| register.server_state(id));
+    assert_eq!(states, [Some(ServerState::InService), Some(ServerState::Draining), None, None]);
+    // Beats of before the departures, and one that came after.
+    assert_eq!(register.beat(now, "drains", &beat("drains:1", "a1", 3)).kind, BeatKind::Late);
+    assert_eq!(register.beat(now, "unknown", &beat("unknown:1", "a1", 3)).kind, BeatKind::Late);
+    assert_eq!(register.beat(now, "ends", &beat("ends:1", "a1", 99)).kind, BeatKind::Ended);
+    assert_eq!(register.beat(now, "never heard of", &beat("n:1", "a1", 1)).kind, BeatKind::Ended);
+    assert_eq!(register.beat(now, "unknown", &draining("unknown:1", "a1", 5)).kind, BeatKind::Came);
+    assert_eq!(register.server_state("unknown"), Some(ServerState::Draining));
+}
+
+/// It has no copy: its answers add to what gateways have, and must take away what left.
+#[test]
+fn a_new_leader_without_a_copy_names_who_left() {
+    let draining = BTreeMap::from([("drains".to_owned(), 4)]);
+    let ended = BTreeSet::from(["ends".to_owned()]);
+    let mut copy = with_three_servers().copy();
+    let now = 50_000;
+    let mut register = Register::new(now, tuning(), 9, None);
+    register.departed(now, &draining, &ended);
+    let call = copy.ask(Caller::Gateway, "g", 1, None, 0);
+    let answer = register.answer(now, &call, 0).expect("a new leader's answer");
+    assert!(!answer.whole);
+    copy.apply(answer).expect("of a newer term");
+    let left: Vec<String> = copy.catalog().servers.keys().map(|id| id.to_string()).collect();
+    assert_eq!(left, ["stays"]);
+}
--- a/crates/registry/tests/watching.rs
+++ b/crates/registry/tests/watching.rs
@@ -123,14 +123,15 @@
     cluster.register.called(cluster.now, &hello("g", "a1", 1, true));
     let at = cluster.register.beat(cluster.now, "x", &draining("x:1", "a1", 1)).at;
     let mut copy = Copy::new();
-    cluster.tell(&mut copy, Caller::Core);
+    cluster.tell(&mut copy, Caller::Gateway);
     let reach = cluster.register.reach(cluster.now, at);
-    assert_eq!((reach.core, reach.gateways, reach.gateways_there), (0, 0, 1));
+    assert_eq!((reach.gateways, reach.gateways_there), (0, 1));
     cluster.register.called(cluster.now, &copy.ask(Caller::Core, "core-2", 1, None, 1_000));
+    assert_eq!(cluster.register.reach(cluster.now, at).gateways, 0, "a core member is no gateway");
     cluster.register.called(cluster.now, &copy.ask(Caller::Gateway, "g", 1, None, 1_000));
     let reach = cluster.register.reach(cluster.now, at);
-    assert_eq!((reach.core, reach.gateways, reach.gateways_there), (1, 1, 1));
-    assert_eq!(cluster.register.reach(cluster.now, cluster.register.seq() + 1).core, 0);
+    assert_eq!((reach.gateways, reach.gateways_there), (1, 1));
+    assert_eq!(cluster.register.reach(cluster.now, cluster.register.seq() + 1).gateways, 0);
 }
 
 #[test]
--- a/crates/replica/src/calls.rs
+++ b/crates/replica/src/calls.rs
@@ -46,6 +46,8 @@
 pub(crate) enum Proposed {
     /// The counter's own wish.
     Forget,
+    /// The leader's own: departures of servers.
+    Departures,
     /// Counted adds of a gateway's process that is new.
     Lend(Ticket, UnitsCall),
     /// A configuration on a base, with its version.
@@ -123,7 +125,7 @@
             }
         });
         self.waits.retain(|_, (.., proposed)| match proposed {
-            Proposed::Forget | Proposed::Stage { .. } => true,
+            Proposed::Forget | Proposed::Departures | Proposed::Stage { .. } => true,
             Proposed::Lend(of, _)
             | Proposed::Put { ticket: of, .. }
             | Proposed::Core { ticket: of, .. }
@@ -246,6 +248,9 @@
                 }
                 return;
             }
+            Settled::Entry(Proposed::Departures, outcome) => {
+                return self.departures_settled(now, outcome.is_some())
+            }
             Settled::Entry(Proposed::Lend(ticket, call), Some(_)) => {
                 (ticket, self.lend_to_new(now, &call).map_or_else(Answer::Elsewhere, Answer::Units))
             }
--- a/crates/replica/src/leader.rs
+++ b/crates/replica/src/leader.rs
@@ -1,5 +1,7 @@
 //! What only a leader has and does: registers, counter, and who is answered by its lease.
 
+use crate::calls::Proposed;
+use crate::departures::{Departure, DepartureLog};
 use crate::effects::{Event, Ticket};
 use crate::lapsed_trials::LapsedTrials;
 use crate::machine::Replica;
@@ -16,10 +18,10 @@
 const MOST_HOLD_MS: u64 = 5_000;
 /// How long an acknowledgement waits for the gateways that are there to know the change, ms.
 const ROUND_MS: u64 = 250;
-/// How long it waits for a majority of the members to know it, ms: a server that is told that it may leave must not be sent to
-/// by a successor who never heard of it, so without them there is no acknowledgement. A server takes another member after a
+/// How long it waits for the change to be on the agreed log, ms: a server that is told that it may leave must not be sent to
+/// by a successor who never heard of it, so without that there is no acknowledgement. A server takes another member after a
 /// second.
-const MAJORITY_MS: u64 = 700;
+const LOGGED_MS: u64 = 700;
 /// Watch calls that say what their sender has don't count as changes: a round looks again so soon, ms.
 const LOOK_MS: u64 = 10;
 
@@ -34,6 +36,8 @@
     pub version: u64,
     /// The counter's wish to forget lives is on its way to the log.
     pub forgets: bool,
+    /// Servers that leave, on their way to the log.
+    pub departures: DepartureLog,
     /// Watch calls under way, by the life of their sender: one of them that breaks says nothing while others are there.
     watching: BTreeMap<u64, u32>,
 }
@@ -79,21 +83,22 @@
 /// An acknowledgement that waits until a change has come round.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Round {
+    /// Of the leader that waits.
+    term: u64,
+    /// Number of the change in its register.
     seq: u64,
+    /// Number of the departure that is to be on the log.
+    departure: u64,
     /// Gateways are waited for until then.
     gateways_until: u64,
-    /// A majority of the members is waited for until then.
-    members_until: u64,
+    /// The log is waited for until then.
+    logged_until: u64,
 }
 
 impl Round {
-    fn new(seq: u64, now: u64) -> Round {
-        Round { seq, gateways_until: now + ROUND_MS, members_until: now + MAJORITY_MS }
-    }
-
     /// When it is to look again, where nothing changes before.
     pub fn look_at(&self, now: u64) -> u64 {
-        let next = if now < self.gateways_until { self.gateways_until } else { self.members_until };
+        let next = if now < self.gateways_until { self.gateways_until } else { self.logged_until };
         next.clamp(now + 1, now + LOOK_MS)
     }
 }
@@ -134,11 +139,13 @@
         }
         let tuning = nickeljunction_registry::Tuning::new(self.place.heartbeat_ms, self.place.zones.clone());
         let copy = std::mem::take(&mut self.copy);
+        let departures = self.state.departures();
         let window = (self.place.bounds.quota_window_s * 1_000.0) as u64;
         let logged = self.state.gateways().clone();
         let known = logged.len();
         let counter = Counter::new(now, term, nickeljunction_quota::Tuning::new(window), logged);
-        let register = Register::new(now, tuning, term, Some(copy));
+        let mut register = Register::new(now, tuning, term, Some(copy));
+        register.departed(now, departures.draining(), departures.ended());
         self.out.events.push(Event::LeadBegun {
             term,
             version: self.state.version(),
@@ -154,6 +161,7 @@
             tides: LapsedTrials::default(),
             version: 0,
             forgets: false,
+            departures: DepartureLog::default(),
             watching: BTreeMap::new(),
         });
         self.publish(now);
@@ -192,6 +200,7 @@
             lead.forgets = true;
             self.forget(now, roll);
         }
+        self.age_departures(now);
     }
 
     /// Does something with the registers and the counter, if this member surely leads; with the lease's age.
@@ -299,8 +308,24 @@
                 cold_ms: beat.warmup_left_ms,
             });
         }
-        let drains = beat.state == ServerState::Draining;
-        Ok(drains.then(|| Round::new(outcome.at, now)))
+        if beat.state == ServerState::Draining {
+            let departure = Departure::Draining { call_seq: beat.call_seq };
+            let departure = (outcome.kind != BeatKind::Late).then_some(departure);
+            return self.begin_round(now, id, outcome.at, departure).map(Some);
+        }
+        self.note_return(now, id, beat);
+        Ok(None)
+    }
+
+    /// A server that drained says that it serves.
+    fn note_return(&mut self, now: u64, id: &str, beat: &Beat) {
+        let said = self.state.departures().draining().get(id);
+        let is_later = said.is_some_and(|call_seq| *call_seq < beat.call_seq);
+        let Some(lead) = self.lead.as_mut().filter(|_| is_later) else { return };
+        if lead.register.server_state(id) == Some(ServerState::InService) {
+            lead.departures.returned(id);
+            self.log_departures(now);
+        }
     }
 
     /// A server says that it is gone. It is acknowledged after a round.
@@ -310,19 +335,77 @@
     pub fn gone(&mut self, now: u64, id: &str) -> Result<Round, Elsewhere> {
         let seq = self.with_lead(now, |lead, _| lead.register.leave(now, id))?;
         self.out.events.push(Event::ServerGone { life: id.into() });
-        Ok(Round::new(seq, now))
+        self.begin_round(now, id, seq, Some(Departure::Ended))
+    }
+
+    /// Puts a departure on its way to the log and to the gateways.
+    fn begin_round(
+        &mut self,
+        now: u64,
+        id: &str,
+        seq: u64,
+        departure: Option<Departure>,
+    ) -> Result<Round, Elsewhere> {
+        let Some(lead) = &mut self.lead else { return Err(self.elsewhere()) };
+        let logged = self.state.departures();
+        let number = departure.map_or(0, |departure| lead.departures.note(id, departure, logged));
+        let round = Round {
+            term: lead.term,
+            seq,
+            departure: number,
+            gateways_until: now + ROUND_MS,
+            logged_until: now + LOGGED_MS,
+        };
+        self.log_departures(now);
+        Ok(round)
+    }
+
+    /// Puts the departures that wait on the log, where none is on its way there.
+    fn log_departures(&mut self, now: u64) {
+        self.propose_departures(now);
+        self.turn(now, |_| ());
     }
 
-    /// Whether a round is over: a majority of the members has the change, and all gateways that are there have it or were
-    /// waited for long enough.
+    /// The same, to be followed by a turn.
+    fn propose_departures(&mut self, now: u64) {
+        let Some(entry) = self.lead.as_mut().and_then(|lead| lead.departures.next_entry()) else { return };
+        self.propose_own(now, &entry, Proposed::Departures);
+    }
+
+    /// What became of the entry of departures.
+    pub(crate) fn departures_settled(&mut self, now: u64, is_logged: bool) {
+        let Some(lead) = &mut self.lead else { return };
+        lead.departures.settled(is_logged);
+        self.out.changed = true;
+        // A log that takes nothing at the moment is tried again with the next beat or tick.
+        if is_logged {
+            self.propose_departures(now);
+        }
+    }
+
+    /// Has departures forgotten that are old, and tries again what the log didn't take.
+    fn age_departures(&mut self, now: u64) {
+        let Some(lead) = &mut self.lead else { return };
+        let register = &lead.register;
+        lead.departures.forget_old(now, self.state.departures(), |id| register.server_state(id).is_some());
+        self.log_departures(now);
+    }
+
+    /// Whether a round is over: the change is on the log, and all gateways that are there have it or were waited for long
+    /// enough.
     ///
     /// # Errors
-    /// As all here, and where no majority has it in time: whoever leads next might never hear of it.
+    /// As all here, and where the log doesn't have it in time: whoever leads next might never hear of it.
     pub fn come_round(&mut self, now: u64, round: &Round) -> Result<bool, Elsewhere> {
-        let reach = self.with_lead(now, |lead, _| lead.register.reach(now, round.seq))?;
-        let majority_without_me = self.book.members().len() / 2;
-        if reach.core < majority_without_me {
-            return if now >= round.members_until { Err(self.elsewhere()) } else { Ok(false) };
+        let (reach, term, is_logged) = self.with_lead(now, |lead, _| {
+            (lead.register.reach(now, round.seq), lead.term, lead.departures.has_logged(round.departure))
+        })?;
+        // Another lead of this member has other numbers.
+        if term != round.term {
+            return Err(self.elsewhere());
+        }
+        if !is_logged {
+            return if now >= round.logged_until { Err(self.elsewhere()) } else { Ok(false) };
         }
         Ok(reach.gateways >= reach.gateways_there || now >= round.gateways_until)
     }
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -27,6 +27,7 @@
 
 mod calls;
 mod change;
+pub mod departures;
 mod divergence;
 mod effects;
 pub mod follow;
--- a/crates/replica/src/state.rs
+++ b/crates/replica/src/state.rs
@@ -1,6 +1,7 @@
 //! What must outlive everything, as the agreed log makes it: the configuration with its version, the evacuated zones, tenants'
 //! trials, and which gateways' processes have units. No I/O and no clock: entries go in, one after the other and the same at every member.
 
+use crate::departures::Departures;
 use crate::order_memory::{FormerRecord, OrderMemory, Recall};
 use nickeljunction_consensus::Away;
 use nickeljunction_registry::Changes;
@@ -68,6 +69,18 @@
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         gone: Vec<u64>,
     },
+    /// Servers that leave.
+    Departures {
+        /// Those that drain, by id, with the number of the call that said so.
+        #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+        draining: BTreeMap<String, u64>,
+        /// Those that ended.
+        #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+        ended: BTreeSet<String>,
+        /// Those whose departure need not be remembered any more.
+        #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+        forgotten: BTreeSet<String>,
+    },
 }
 
 /// What operators last ordered on who is a member of the core.
@@ -183,6 +196,9 @@
     /// Trials by tenant, all that ever changed.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     trials: BTreeMap<String, Trial>,
+    /// Servers that leave, or left a short time ago.
+    #[serde(default, skip_serializing_if = "Departures::is_empty")]
+    departures: Departures,
 }
 
 fn is_none_yet(core: &(u64, CoreOrder)) -> bool {
@@ -242,6 +258,9 @@
                 self.gateways.retain(|life, _| !gone.contains(life));
                 self.gateways.extend(come);
             }
+            Entry::Departures { draining, ended, forgotten } => {
+                self.departures.apply(draining, ended, &forgotten);
+            }
         }
         Outcome::Taken
     }
@@ -341,6 +360,11 @@
         &self.gateways
     }
 
+    /// Servers that leave, or left a short time ago: no leader tells anyone to send to them.
+    pub fn departures(&self) -> &Departures {
+        &self.departures
+    }
+
     /// How many orders on the core's members were taken, and the last one.
     pub fn core(&self) -> (u64, &CoreOrder) {
         (self.core.0, &self.core.1)
--- a/crates/replica/tests/member.rs
+++ b/crates/replica/tests/member.rs
@@ -5,6 +5,7 @@
     Caller, EbbCall, GatewayLine, Member, ServerState, TenantUnits, UnitsCall, WatchCall,
 };
 use nickeljunction_registry::Beat;
+use nickeljunction_replica::departures::Departure;
 use nickeljunction_replica::{Answer, Change, Held, Lent, Place, Replica, Ticket};
 use nickeljunction_schema::Bounds;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -25,6 +26,10 @@
     still: BTreeSet<usize>,
     /// Who sends an entry with these words is cut off before it is out.
     mute: Option<&'static str>,
+    /// Their disks take no writes, but for those of `written`.
+    hangs: BTreeSet<usize>,
+    /// What these disks were given, in order.
+    unwritten: Vec<(usize, u64)>,
 }
 
 impl Core {
@@ -46,7 +51,9 @@
         };
         let houses = (0..3).map(house).collect();
         let (cut, still) = (BTreeSet::new(), BTreeSet::new());
-        let mut core = Core { now, houses, answers: BTreeMap::new(), cut, still, mute: None };
+        let (hangs, unwritten) = (BTreeSet::new(), Vec::new());
+        let mut core =
+            Core { now, houses, answers: BTreeMap::new(), cut, still, mute: None, hangs, unwritten };
         core.run(2_000);
         let leader = core.leader();
         let put = core.change(leader, 0, 1);
@@ -73,6 +80,10 @@
         while let Some(node) = busy.pop() {
             let effects = self.houses[node].take();
             for write in &effects.writes {
+                if self.hangs.contains(&node) {
+                    self.unwritten.push((node, write.ticket));
+                    continue;
+                }
                 self.houses[node].written(self.now, write.ticket, true);
                 busy.push(node);
             }
@@ -98,6 +109,17 @@
         result
     }
 
+    /// A disk takes writes again, and has what it was given.
+    fn recover(&mut self, node: usize) {
+        self.hangs.remove(&node);
+        let (its, others) = self.unwritten.drain(..).partition(|(of, _)| *of == node);
+        self.unwritten = others;
+        let its: Vec<(usize, u64)> = its;
+        for (_, ticket) in its {
+            self.at(node, |house, now| house.written(now, ticket, true));
+        }
+    }
+
     fn run(&mut self, ms: u64) {
         for _ in 0..ms {
             self.now += 1;
@@ -210,18 +232,15 @@
     assert!(house.come_round(now, &round).is_err(), "not even for want of time");
 }
 
-/// A follower's call that has all up to this number.
-fn follow(name: &str, life: u64, term: u64, seq: u64) -> WatchCall {
-    WatchCall { who: Caller::Core, name: name.into(), line: None, term, seq, ..watch(life) }
-}
-
 #[test]
 fn no_drain_is_acknowledged_that_only_the_leader_knows() {
     for ends in [false, true] {
         let mut core = Core::new(21);
         let leader = core.leader();
-        let term = core.houses[leader].book().term();
+        let others: Vec<usize> = (0..3).filter(|node| *node != leader).collect();
         assert_eq!(core.at(leader, |house, now| house.beat(now, "i-1", &beat())), Ok(None));
+        // They hear of it, but their disks don't have it.
+        core.hangs.extend(others.iter().copied());
         let round = core.at(leader, |house, now| match ends {
             true => house.gone(now, "i-1"),
             false => {
@@ -241,11 +260,75 @@
             }
         }
         assert_eq!(refused, Some((700, None)), "a server goes on after a second");
-        // One other member of three that has it is enough.
-        let all = core.houses[leader].leads().expect("it leads").0.seq();
-        core.at(leader, |house, now| house.called(now, &follow("core-x", 90, term, all))).expect("it leads");
+        // One other member of three that has it on its disk is enough.
+        core.recover(others[0]);
         assert_eq!(core.at(leader, |house, now| house.come_round(now, &round)), Ok(true));
+        let departures = core.houses[leader].state().departures().clone();
+        let expected = if ends { Departure::Ended } else { Departure::Draining { call_seq: 2 } };
+        assert_eq!(departures.of("i-1"), Some(expected));
+    }
+}
+
+/// Numbers of registers begin anew with each lead: a round of an earlier one says nothing of the register of now.
+#[test]
+fn a_round_of_an_earlier_lead_is_never_over() {
+    let mut core = Core::new(22);
+    let leader = core.leader();
+    let others: Vec<usize> = (0..3).filter(|node| *node != leader).collect();
+    core.hangs.extend(others.iter().copied());
+    let round = core.at(leader, |house, now| house.gone(now, "i-1")).expect("it leads");
+    let term = core.houses[leader].book().term();
+    core.cut.insert(leader);
+    core.still = others.iter().copied().collect();
+    core.run(1_200);
+    core.cut.clear();
+    others.iter().for_each(|node| core.recover(*node));
+    core.run(1_500);
+    assert_eq!(core.leader(), leader);
+    assert!(core.houses[leader].book().term() > term);
+    assert!(core.at(leader, |house, now| house.come_round(now, &round)).is_err());
+}
+
+#[test]
+fn departures_that_come_while_one_is_on_its_way_share_the_next_entry() {
+    let mut core = Core::new(23);
+    let leader = core.leader();
+    let others: Vec<usize> = (0..3).filter(|node| *node != leader).collect();
+    core.hangs.extend(others.iter().copied());
+    let commit = core.houses[leader].book().commit();
+    let rounds: Vec<_> = (0..50)
+        .map(|number| {
+            let id = format!("i-{number}");
+            core.at(leader, |house, now| house.gone(now, &id)).expect("it leads")
+        })
+        .collect();
+    others.iter().for_each(|node| core.recover(*node));
+    core.run(300);
+    for round in &rounds {
+        assert_eq!(core.at(leader, |house, now| house.come_round(now, round)), Ok(true));
     }
+    assert_eq!(core.houses[leader].book().commit(), commit + 2, "one for the first, one for all others");
+    assert_eq!(core.houses[leader].state().departures().ended().len(), 50);
+}
+
+#[test]
+fn a_server_that_drained_and_serves_again_is_no_departure_any_more() {
+    let mut core = Core::new(24);
+    let leader = core.leader();
+    let say = |state, call_seq| Beat { state, call_seq, ..beat() };
+    let draining = say(ServerState::Draining, 2);
+    core.at(leader, |house, now| house.beat(now, "i-1", &draining)).expect("it leads");
+    core.run(10);
+    assert_eq!(core.houses[leader].state().departures().len(), 1);
+    // A beat of before, which was long on its way.
+    let late = say(ServerState::InService, 1);
+    core.at(leader, |house, now| house.beat(now, "i-1", &late)).expect("it leads");
+    core.run(10);
+    assert_eq!(core.houses[leader].state().departures().len(), 1);
+    let back = say(ServerState::InService, 3);
+    core.at(leader, |house, now| house.beat(now, "i-1", &back)).expect("it leads");
+    core.run(10);
+    assert!(core.houses[leader].state().departures().is_empty());
 }
 
 #[test]
--- a/crates/simulation/src/operators.rs
+++ b/crates/simulation/src/operators.rs
@@ -49,11 +49,13 @@
 pub struct Server {
     /// Its life.
     pub id: String,
-    /// It beats.
+    /// It calls.
     pub up: bool,
     /// What it says.
     pub beat: Beat,
-    /// A beat of its present state was acknowledged at this time.
+    /// It says that it is gone, until that is acknowledged.
+    pub ended: bool,
+    /// A call of its present state was acknowledged at this time.
     pub acked: Option<u64>,
     to: Node,
     call: u64,
@@ -154,7 +156,8 @@
             call_seq: 0,
             warmup_left_ms: 0,
         };
-        let server = Server { id: id.into(), up: true, beat, acked: None, to: 0, call: 0, next_at: now };
+        let server =
+            Server { id: id.into(), up: true, beat, ended: false, acked: None, to: 0, call: 0, next_at: now };
         self.servers.push(server);
         self.servers.len() - 1
     }
@@ -166,6 +169,13 @@
         (server.acked, server.call, server.next_at) = (None, 0, now);
     }
 
+    /// A server says at once that it is gone, until that is acknowledged.
+    pub(crate) fn leave(&mut self, now: u64, server: usize) {
+        let server = &mut self.servers[server];
+        server.ended = true;
+        (server.acked, server.call, server.next_at) = (None, 0, now);
+    }
+
     /// Newest version that an answer has told of.
     pub fn known(&self) -> u64 {
         let told = self.history.iter().filter_map(|exchange| match exchange.answer?.status {
@@ -217,6 +227,7 @@
                 Answer::Done => {
                     (server.call, server.next_at) = (0, now + HEARTBEAT_MS);
                     server.acked.get_or_insert(now);
+                    server.up &= !server.ended;
                 }
                 Answer::Elsewhere(leader) => {
                     server.next_at = now + if leader.is_some() { 1 } else { AGAIN_MS };
@@ -261,8 +272,11 @@
             self.calls += 1;
             server.beat.call_seq += 1;
             (server.call, server.next_at) = (self.calls, now + BEAT_MS);
-            let beat = Question::Beat(server.id.clone(), server.beat.clone());
-            out.posts.push((server.to, Packet::Ask(self.node, server.call, beat)));
+            let question = match server.ended {
+                true => Question::Leave(server.id.clone()),
+                false => Question::Beat(server.id.clone(), server.beat.clone()),
+            };
+            out.posts.push((server.to, Packet::Ask(self.node, server.call, question)));
         }
     }
 }
--- a/crates/simulation/src/simulation.rs
+++ b/crates/simulation/src/simulation.rs
@@ -512,6 +512,11 @@
         self.people.drain(self.now, server);
     }
 
+    /// A server ends.
+    pub fn leave(&mut self, server: usize) {
+        self.people.leave(self.now, server);
+    }
+
     /// All gateways have the newest version, all members that aren't kept away the log's state.
     pub fn converged(&self) -> bool {
         let version = self.audit.state.version();
