Test closing losses of disks over true stores, and power lost again and again

Cause: closing losses were played over disks in memory that tell the truth; the true store's losses of power were played one at a time, on lives of four saves.

Change (tests alone): storage::closing drives the true agreement over true stores whose unsynced writes and names are there or not after a loss of power: full disks of the leader, a majority or all, wiped members, all dark, then as many disks as may be lost while all others lose power. storage::losses loses power again at any sync of the opening after the loss before, after 40 to 250 saves. power.rs can tell what a loss would leave now, without keeping every point.

--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -14,6 +14,8 @@
 //! After [`HoldError::Lost`] the disk is empty and the member is none any more: the program ends, and its next life is a
 //! stranger. A write whose [`Write::after`] isn't the last one saved is refused, so that nothing lands behind a failure.
 
+#[cfg(test)]
+mod closing;
 mod kept;
 #[cfg(test)]
 mod kills;
--- a/crates/storage/src/losses.rs
+++ b/crates/storage/src/losses.rs
@@ -187,3 +187,74 @@
     println!("{lives} lives");
     assert!(lives > 40);
 }
+
+/// Losses of power one after another: each strikes a store that was opened on what the one before left, at any sync of that
+/// opening or of the first saves after it, with hundreds of saves and many compactions before.
+struct Chain {
+    rng: fastrand::Rng,
+    writer: Writer,
+    /// What the machine finds.
+    data: tempfile::TempDir,
+    losses: usize,
+}
+
+impl Chain {
+    fn new(seed: u64, saves: usize) -> Chain {
+        let data = temp();
+        let mut writer = Writer::new(seed);
+        let mut hold = SledHold::open(data.path().join("logbook")).unwrap();
+        for _ in 0..saves {
+            let write = writer.next();
+            hold.save(&write).unwrap();
+            writer.done(&write);
+        }
+        Chain { rng: fastrand::Rng::with_seed(seed), writer, data, losses: 0 }
+    }
+
+    /// Opens the store, saves some more, and loses power somewhere in that.
+    fn lose_power(&mut self) -> Result<(), String> {
+        let before = self.writer.model.clone();
+        power::record(self.data.path());
+        let mut hold = SledHold::open(self.data.path().join("logbook")).map_err(|error| error.to_string())?;
+        if let Some(cause) = hold.given_up() {
+            return Err(format!("loss {}: given up: {cause}", self.losses));
+        }
+        let mut models = vec![before];
+        for _ in 0..self.rng.usize(1..4) {
+            save(&mut hold, &mut self.writer, &mut models);
+        }
+        drop(hold);
+        let life = Life { points: power::points(), models };
+        let at = self.rng.usize(..life.points.len());
+        let point = &life.points[at];
+        let missing = point.open_names().into_iter().filter(|_| self.rng.bool()).collect();
+        let found = temp();
+        point.build(found.path(), &missing, CONTENTS[self.rng.usize(..CONTENTS.len())]);
+        // Looked at in a copy: the next opening is the one at which power may go again.
+        let looked_at = temp();
+        copy(found.path(), looked_at.path());
+        life.find(looked_at.path(), point).map_err(|fault| format!("loss {}: {fault}", self.losses))?;
+        self.writer.model = SledHold::open(looked_at.path().join("logbook"))
+            .and_then(|mut hold| hold.load())
+            .map_err(|e| e.to_string())?;
+        self.data = found;
+        self.losses += 1;
+        Ok(())
+    }
+}
+
+#[test]
+fn power_lost_again_and_again_after_a_long_life_loses_nothing() {
+    const LOSSES: usize = 12;
+    let mut losses = 0;
+    for seed in crate::tests::seeds() {
+        let saves = 40 + 30 * (seed as usize % 8);
+        let mut chain = Chain::new(seed, saves);
+        for _ in 0..LOSSES {
+            let lost = chain.lose_power();
+            assert_eq!(lost, Ok(()), "seed {seed}, {saves} saves before");
+        }
+        losses += chain.losses;
+    }
+    println!("{losses} losses of power");
+}
--- a/crates/storage/src/power.rs
+++ b/crates/storage/src/power.rs
@@ -39,6 +39,8 @@
     root: PathBuf,
     synced: Synced,
     points: Vec<Point>,
+    /// All points are kept, not only the newest.
+    keeps_points: bool,
     acked: usize,
 }
 
@@ -46,8 +48,18 @@
     static RECORDER: RefCell<Option<Recorder>> = const { RefCell::new(None) };
 }
 
-/// Begins to write down what is synced in this folder, which is durable as it stands.
+/// Begins to write down what is synced in this folder, which is durable as it stands, and each point at which power may be
+/// lost.
 pub(crate) fn record(root: &Path) {
+    begin(root, true);
+}
+
+/// The same without the points: only [`now`] tells what a loss of power leaves.
+pub(crate) fn record_synced(root: &Path) {
+    begin(root, false);
+}
+
+fn begin(root: &Path, keeps_points: bool) {
     let mut live = Tree::new();
     read(root, root, &mut live);
     let mut synced = Synced { names: BTreeMap::from([(PathBuf::new(), names(root))]), ..Synced::default() };
@@ -57,7 +69,7 @@
             None => drop(synced.names.insert(path.clone(), names(&root.join(path)))),
         }
     }
-    let recorder = Recorder { root: root.to_owned(), synced, points: Vec::new(), acked: 0 };
+    let recorder = Recorder { root: root.to_owned(), synced, points: Vec::new(), keeps_points, acked: 0 };
     RECORDER.set(Some(recorder));
 }
 
@@ -73,6 +85,25 @@
     with(|recorder| recorder.acked += 1);
 }
 
+/// What a folder holds now is durable.
+pub(crate) fn settle(folder: &Path) {
+    with(|recorder| {
+        let Synced { files, names } = &mut recorder.synced;
+        files.retain(|path, _| !path.starts_with(folder));
+        names.retain(|path, _| !path.starts_with(folder));
+        let mut live = Tree::new();
+        read(&recorder.root, &recorder.root.join(folder), &mut live);
+        names.insert(folder.to_owned(), self::names(&recorder.root.join(folder)));
+        for (path, bytes) in live {
+            match bytes {
+                Some(bytes) => drop(files.insert(path, bytes)),
+                None => drop(names.insert(path.clone(), self::names(&recorder.root.join(path)))),
+            }
+        }
+        names.insert(PathBuf::new(), self::names(&recorder.root));
+    });
+}
+
 /// A file was synced.
 pub(crate) fn file(path: &Path) {
     point();
@@ -156,12 +187,26 @@
     RECORDER.with_borrow_mut(|recorder| recorder.as_mut().map(act));
 }
 
+/// What a loss of power may leave now.
+pub(crate) fn now() -> Point {
+    RECORDER.with_borrow(|recorder| recorder.as_ref().map(Recorder::point)).expect("something is recorded")
+}
+
+impl Recorder {
+    fn point(&self) -> Point {
+        let mut live = Tree::new();
+        read(&self.root, &self.root, &mut live);
+        Point { live, synced: self.synced.clone(), acked: self.acked }
+    }
+}
+
 /// Power may be lost here.
 fn point() {
     with(|recorder| {
-        let mut live = Tree::new();
-        read(&recorder.root, &recorder.root, &mut live);
-        recorder.points.push(Point { live, synced: recorder.synced.clone(), acked: recorder.acked });
+        if recorder.keeps_points {
+            let point = recorder.point();
+            recorder.points.push(point);
+        }
     });
 }
 
@@ -219,6 +264,25 @@
         (before, within.filter_map(|path| path.file_name().map(PathBuf::from)).collect())
     }
 
+    /// Names within a folder of which nobody knows whether they are there.
+    pub(crate) fn open_names_of(&self, folder: &Path) -> Vec<PathBuf> {
+        let mut open = Vec::new();
+        self.walk(folder, &mut open);
+        open
+    }
+
+    /// Builds one folder, with all in it, as a machine finds it without these names.
+    pub(crate) fn build_folder(
+        &self,
+        root: &Path,
+        folder: &Path,
+        missing: &BTreeSet<PathBuf>,
+        content: Content,
+    ) {
+        fs::create_dir_all(root.join(folder)).expect("a folder");
+        self.build_in(root, folder, missing, content);
+    }
+
     /// Builds the folder that a machine finds without these names.
     pub(crate) fn build(&self, root: &Path, missing: &BTreeSet<PathBuf>, content: Content) {
         self.build_in(root, Path::new(""), missing, content);
--- a/crates/storage/src/sled_hold.rs
+++ b/crates/storage/src/sled_hold.rs
@@ -284,6 +284,11 @@
         self.mark.note(Claim { saves: claim.saves + 1, ..claim });
     }
 
+    /// It has not failed since it was opened.
+    pub(crate) fn is_open(&self) -> bool {
+        self.store.is_some()
+    }
+
     /// Leaves out all syncs from here on.
     pub(crate) fn forget_syncs(&mut self) {
         self.store.as_mut().unwrap().synced.lazy = true;
