Replace a core member in one step, by majorities of both lists

Between the two the list has 2f members, of which f lost disks leave no majority for good, though the silent one was only cut off and comes back with its disk.

Change: joint consensus for replacements (Body::Joint). Votes, commits, reads and leases take a majority of each list until the new one alone is appended. The store's format is 3, which a program of 2 refuses.

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -135,7 +135,7 @@
     fn members_sum(&self) -> u64 {
         let sum =
             |sum: u64, member: &Member| sum.wrapping_add(member.id.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 11);
-        self.log.members().iter().fold(0, sum) >> 1 | 1
+        self.log.all_members().fold(0, sum) >> 1 | 1
     }
 
     /// Takes note that a member is free. Once all others are, with the same members in their logs, no lease can count
@@ -153,9 +153,9 @@
         }
     }
 
-    /// The other members.
+    /// The other members, by any list that holds.
     pub(crate) fn others(&self) -> Vec<Member> {
-        self.log.members().iter().filter(|member| member.id != self.me.id).cloned().collect()
+        self.log.all_members().filter(|member| member.id != self.me.id).cloned().collect()
     }
 
     /// No leader was heard for long: asks the others whether they would vote for this member.
@@ -246,10 +246,13 @@
         }
     }
 
-    /// Of the members, these are more than half.
+    /// Of the members, by each list that holds, these are more than half.
     fn has_majority(&self, ids: &[MemberId]) -> bool {
-        self.log.members().iter().filter(|member| ids.contains(&member.id)).count()
-            >= guard!(VotesOfMajority, self.majority(), 1)
+        let are_enough = |list: &[Member]| {
+            list.iter().filter(|member| ids.contains(&member.id)).count()
+                >= guard!(VotesOfMajority, list.len() / 2 + 1, 1)
+        };
+        self.log.lists().take(guard!(JointMajorities, 2, 1)).all(are_enough)
     }
 
     /// Asks for votes once its own, and the log that it stands with, would survive a loss of power: else it might come
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -7,6 +7,39 @@
 /// Entries that a snapshot covers stay for laggards up to so many bytes.
 const HELD_BYTES: usize = 256 * 1024;
 
+/// Who the members are.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+struct Membership {
+    members: Vec<Member>,
+    /// While one member takes another's place, the members before: a majority of these is wanted, too. Else empty.
+    old: Vec<Member>,
+}
+
+impl Membership {
+    fn of(members: Vec<Member>) -> Membership {
+        Membership { members, old: Vec::new() }
+    }
+
+    /// What an entry makes of it; `None`: nothing.
+    fn from_body(body: &Body) -> Option<Membership> {
+        match body {
+            Body::Members(members) => Some(Membership::of(members.clone())),
+            Body::Joint { old, new } => Some(Membership { members: new.clone(), old: old.clone() }),
+            Body::Data(_) | Body::Empty => None,
+        }
+    }
+
+    fn is_joint(&self) -> bool {
+        !self.old.is_empty()
+    }
+
+    /// Members by either list, each once.
+    fn all(&self) -> impl Iterator<Item = &Member> {
+        let left = self.old.iter().filter(|old| self.members.iter().all(|member| member.id != old.id));
+        self.members.iter().chain(left)
+    }
+}
+
 /// Entries `base + 1` to `last`; all up to `base` are committed.
 #[derive(Debug, Clone, Hash)]
 pub(crate) struct Log {
@@ -15,7 +48,7 @@
     entries: VecDeque<Entry>,
     snapshot: Option<Snapshot>,
     /// Members by the index from which on they hold: the newest at or before the base, and all after it.
-    configs: VecDeque<(u64, Vec<Member>)>,
+    configs: VecDeque<(u64, Membership)>,
 }
 
 impl Log {
@@ -28,7 +61,7 @@
             base_term,
             entries: VecDeque::new(),
             snapshot,
-            configs: VecDeque::from([(base, members)]),
+            configs: VecDeque::from([(base, Membership::of(members))]),
         };
         for entry in entries {
             if entry.index == log.last() + 1 {
@@ -84,8 +117,8 @@
     /// Adds an entry; its index is the one after the last.
     pub(crate) fn push(&mut self, entry: Entry) {
         debug_assert_eq!(entry.index, self.last() + 1);
-        if let Body::Members(members) = &entry.body {
-            self.configs.push_back((entry.index, members.clone()));
+        if let Some(membership) = Membership::from_body(&entry.body) {
+            self.configs.push_back((entry.index, membership));
         }
         self.entries.push_back(entry);
     }
@@ -99,15 +132,37 @@
         }
     }
 
-    /// The members that hold now, committed or not.
+    /// The members that hold now, committed or not; the new list, while one takes another's place.
     pub(crate) fn members(&self) -> &[Member] {
-        self.configs.back().map_or(&[], |(_, members)| members)
+        self.configs.back().map_or(&[], |(_, membership)| &membership.members)
     }
 
-    /// It was a member by the list before the one that holds.
+    /// The lists that hold now, committed or not: a majority of each decides.
+    pub(crate) fn lists(&self) -> impl Iterator<Item = &[Member]> {
+        let now = self.configs.back().map(|(_, membership)| membership);
+        let lists = now.map(|membership| [&membership.members[..], &membership.old[..]]);
+        lists
+            .into_iter()
+            .flatten()
+            .enumerate()
+            .filter(|(at, list)| *at == 0 || !list.is_empty())
+            .map(|(_, list)| list)
+    }
+
+    /// Members by any list that holds now, each once.
+    pub(crate) fn all_members(&self) -> impl Iterator<Item = &Member> {
+        self.configs.back().into_iter().flat_map(|(_, membership)| membership.all())
+    }
+
+    /// One member takes the place of another.
+    pub(crate) fn is_joint(&self) -> bool {
+        self.configs.back().is_some_and(|(_, membership)| membership.is_joint())
+    }
+
+    /// It was a member by the lists before those that hold.
     pub(crate) fn was_member(&self, id: MemberId) -> bool {
         let before = self.configs.iter().rev().nth(1);
-        before.is_some_and(|(_, members)| members.iter().any(|member| member.id == id))
+        before.is_some_and(|(_, membership)| membership.all().any(|member| member.id == id))
     }
 
     /// From which entry on they hold.
@@ -116,9 +171,9 @@
     }
 
     /// The members after the entry at `index`.
-    fn members_at(&self, index: u64) -> Vec<Member> {
+    fn members_at(&self, index: u64) -> Membership {
         let held = self.configs.iter().rev().find(|(from, _)| *from <= index);
-        held.map_or_else(Vec::new, |(_, members)| members.clone())
+        held.map_or_else(Membership::default, |(_, membership)| membership.clone())
     }
 
     /// The newest snapshot.
@@ -132,11 +187,16 @@
     }
 
     /// Takes the program's own state after the entry at `index` for a snapshot and drops entries long before it.
-    /// False where it is no newer than the one before, or no such entry is known.
+    /// False where it is no newer than the one before, or no such entry is known, or one member was taking another's place
+    /// then: a snapshot names one list.
     pub(crate) fn compact(&mut self, index: u64, state: String) -> bool {
         let Some(term) = self.term(index).filter(|_| index > self.snapshot_index()) else { return false };
+        let membership = self.members_at(index);
+        if membership.is_joint() {
+            return false;
+        }
         let whole = state.len();
-        self.snapshot = Some(Snapshot { index, term, members: self.members_at(index), state });
+        self.snapshot = Some(Snapshot { index, term, members: membership.members, state });
         // Bounded in bytes too: documents may be large, and memory is dear.
         let mut held = 0;
         let mut base = index;
@@ -170,7 +230,7 @@
             self.configs.clear();
         }
         (self.base, self.base_term) = (snapshot.index, snapshot.term);
-        self.configs.push_front((snapshot.index, snapshot.members.clone()));
+        self.configs.push_front((snapshot.index, Membership::of(snapshot.members.clone())));
         self.snapshot = Some(snapshot);
         stays
     }
--- a/crates/consensus/src/machine.rs
+++ b/crates/consensus/src/machine.rs
@@ -336,11 +336,17 @@
         self.hard.term
     }
 
-    /// The members by this member's log, committed or not; empty for a stranger that has learned nothing yet.
+    /// The members by this member's log, committed or not, and the new ones while one takes another's place; empty for a
+    /// stranger that has learned nothing yet.
     pub fn members(&self) -> &[Member] {
         self.log.members()
     }
 
+    /// One member is taking another's place, by this member's log, committed or not.
+    pub fn is_replacing(&self) -> bool {
+        self.log.is_joint()
+    }
+
     /// This member.
     pub fn me(&self) -> &Member {
         &self.me
@@ -400,12 +406,7 @@
 
     /// The member with this number is one, by this machine's log.
     pub(crate) fn knows(&self, id: MemberId) -> bool {
-        self.log.members().iter().any(|member| member.id == id)
-    }
-
-    /// More than half of the members, by this machine's log; never 0.
-    pub(crate) fn majority(&self) -> usize {
-        self.log.members().len() / 2 + 1
+        self.log.all_members().any(|member| member.id == id)
     }
 
     /// Queues a message to a member.
--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -193,24 +193,36 @@
             return self.follow(self.hard.term);
         }
         self.may_end |= self.leaves && self.may_end_as_member(&self.me);
-        if let Some(members) = self.next_members() {
-            self.append(Body::Members(members.clone()));
-            if let Role::Leading(lead) = &mut self.role {
-                let is_member = |peer: &Peer| members.iter().any(|member| member.id == peer.member.id);
-                lead.peers.retain(|peer| peer.learner || is_member(peer));
-                for peer in &mut lead.peers {
-                    peer.learner = !is_member(peer);
-                }
+        if let Some(change) = self.next_change() {
+            self.change_members(change);
+        }
+    }
+
+    /// Appends a change of the members, by which this leader goes from now on.
+    fn change_members(&mut self, change: Body) {
+        self.append(change);
+        let members: Vec<MemberId> = self.log.all_members().map(|member| member.id).collect();
+        if let Role::Leading(lead) = &mut self.role {
+            let is_member = |peer: &Peer| members.contains(&peer.member.id);
+            lead.peers.retain(|peer| peer.learner || is_member(peer));
+            for peer in &mut lead.peers {
+                peer.learner = !is_member(peer);
             }
-            // Alone, or with what the others vouched for before, this may be enough already.
-            self.advance();
         }
+        // Alone, or with what the others vouched for before, this may be enough already.
+        self.advance();
     }
 
-    /// The members after the next change, where one is due: who comes, then who was told to go, then who is gone.
-    fn next_members(&self) -> Option<Vec<Member>> {
+    /// The next change of the members, where one is due: the end of a replacement, then who comes, then who was told to go,
+    /// then who is gone.
+    fn next_change(&self) -> Option<Body> {
+        if self.log.is_joint() {
+            // It is agreed by both lists: the new one holds alone.
+            return Some(Body::Members(self.log.members().to_vec()));
+        }
         let comes = self.newcomers().find_map(|member| self.with(member));
-        comes.or_else(|| self.without_leaving()).or_else(|| self.without_gone())
+        let goes = || self.without_leaving().or_else(|| self.without_gone()).map(Body::Members);
+        comes.or_else(goes)
     }
 
     /// Machines that are taught, have caught up and answer, and may come.
@@ -229,24 +241,47 @@
         members.filter(|member| !self.is_away(&member.host))
     }
 
-    /// The members with this one, in the place of its old self where there is one. Who comes doesn't raise the number that
-    /// a majority takes while a member is missing: its own loss, right after, would leave none.
-    fn with(&self, member: &Member) -> Option<Vec<Member>> {
+    /// The change by which this machine becomes a member: in the place of its old self, or of one that is gone or ends, or
+    /// else as one more.
+    fn with(&self, member: &Member) -> Option<Body> {
         let members = self.log.members();
-        // Who ends stays until another one has come.
-        let here = self.ending.iter().filter(|(member, _)| self.is_here(member)).count().min(1);
-        let ends = guard!(EndTold, here, 0);
-        let room = if self.is_called(&member.host) { MEMBERS_MAX } else { self.tuning.most + ends };
-        let next = match members.iter().find(|old| old.host == member.host) {
+        if let Some(old) = members.iter().find(|old| old.host == member.host) {
             // Its old self has to be silent: else two programs share a host, and the first one stays.
-            Some(old) if self.silent(old, self.tuning.election_max_ms) => self.without(old),
-            Some(_) => return None,
-            None if members.len() >= guard!(StandsBy, room.min(MEMBERS_MAX), MEMBERS_MAX) => return None,
-            None => members.iter().chain([member]).cloned().collect(),
-        };
+            return self.silent(old, self.tuning.election_max_ms).then(|| self.replacement(old, member))?;
+        }
+        if let Some(gone) = self.gone() {
+            return self.replacement(gone, member);
+        }
+        let room = if self.is_called(&member.host) { MEMBERS_MAX } else { self.tuning.most };
+        if members.len() >= guard!(StandsBy, room.min(MEMBERS_MAX), MEMBERS_MAX) {
+            return None;
+        }
+        // Who comes doesn't raise the number that a majority takes while a member is missing: its own loss, right after,
+        // would leave none.
+        let next: Vec<Member> = members.iter().chain([member]).cloned().collect();
         let raises = next.len() / 2 > members.len() / 2;
         let whole = || !members.iter().any(|member| self.silent(member, self.tuning.election_min_ms));
-        (guard!(RaisedWhole, !raises || whole(), true) && self.in_touch(&next)).then_some(next)
+        (guard!(RaisedWhole, !raises || whole(), true) && self.in_touch(&next)).then_some(Body::Members(next))
+    }
+
+    /// One member in the place of another, in one step by majorities of both lists: in two, a list with one member less or
+    /// more would hold between them, of which the loss of as many disks as are to be borne may leave no majority, though
+    /// the member that was taken for gone comes back with its own.
+    fn replacement(&self, old: &Member, new: &Member) -> Option<Body> {
+        let before = self.log.members().to_vec();
+        let after: Vec<Member> =
+            before.iter().map(|member| if member.id == old.id { new } else { member }).cloned().collect();
+        (self.in_touch(&before) && self.in_touch(&after)).then_some(Body::Joint { old: before, new: after })
+    }
+
+    /// The member that was silent for longest of those that are gone, or said that they end.
+    fn gone(&self) -> Option<&Member> {
+        let gone_ms = guard!(GoneSoon, self.tuning.gone_ms, LATE_MS);
+        let ends = |id| guard!(EndTold, self.ending.iter().any(|(ending, _)| ending.id == id), false);
+        let Role::Leading(lead) = &self.role else { return None };
+        let is_gone = |member: &&Member| self.silent(member, gone_ms) || ends(member.id);
+        let gone = self.log.members().iter().filter(is_gone);
+        gone.min_by_key(|member| lead.peer(member.id).map(Peer::heard_at))
     }
 
     /// The members without one that operators take away.
@@ -256,22 +291,13 @@
         (next.len() >= MEMBERS_MIN && self.in_touch(&next)).then_some(next)
     }
 
-    /// The members without the one that was silent for longest, or said that it ends: where enough are left, or another one
-    /// stands by, who comes with the next step. From an odd number to the even one below a majority takes as many as before.
+    /// The members without one that is gone, where enough are left.
     fn without_gone(&self) -> Option<Vec<Member>> {
-        let members = self.log.members();
-        let replaced = self.stands_by() && members.len() % 2 == 1 && members.len() >= MEMBERS_MIN;
         let least = guard!(ReplacedOnly, self.tuning.least.max(MEMBERS_MIN), MEMBERS_MIN);
-        if members.len() <= least && !replaced {
+        if self.log.members().len() <= least {
             return None;
         }
-        let gone_ms = guard!(GoneSoon, self.tuning.gone_ms, LATE_MS);
-        let ends = |id| guard!(EndTold, self.ending.iter().any(|(ending, _)| ending.id == id), false);
-        let is_gone = |member: &&Member| self.silent(member, gone_ms) || ends(member.id);
-        let Role::Leading(lead) = &self.role else { return None };
-        let gone =
-            members.iter().filter(is_gone).min_by_key(|member| lead.peer(member.id).map(Peer::heard_at))?;
-        let next = self.without(gone);
+        let next = self.without(self.gone()?);
         self.in_touch(&next).then_some(next)
     }
 
@@ -286,7 +312,7 @@
         let members = self.log.members();
         let few = members.len() <= self.tuning.least.max(MEMBERS_MIN);
         let left = members.iter().filter(|other| other.id != member.id && self.is_here(other)).count();
-        let settled = self.ready() && self.log.members_since() <= self.commit;
+        let settled = self.ready() && self.log.members_since() <= self.commit && !self.log.is_joint();
         let decides = left > members.len() / 2 || members.len() < MEMBERS_MIN;
         settled && few && decides && !self.stands_by()
     }
--- a/crates/consensus/src/messages.rs
+++ b/crates/consensus/src/messages.rs
@@ -42,6 +42,27 @@
     /// The members from here on.
     #[serde(rename = "m")]
     Members(Vec<Member>),
+    /// One member takes the place of another: from here on, and until the new list alone is appended, whatever is decided
+    /// takes a majority of each list (joint consensus).
+    #[serde(rename = "j")]
+    Joint {
+        /// The members before.
+        #[serde(rename = "o")]
+        old: Vec<Member>,
+        /// The members after.
+        #[serde(rename = "n")]
+        new: Vec<Member>,
+    },
+}
+
+impl Body {
+    /// The members that it leads to, where it changes them.
+    pub fn members(&self) -> Option<&[Member]> {
+        match self {
+            Body::Members(members) | Body::Joint { new: members, .. } => Some(members),
+            Body::Data(_) | Body::Empty => None,
+        }
+    }
 }
 
 /// One entry of the log.
@@ -63,7 +84,7 @@
     pub fn data(&self) -> Option<&str> {
         match &self.body {
             Body::Data(data) => Some(data),
-            Body::Empty | Body::Members(_) => None,
+            Body::Empty | Body::Members(_) | Body::Joint { .. } => None,
         }
     }
 
@@ -72,11 +93,16 @@
         32 + match &self.body {
             Body::Empty => 0,
             Body::Data(data) => data.len(),
-            Body::Members(members) => members.iter().map(|member| 32 + member.host.len()).sum(),
+            Body::Members(members) => size_of_list(members),
+            Body::Joint { old, new } => size_of_list(old) + size_of_list(new),
         }
     }
 }
 
+fn size_of_list(members: &[Member]) -> usize {
+    members.iter().map(|member| 32 + member.host.len()).sum()
+}
+
 /// The embedding program's whole state after an entry, in place of all entries up to it.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Snapshot {
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -257,7 +257,8 @@
 }
 
 impl Consensus {
-    /// The value that more than half of the members reach, by `of` for the others and `mine` for this one.
+    /// The value that more than half of the members reach, of each list that holds, by `of` for the others and `mine` for
+    /// this one.
     fn by_majority<T: Ord + Copy>(&self, mine: T, least: T, of: impl Fn(&Peer) -> T) -> T {
         let Role::Leading(lead) = &self.role else { return least };
         let value = |member: &Member| {
@@ -267,9 +268,13 @@
                 lead.peer(member.id).map_or(least, &of)
             }
         };
-        let mut values: Vec<T> = self.log.members().iter().map(value).collect();
-        values.sort_unstable_by(|a, b| b.cmp(a));
-        values.get(self.majority() - 1).copied().unwrap_or(least)
+        let reached = |list: &[Member]| {
+            let mut values: Vec<T> = list.iter().map(value).collect();
+            values.sort_unstable_by(|a, b| b.cmp(a));
+            values.get(list.len() / 2).copied().unwrap_or(least)
+        };
+        let lists = self.log.lists();
+        lists.take(guard!(JointMajorities, 2, 1)).map(reached).min().unwrap_or(least)
     }
 
     /// When the newest round that a majority answered was begun.
--- a/crates/consensus/tests/model.rs
+++ b/crates/consensus/tests/model.rs
@@ -177,6 +177,17 @@
     Bounds { stands: &[2], gone: 3, before, depth: 9, ..Bounds::new("removals", 5, 2, &limits) }
 }
 
+/// Machine 2 was silent for long, and the leader has the empty machine 3 take its place; then the leader is gone, and machine
+/// 2, that knows nothing of it, stands for election.
+fn replacements() -> Bounds {
+    let join = [Advance, Advance, Stand(3), Bring(0), Beat(0), Bring(1), Bring(3), Bring(0), Lose];
+    let round = [Advance, Beat(0), Bring(1), Bring(3), Bring(0), Lose];
+    let before = [&join[..], &round, &round].concat();
+    let limits = [(ADVANCE, 3), (STAND, 1), (PROPOSE, 1), (BEAT, 1)];
+    let all = Bounds::new("replacements", 4, 2, &limits);
+    Bounds { strangers: 1, stands: &[2], gone: 3, before, depth: 11, ..all }
+}
+
 /// Five members, of which two stand for election.
 fn five() -> Bounds {
     let limits = [(STAND, 2), (PROPOSE, 1)];
@@ -222,6 +233,7 @@
     strangers_hold: strangers;
     wiped_holds: wiped;
     removals_hold: removals;
+    replacements_hold: replacements;
     five_hold: five;
 }
 
@@ -253,6 +265,7 @@
     needs_restart_waits: times, RestartWaits;
     needs_round_begun: times, RoundBegun;
     needs_one_change: removals, OneChange;
+    needs_joint_majorities: replacements, JointMajorities;
     needs_standing_is_bound: returns, StandingIsBound;
     needs_caught_up: strangers, CaughtUp;
 }
@@ -287,6 +300,7 @@
         strangers(),
         wiped(),
         removals(),
+        replacements(),
         five(),
     ];
     for bounds in worlds.into_iter().filter(|bounds| bounds.name.starts_with(&world)) {
--- a/crates/controller/src/store.rs
+++ b/crates/controller/src/store.rs
@@ -198,10 +198,7 @@
 }
 
 fn members(survey: &Survey) -> Vec<Member> {
-    let newest = survey.entries.iter().rev().find_map(|entry| match &entry.body {
-        Body::Members(members) => Some(members.clone()),
-        Body::Data(_) | Body::Empty => None,
-    });
+    let newest = survey.entries.iter().rev().find_map(|entry| entry.body.members().map(<[Member]>::to_vec));
     newest.or(survey.snapshot.as_ref().map(|snapshot| snapshot.members.clone())).unwrap_or_default()
 }
 
--- a/crates/replica/src/machine.rs
+++ b/crates/replica/src/machine.rs
@@ -352,6 +352,11 @@
         self.applied
     }
 
+    /// Entries applied since the last snapshot of the log.
+    pub fn applied_since_snapshot(&self) -> u64 {
+        self.applied - self.snapshot_at
+    }
+
     /// What the log makes.
     pub fn state(&self) -> &ReplicatedState {
         &self.state
--- a/crates/simulation/src/audit.rs
+++ b/crates/simulation/src/audit.rs
@@ -1,10 +1,12 @@
 //! Checks on all that comes out of the machines, as it comes. A fault panics with the world's seed and time.
 
 use crate::{Answer, Fact, Node, Question};
+use nickeljunction_messages::ServerState;
+use nickeljunction_replica::departures::Departure;
 use nickeljunction_replica::state::{CoreOrder, Entry, Outcome, ReplicatedState, Trial};
 use nickeljunction_replica::Wish;
 use nickeljunction_schema::Bounds;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// A configuration that was acknowledged.
 #[derive(Debug, Clone)]
@@ -70,8 +72,12 @@
     leaders: HashMap<u64, Node>,
     /// In the order of their acknowledgements.
     pub acked: Vec<Acked>,
-    /// Zones whose evacuation was acknowledged.
-    pub evacuated: Vec<String>,
+    /// Zones whose evacuation was acknowledged, and since then nothing was ordered of it.
+    pub evacuated: BTreeSet<String>,
+    /// The same of zones that were taken back.
+    pub returned: BTreeSet<String>,
+    /// Servers whose departure was acknowledged: `true` where they ended.
+    pub departed: BTreeMap<String, bool>,
     /// Orders on the core's members that were agreed on, oldest first.
     pub orders: Vec<CoreOrder>,
     /// How many of them were acknowledged, repeats included.
@@ -199,6 +205,7 @@
             Question::Put(..)
                 | Question::Patch(..)
                 | Question::Evacuate(_)
+                | Question::Return(_)
                 | Question::Core(_)
                 | Question::Trial(..)
                 | Question::Get
@@ -225,7 +232,16 @@
                 self.acked.push(Acked { base, version, at: now, digest });
                 self.newest = self.newest.max(version);
             }
-            Question::Evacuate(zone) => self.evacuated.push(zone),
+            Question::Evacuate(zone) => {
+                self.returned.remove(&zone);
+                self.evacuated.insert(zone);
+            }
+            Question::Return(zone) => {
+                self.evacuated.remove(&zone);
+                self.returned.insert(zone);
+            }
+            Question::Leave(id) => self.depart(now, id, true),
+            Question::Beat(id, beat) if beat.state == ServerState::Draining => self.depart(now, id, false),
             Question::Core(wish) => {
                 let away =
                     |order: &CoreOrder, host: &String| order.away.iter().any(|away| away.host == *host);
@@ -256,6 +272,28 @@
         }
     }
 
+    /// An order on a zone is on its way: whether it will be in force is open until its answer.
+    pub(crate) fn ordered_zone(&mut self, zone: &str) {
+        self.evacuated.remove(zone);
+        self.returned.remove(zone);
+    }
+
+    /// A server's departure was acknowledged: the log has it.
+    fn depart(&mut self, now: u64, id: String, ended: bool) {
+        let seed = self.seed;
+        let logged = self.state.departures().of(&id);
+        let fits = match logged {
+            Some(Departure::Ended) => true,
+            Some(Departure::Draining { .. }) => !ended,
+            None => false,
+        };
+        assert!(
+            fits,
+            "seed {seed}, {now} ms: the departure of {id} was acknowledged, the log has {logged:?}"
+        );
+        *self.departed.entry(id).or_default() |= ended;
+    }
+
     /// A change was refused: another version was in place by then, and it is not in force itself.
     fn refused(&self, now: u64, member: Node, question: &Question) {
         let (Question::Put(base, version, digest, _) | Question::Patch(base, version, digest, _)) = question
@@ -300,5 +338,8 @@
         for zone in &self.evacuated {
             assert!(state.evacuated().contains(zone), "seed {seed}: the evacuation of {zone} is lost");
         }
+        for zone in &self.returned {
+            assert!(!state.evacuated().contains(zone), "seed {seed}: the return of {zone} is lost");
+        }
     }
 }
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -57,6 +57,8 @@
     Patch(u64, u64, String, serde_json::Value),
     /// An operator evacuates a zone.
     Evacuate(String),
+    /// An operator takes a zone back.
+    Return(String),
     /// An operator orders who is to be a member of the core.
     Core(Wish),
     /// An operator has a tenant's trial lapse, or else restores it; asked at this time.
--- a/crates/simulation/src/member.rs
+++ b/crates/simulation/src/member.rs
@@ -146,6 +146,11 @@
         self.house.as_ref().is_some_and(|house| house.leads().is_some())
     }
 
+    /// Entries that it applied since its last snapshot, while it runs.
+    pub fn applied_since_snapshot(&self) -> Option<u64> {
+        self.house.as_ref().map(Replica::applied_since_snapshot)
+    }
+
     /// What a failed check tells of it.
     pub(crate) fn view(&self, now: u64) -> String {
         let (Some(book), Some(state)) = (self.book(), self.state()) else { return "down".into() };
@@ -263,6 +268,10 @@
                 let zone = zone.clone();
                 self.wait(now, job, out, |house| house.zone(now, zone, false));
             }
+            Question::Return(zone) => {
+                let zone = zone.clone();
+                self.wait(now, job, out, |house| house.zone(now, zone, true));
+            }
             Question::Core(wish) => {
                 let wish = wish.clone();
                 self.wait(now, job, out, |house| house.order(now, wish));
--- a/crates/storage/src/kept.rs
+++ b/crates/storage/src/kept.rs
@@ -1,7 +1,7 @@
 //! What a disk has, and what a write makes of it.
 
 use crate::HoldError;
-use nickeljunction_consensus::{Body, Entry, Hard, Member, Restored, Snapshot, Write};
+use nickeljunction_consensus::{Entry, Hard, Member, Restored, Snapshot, Write};
 
 /// What a disk gave back.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -25,11 +25,8 @@
 impl Kept {
     /// The members by this disk, committed or not.
     pub fn members(&self) -> &[Member] {
-        let newest = self.entries.iter().rev().find_map(|entry| match &entry.body {
-            Body::Members(members) => Some(members),
-            Body::Data(_) | Body::Empty => None,
-        });
-        newest.or(self.snapshot.as_ref().map(|snapshot| &snapshot.members)).map_or(&[], Vec::as_slice)
+        let newest = self.entries.iter().rev().find_map(|entry| entry.body.members());
+        newest.or(self.snapshot.as_ref().map(|snapshot| &snapshot.members[..])).unwrap_or_default()
     }
 
     /// What a write makes of a disk that has `kept`; whether it fits is for [`Outline::after`] to say.
--- a/crates/storage/src/mark.rs
+++ b/crates/storage/src/mark.rs
@@ -13,8 +13,9 @@
 
 /// Its name in the hold's folder.
 pub(crate) const MARK: &str = "mark";
-/// The format that this program writes, and the newest one that it reads; 1 had neither mark nor count of saves.
-pub(crate) const FORMAT: u32 = 2;
+/// The format that this program writes, and the newest one that it reads. 1 had neither mark nor count of saves; 2 no entries
+/// by which one member takes another's place, which a program of that time would take for a broken store.
+pub(crate) const FORMAT: u32 = 3;
 
 const MAGIC: [u8; 8] = *b"NJHOLD\r\n";
 /// Magic, format, times lost, checksum.
@@ -42,7 +43,7 @@
 pub(crate) struct Mark {
     path: PathBuf,
     file: Option<File>,
-    /// The head was there and whole.
+    /// The head is there, whole, and of this format.
     headed: bool,
     /// How often the folder lost a store that had taken saves.
     pub(crate) lost: u32,
@@ -95,7 +96,7 @@
         }
         let claims = PLACES.iter().filter_map(|place| Claim::of(bytes.get(*place..)?));
         let claim = claims.max_by_key(|claim| claim.saves).unwrap_or_default();
-        Ok(Mark { path, file: None, headed: head.is_some(), lost, claim })
+        Ok(Mark { path, file: None, headed: head.is_some() && format == FORMAT, lost, claim })
     }
 
     /// Why a store that took so many saves can't be the one that the mark tells of; none: it can.
