Open a store once more before it is given up as broken

Cause: a store that looks broken is cleared once a probe shows that the disk takes writes. Where the opening itself ran while the disk was full, and the probe after that, a sound store was thrown away.

Change: after the probe the store is opened a second time, and given up only where that fails, too, at the start and after a failure in the middle of a life.

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -249,8 +249,8 @@
     /// Of the members, by each list that holds, these are more than half.
     fn has_majority(&self, ids: &[MemberId]) -> bool {
         let are_enough = |list: &[Member]| {
-            list.iter().filter(|member| ids.contains(&member.id)).count()
-                >= guard!(VotesOfMajority, list.len() / 2 + 1, 1)
+            let majority = guard!(VotesOfMajority, list.len() / 2 + 1, 1);
+            list.iter().filter(|member| ids.contains(&member.id)).count() >= majority
         };
         self.log.lists().take(guard!(JointMajorities, 2, 1)).all(are_enough)
     }
--- a/crates/storage/src/losses.rs
+++ b/crates/storage/src/losses.rs
@@ -188,6 +188,39 @@
     assert!(lives > 40);
 }
 
+/// A store that can't be opened while its disk takes nothing is whole when the disk takes writes again, though the first
+/// opening after that may have begun before.
+#[test]
+fn a_store_whose_opening_breaks_once_is_opened_again_before_it_is_given_up() {
+    let data = temp();
+    let dir = data.path().join("logbook");
+    let mut writer = Writer::new(16);
+    let mut hold = SledHold::open(&dir).unwrap();
+    for _ in 0..5 {
+        let write = writer.next();
+        hold.save(&write).unwrap();
+        writer.done(&write);
+    }
+    drop(hold);
+    power::break_openings(1);
+    let mut hold = SledHold::open(&dir).unwrap();
+    assert_eq!(hold.given_up(), None);
+    assert_eq!(hold.load().unwrap(), writer.model);
+    // The same after a failure in the middle of a life.
+    hold.close();
+    power::break_openings(1);
+    assert_eq!(hold.load().unwrap(), writer.model);
+    drop(hold);
+    // On a disk that takes nothing it is left alone.
+    power::break_openings(1);
+    power::fail_after(0, 1);
+    assert!(SledHold::open(&dir).is_err());
+    power::fail_after(usize::MAX, 0);
+    assert_eq!(SledHold::open(&dir).unwrap().load().unwrap(), writer.model);
+    power::break_openings(2);
+    assert!(SledHold::open(&dir).unwrap().given_up().is_some(), "it is broken for good");
+}
+
 /// Losses of power one after another: each strikes a store that was opened on what the one before left, at any sync of that
 /// opening or of the first saves after it, with hundreds of saves and many compactions before.
 struct Chain {
--- a/crates/storage/src/power.rs
+++ b/crates/storage/src/power.rs
@@ -165,6 +165,29 @@
     FAULTS.get().1 == 0
 }
 
+thread_local! {
+    /// So many openings of a store break in the middle.
+    static BROKEN_OPENINGS: Cell<usize> = const { Cell::new(0) };
+}
+
+/// The next so many openings of a store break in the middle, as a store's code may on a disk that takes nothing.
+pub(crate) fn break_openings(count: usize) {
+    BROKEN_OPENINGS.set(count);
+}
+
+/// What becomes of the next opening.
+///
+/// # Errors
+/// It breaks.
+pub(crate) fn ask_to_open() -> Result<(), crate::HoldError> {
+    let left = BROKEN_OPENINGS.get();
+    BROKEN_OPENINGS.set(left.saturating_sub(1));
+    match left {
+        0 => Ok(()),
+        _ => Err(crate::HoldError::Broken("open", "store.".to_owned())),
+    }
+}
+
 /// What the disk says to the next sync.
 ///
 /// # Errors
--- a/crates/storage/src/sled_hold.rs
+++ b/crates/storage/src/sled_hold.rs
@@ -87,7 +87,7 @@
             rewrite_bytes: REWRITE_BYTES,
         };
         hold.number = hold.newest()?;
-        let given_up = match hold.open_store() {
+        let given_up = match hold.open_for_sure() {
             Ok((kept, stamp)) => {
                 (hold.saved, hold.stamp) = (Outline::of(kept.as_ref()), stamp);
                 hold.mark.misses(stamp.store, stamp.saves).map(str::to_owned)
@@ -169,7 +169,7 @@
     /// Clears the folder and opens an empty store.
     fn start_anew(&mut self) -> Result<(), HoldError> {
         self.store = None;
-        // A disk that takes no writes can make a good store look bad: then nothing is thrown away.
+        // A disk that takes no writes can make a good store look bad: nothing is thrown away then.
         probe(&self.dir)?;
         self.saved = Outline::default();
         self.tried = None;
@@ -180,8 +180,23 @@
         self.open_store().map(|_| ())
     }
 
+    /// Opens the store, as [`SledHold::open_store`] does. One that looks broken is opened once more when the disk has shown
+    /// that it takes writes: a disk that refuses them, full, can make a good store look so.
+    fn open_for_sure(&mut self) -> Result<(Option<Kept>, Stamp), HoldError> {
+        match self.open_store() {
+            Err(error) if error.is_bad_content() => {
+                self.store = None;
+                probe(&self.dir)?;
+                self.open_store()
+            }
+            opened => opened,
+        }
+    }
+
     /// Opens the store, syncs all of its files and reads what is in it.
     fn open_store(&mut self) -> Result<(Option<Kept>, Stamp), HoldError> {
+        #[cfg(test)]
+        crate::power::ask_to_open()?;
         let mut store = Store::open(&self.store_dir(self.number))?;
         sync_folder(&self.dir)?;
         let found = store.read()?;
@@ -194,7 +209,7 @@
     /// Opens a store again that failed, and makes sure that it has all that it had saved.
     fn reopen(&mut self) -> Result<(), HoldError> {
         self.store = None;
-        let (kept, stamp) = match self.open_store() {
+        let (kept, stamp) = match self.open_for_sure() {
             Err(error) if error.is_bad_content() => (None, Stamp::default()),
             found => found?,
         };
