--- a/review/common/world.py
+++ b/review/common/world.py
@@ -580,6 +580,8 @@
 
 def run_case(case, folder):
     """Runs `case(record, trouble)`, which tells whether the rule was broken, and exits with 1, 0 or 2."""
+    # Ended from outside it still ends what it started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(os.path.join(folder, "record.txt"))
     record.say(f"TROUBLE={int(trouble)}")
