--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -62,11 +62,12 @@
 
 
 class Rig:
-    def __init__(self, record, edges=2, linked=(), bounds=None):
+    def __init__(self, record, edges=2, linked=(), bounds=None, zones=None):
         self.record, self.net, self.dir = record, free_net(), tempfile.mkdtemp(prefix='review-')
         self.cores = ['core-1', 'core-2', 'core-3']
         self.edges = [f'edge-{n + 1}' for n in range(edges)]
         self.linked, self.processes, self.commands = set(linked), {}, commands()
+        self.zones = zones or {}
         self.bounds, self.heartbeat_s = {**BOUNDS, **(bounds or {})}, 1.5
 
     def ip(self, name):
@@ -79,7 +80,7 @@
     def settings(self, name, initial):
         kind, number = name.split('-')
         core, ip = kind == 'core', self.ip(name)
-        zone = 'north-2' if number == ('3' if core else '2') else 'north-1'
+        zone = self.zones.get(name, 'north-2' if number == ('3' if core else '2') else 'north-1')
         inner = LINKED_INNER if name in self.linked else PORTS['inner']
         seeds = ', '.join(f'"{self.ip(seed)}:{PORTS["control"]}"' for seed in self.cores)
         serves = '"control"' if core else '"edge", "directory"'
