--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -1,7 +1,7 @@
 """A small deployment on loopback for the cases of this review: three core processes and some gateways, started with the
 commands of the deploy file, and stand-ins for servers, clients, the operator and the links in between. Python's own
 library only. Settings have the form and the bounds of the operators' page on machines (DEPLOY.md)."""
-import asyncio, json, os, random, re, shutil, signal, socket, subprocess, sys, tempfile, time
+import asyncio, json, os, random, re, shutil, signal, socket, subprocess, sys, tempfile, threading, time
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 PORTS = dict(front=17300, ready=17301, control=17302, directory=17303, inner=17304, figures=9464)
@@ -15,6 +15,18 @@
 ZONES = {'north-1': 'north', 'north-2': 'north', 'south-1': 'south'}
 
 
+STARTED = []
+
+
+def give_up():
+    """The last resort, on a thread of its own: ends every process that was started, and says that the case could not run."""
+    for process in STARTED:
+        process.kill()
+    print('the case could not run: it took too long')
+    sys.stdout.flush()
+    os._exit(2)
+
+
 class CannotRun(Exception):
     """The case could not be run: it says nothing about the rule."""
 
@@ -119,6 +131,7 @@
             [os.path.join(ROOT, run[0])] + run[1:], cwd=ROOT, env=environment, stdout=log, stderr=log,
             stdin=subprocess.DEVNULL)
         log.close()
+        STARTED.append(self.processes[name])
 
     def signal(self, name, what):
         self.record(f'platform: {signal.Signals(what).name} to {name}')
@@ -344,6 +357,9 @@
     is taken for a broken rule."""
     trouble = os.environ.get('TROUBLE', '1') != '0'
     record = Record(os.path.join(place, 'record.txt'))
+    watch = threading.Timer(most_s + 3, give_up)
+    watch.daemon = True
+    watch.start()
     record(f'with the disruption: {"yes" if trouble else "no"}')
 
     async def bounded():
